--- /dev/null
+++ b/src/base/text_file.h
@@ -0,0 +1,16 @@
+#ifndef AZURESPINDLE_BASE_TEXT_FILE_H
+#define AZURESPINDLE_BASE_TEXT_FILE_H
+
+#include "base/error.h"
+
+#include <string>
+
+namespace azurespindle {
+
+/// Reads the whole file at \a path.
+/// \return its bytes, or FileUnreadable with the path.
+Result<std::string> readTextFile(const std::string &path);
+
+} // namespace azurespindle
+
+#endif
--- /dev/null
+++ b/src/callers/operator_api.h
@@ -0,0 +1,44 @@
+#ifndef AZURESPINDLE_CALLERS_OPERATOR_API_H
+#define AZURESPINDLE_CALLERS_OPERATOR_API_H
+
+#include "members/coordinator.h"
+#include "serving/core.h"
+#include "serving/lease_service.h"
+
+#include <atomic>
+#include <string>
+
+namespace azurespindle::callers {
+
+/// What operators and the balancer ask of a process: health, metrics, status, explanations.
+class OperatorApi
+{
+public:
+    OperatorApi(serving::Core &core, members::Coordinator &coordinator,
+                serving::LeaseService &leases, const std::atomic<bool> &stopping);
+
+    void answerHealth(const http::ExchangePtr &exchange) const;
+    /// Answers 200 while new work is welcome, otherwise 503 with the reason.
+    void answerReady(const http::ExchangePtr &exchange) const;
+    void answerMetrics(const http::ExchangePtr &exchange) const;
+    void answerStatus(const http::ExchangePtr &exchange) const;
+    /// Answers the recent events that name `?id=`.
+    void answerExplain(const http::ServerRequest &request, const http::ExchangePtr &exchange) const;
+    /// Answers the policy in force for `?workspace=`, `?upstream=` or `?zone=`, and its sources.
+    void answerConfiguration(const http::ServerRequest &request,
+                             const http::ExchangePtr &exchange) const;
+
+private:
+    std::string unreadyReason() const;
+    nlohmann::ordered_json membersJson() const;
+    nlohmann::ordered_json poolsJson() const;
+
+    serving::Core &core;
+    members::Coordinator &coordinator;
+    serving::LeaseService &leases;
+    const std::atomic<bool> &stopping;
+};
+
+} // namespace azurespindle::callers
+
+#endif
--- /dev/null
+++ b/src/callers/service_api.cpp
@@ -0,0 +1,294 @@
+#include "callers/service_api.h"
+
+#include "callers/completion_api.h"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+#include <xxhash.h>
+
+namespace azurespindle::callers {
+namespace {
+
+constexpr int statusOk = 200;
+constexpr int statusCreated = 201;
+constexpr int statusBadRequest = 400;
+constexpr int statusNotFound = 404;
+constexpr int statusConflict = 409;
+constexpr int statusGone = 410;
+constexpr int statusUnprocessable = 422;
+constexpr int statusBadGateway = 502;
+constexpr int statusUnavailable = 503;
+constexpr milliseconds inProgressRetry {1'000};
+constexpr std::size_t maxForwardedBytes = 16'777'216;
+const std::string prefix = "/services/";
+const std::string forwardedHeader = "x-azurespindle-forwarded";
+/// Headers of a caller that are not passed on.
+const std::vector<std::string> ownHeaders {
+    "host",       "connection",      "content-length", "transfer-encoding",
+    "expect",     "idempotency-key", "x-workspace",    "x-class",
+    "x-priority", forwardedHeader,   "keep-alive",     "te",
+    "upgrade"};
+
+bool isIdempotent(const std::string &method)
+{
+    return method == "GET" || method == "HEAD" || method == "PUT" || method == "DELETE"
+        || method == "OPTIONS";
+}
+
+http::Headers passedHeaders(const http::Headers &headers)
+{
+    http::Headers passed = headers;
+    for (const std::string &own : ownHeaders) {
+        passed.erase(own);
+    }
+    return passed;
+}
+
+std::string queryText(const http::ServerRequest &request)
+{
+    std::string text;
+    for (const auto &[name, value] : request.query) {
+        text.append(text.empty() ? "?" : "&").append(name).append("=").append(value);
+    }
+    return text;
+}
+
+serving::ServiceCall parseCall(const http::ServerRequest &request)
+{
+    serving::ServiceCall call;
+    const std::string rest = request.path.substr(prefix.size());
+    const std::size_t slash = rest.find('/');
+    call.service = rest.substr(0, slash);
+    call.path = slash == std::string::npos ? "/" : rest.substr(slash);
+    call.path += queryText(request);
+    call.method = request.method;
+    call.headers = passedHeaders(request.headers);
+    call.body = request.body;
+    return call;
+}
+
+std::uint64_t fingerprintOf(const std::string &workspace, const serving::ServiceCall &call)
+{
+    const std::string text = workspace + "\n" + call.service + "\n" + call.method + "\n" + call.path
+        + "\n" + call.body;
+    return XXH3_64bits(text.data(), text.size());
+}
+
+} // namespace
+
+ServiceApi::ServiceApi(serving::Core &core, members::Coordinator &coordinator, http::Client &client,
+                       const settings::UpstreamTimeouts &timeouts, std::uint64_t life)
+    : core(core), coordinator(coordinator), client(client), timeouts(timeouts),
+      home(coordinator.self().name), keys(this->home, life, monotonicNow()),
+      generator(std::random_device {}())
+{ }
+
+void ServiceApi::tick()
+{
+    const std::lock_guard lock(this->mutex);
+    this->keys.passTime(monotonicNow());
+}
+
+void ServiceApi::mintKey(const http::ExchangePtr &exchange)
+{
+    std::string key;
+    {
+        const std::lock_guard lock(this->mutex);
+        key = this->keys.mint(this->generator(), monotonicNow());
+    }
+    nlohmann::ordered_json json;
+    json["key"] = key;
+    json["validSeconds"] = decision::KeyRegister::validity.count();
+    exchange->respond(statusCreated, {{"content-type", "application/json"}}, json.dump());
+}
+
+void ServiceApi::call(const http::ServerRequest &request, const http::ExchangePtr &exchange)
+{
+    const serving::ServiceCall call = parseCall(request);
+    const auto service = this->core.directory()->service(call.service);
+    if (!service) {
+        respond(exchange,
+                notRun(statusNotFound, "unknown-service",
+                       "no service \"" + call.service + "\" is configured"));
+        return;
+    }
+    json::Faults faults;
+    decision::Request asked;
+    readCallerHeaders(request, asked, faults);
+    if (!faults.empty()) {
+        respond(exchange, toProblem(faults));
+        return;
+    }
+    asked.id = this->core.nextRequestId();
+    asked.streamed = false;
+    asked.repeatable = service->repeatable || isIdempotent(call.method);
+    asked.fingerprint = fingerprintOf(asked.workspace, call);
+    const std::string key = request.header("idempotency-key");
+    if (key.empty()) {
+        this->submit(call, asked, exchange, key);
+    } else {
+        this->callWithKey(key, request, call, asked, exchange);
+    }
+}
+
+void ServiceApi::submit(const serving::ServiceCall &call, const decision::Request &asked,
+                        const http::ExchangePtr &exchange, const std::string &key)
+{
+    auto session
+        = std::make_shared<serving::Session>(asked, exchange, this->core.metricsRegistry());
+    session->setCall(call);
+    if (!key.empty()) {
+        session->onAnswer(
+            [this, key](const serving::ServiceAnswer &answer) { this->noteAnswer(key, answer); });
+    }
+    this->core.submit(serving::servicePool(call.service), session);
+}
+
+void ServiceApi::callWithKey(const std::string &key, const http::ServerRequest &request,
+                             const serving::ServiceCall &call, const decision::Request &asked,
+                             const http::ExchangePtr &exchange)
+{
+    const auto parts = decision::parseKey(key);
+    if (!parts) {
+        respond(exchange,
+                notRun(statusBadRequest, "foreign-key",
+                       "Idempotency-Key was not issued by this system; POST "
+                       "/v1/idempotency-keys issues one"));
+        return;
+    }
+    if (parts->home != this->home) {
+        const auto member = this->coordinator.find(parts->home);
+        const bool forwarded = !request.header(forwardedHeader).empty();
+        if (!member || forwarded) {
+            this->refuseKey(key, decision::KeyVerdict::NotHere, exchange);
+            return;
+        }
+        this->forward(*member, request, exchange);
+        return;
+    }
+    decision::KeyVerdict verdict = decision::KeyVerdict::NotHere;
+    {
+        const std::lock_guard lock(this->mutex);
+        verdict = this->keys.begin(key, asked.fingerprint, monotonicNow());
+    }
+    if (verdict == decision::KeyVerdict::Run) {
+        this->submit(call, asked, exchange, key);
+    } else if (verdict == decision::KeyVerdict::Answered) {
+        this->answerAgain(key, exchange);
+    } else {
+        this->refuseKey(key, verdict, exchange);
+    }
+}
+
+void ServiceApi::noteAnswer(const std::string &key, const serving::ServiceAnswer &answer)
+{
+    const auto type = answer.headers.find("content-type");
+    const std::string contentType = type == answer.headers.end() ? "" : type->second;
+    const auto problem = contentType == "application/problem+json"
+        ? nlohmann::json::parse(answer.body, nullptr, false)
+        : nlohmann::json();
+    const std::string outcome = problem.is_object() ? problem.value("outcome", "") : "";
+    const std::lock_guard lock(this->mutex);
+    if (outcome == "not-run") {
+        this->keys.release(key);
+    } else if (outcome.empty()) {
+        this->keys.answer(key, {answer.status, contentType, answer.body});
+    } else {
+        this->keys.close(key);
+    }
+}
+
+void ServiceApi::answerAgain(const std::string &key, const http::ExchangePtr &exchange)
+{
+    decision::KeptAnswer kept;
+    {
+        const std::lock_guard lock(this->mutex);
+        const decision::KeptAnswer *found = this->keys.find(key);
+        if (found != nullptr) {
+            kept = *found;
+        }
+    }
+    http::Headers headers {{"idempotency-replayed", "true"}};
+    if (!kept.contentType.empty()) {
+        headers["content-type"] = kept.contentType;
+    }
+    exchange->respond(kept.status == 0 ? statusOk : kept.status, headers, kept.body);
+}
+
+void ServiceApi::refuseKey(const std::string &key, decision::KeyVerdict verdict,
+                           const http::ExchangePtr &exchange)
+{
+    using Verdict = decision::KeyVerdict;
+    this->core.eventJournal().record(
+        {journal::EventId::KeyRefused, {{"key", key}, {"verdict", name(verdict)}}});
+    http::Problem problem {statusConflict, 0, "key-" + std::string(name(verdict)), "", "unknown",
+                           milliseconds(0)};
+    if (verdict == Verdict::InProgress) {
+        problem.detail = "the call under this key runs now; ask again for its answer";
+        problem.retryAfter = inProgressRetry;
+    } else if (verdict == Verdict::Ran) {
+        problem.detail = "the call ran or may have run; its answer is not kept";
+    } else if (verdict == Verdict::Mismatch) {
+        problem = notRun(statusUnprocessable, problem.title,
+                         "the key was used for another call; every call needs its own key");
+    } else if (verdict == Verdict::Full) {
+        problem = notRun(statusUnavailable, problem.title, "too many keys are in use");
+        problem.retryAfter = inProgressRetry;
+    } else {
+        problem.status = statusGone;
+        problem.detail = "the member that issued the key is gone or the key is too old: whether "
+                         "the call ran is not known";
+    }
+    respond(exchange, problem);
+}
+
+void ServiceApi::forward(const members::MemberRecord &member, const http::ServerRequest &request,
+                         const http::ExchangePtr &exchange)
+{
+    this->core.eventJournal().record(
+        {journal::EventId::CallForwarded, {{"member", member.name}, {"path", request.path}}});
+    http::ClientRequest send;
+    send.method = request.method;
+    send.url = "http://" + member.callerAddress + request.path + queryText(request);
+    send.headers = request.headers;
+    for (const char *hop : {"host", "connection", "content-length", "transfer-encoding"}) {
+        send.headers.erase(hop);
+    }
+    send.headers[forwardedHeader] = this->home;
+    send.body = request.body;
+    send.connectTimeout = this->timeouts.connect;
+    send.totalTimeout = this->timeouts.call;
+    send.freshConnection = true;
+    auto answer = std::make_shared<serving::ServiceAnswer>();
+    http::TransferCallbacks callbacks;
+    callbacks.onStatus = [answer](int status, const http::Headers &headers) {
+        answer->status = status;
+        for (const char *kept : {"content-type", "idempotency-replayed", "retry-after"}) {
+            const auto found = headers.find(kept);
+            if (found != headers.end()) {
+                answer->headers[kept] = found->second;
+            }
+        }
+    };
+    callbacks.onData = [answer](std::string_view bytes) {
+        const bool fits = answer->body.size() + bytes.size() <= maxForwardedBytes;
+        answer->body += fits ? bytes : std::string_view();
+        return true;
+    };
+    callbacks.onDone = [answer, exchange, member](const http::TransferResult &result) {
+        if (result.end == http::TransferEnd::Complete) {
+            exchange->respond(answer->status, answer->headers, answer->body);
+            return;
+        }
+        // Not reaching the member proves nothing about an earlier send through another one.
+        respond(
+            exchange,
+            {statusBadGateway, 0, "key-home-unreachable",
+             "member " + member.name + " issued the key and cannot be reached: " + result.detail,
+             "unknown", inProgressRetry});
+    };
+    this->client.start(std::move(send), std::move(callbacks));
+}
+
+} // namespace azurespindle::callers
--- /dev/null
+++ b/src/cli/commands.cpp
@@ -0,0 +1,239 @@
+#include "cli/commands.h"
+
+#include "base/text_file.h"
+#include "configuration/document.h"
+#include "configuration/vm_list.h"
+#include "http/client.h"
+#include "journal/journal.h"
+#include "serving/entry_process.h"
+#include "settings/settings.h"
+
+#include <cxxopts.hpp>
+
+#include <csignal>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace azurespindle::cli {
+namespace {
+
+constexpr const char *version = "0.1.0";
+constexpr milliseconds queryTimeout {5'000};
+constexpr int statusOk = 200;
+
+constexpr const char *usage = R"(Usage: azurespindle COMMAND [OPTIONS]
+
+Commands:
+  serve SETTINGS          run an entry process until SIGTERM, then stop gracefully
+  check FILE...           check settings, configurations and VM lists
+  status                  what a running process sees: members, upstreams, ramps
+  explain ID              what was decided for a request, upstream, zone or member, and why
+  configuration           what is in force for a workspace, upstream or zone, and its source
+
+Options:
+  --address IP:PORT       caller address of the process to ask   [127.0.0.1:8080]
+  --workspace NAME        with configuration
+  --upstream NAME         with configuration
+  --zone NAME             with configuration
+  --verbose               with serve: log debug events too
+  --help, --version
+
+Examples:
+  azurespindle check samples/1-first-steps/configuration.json
+  azurespindle serve samples/1-first-steps/settings.json
+  azurespindle status --address 127.0.0.1:8080
+  azurespindle explain e3 --address 127.0.0.1:8080
+  azurespindle configuration --workspace acme
+
+Exit codes: 0 done, 1 a fault was found, 2 wrong usage, 3 no answer, 4 start failed.
+)";
+
+int usageError(const std::string &what)
+{
+    std::cerr << "azurespindle: " << what << "\nTry 'azurespindle --help'.\n";
+    return ExitUsage;
+}
+
+void blockStopSignals(sigset_t &signals)
+{
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
+int serve(const std::vector<std::string> &files, bool verbose)
+{
+    if (files.size() != 1) {
+        return usageError("serve takes one settings file");
+    }
+    auto loaded = settings::loadSettings(files.front());
+    if (!loaded.ok()) {
+        std::cerr << "azurespindle: " << loaded.error().message() << "\n";
+        return ExitFault;
+    }
+    const settings::Settings settings = loaded.takeValue();
+    const auto lowest = verbose ? journal::Severity::Debug : journal::Severity::Info;
+    journal::openLog(settings.logFormat, settings.logFile, settings.name, lowest);
+    sigset_t signals;
+    blockStopSignals(signals);
+    serving::EntryProcess process(settings);
+    if (const std::error_code error = process.start()) {
+        std::cerr << "azurespindle: " << error.message() << ": " << settings.callerAddress.text()
+                  << " or " << settings.memberAddress.text() << "\n";
+        return ExitStartFailed;
+    }
+    int received = 0;
+    sigwait(&signals, &received);
+    return process.stopGracefully() == 0 ? ExitOk : ExitFault;
+}
+
+/// Checks a document as what its fields say it is.
+json::Faults checkDocument(const nlohmann::json &document, std::string &kind)
+{
+    json::Faults faults;
+    if (document.is_object() && document.contains("vms")) {
+        kind = "VM list";
+        configuration::parseVmList(document, faults);
+    } else if (document.is_object() && document.contains("callerAddress")) {
+        kind = "settings";
+        settings::parseSettings(document, faults);
+    } else {
+        kind = "configuration";
+        configuration::parseDocument(document, faults);
+    }
+    return faults;
+}
+
+bool checkFile(const std::string &file)
+{
+    const auto text = readTextFile(file);
+    if (!text.ok()) {
+        std::cerr << text.error().message() << "\n";
+        return false;
+    }
+    json::Faults faults;
+    std::string kind = "document";
+    const auto document = json::parseText(text.value(), faults);
+    if (document) {
+        faults = checkDocument(*document, kind);
+    }
+    if (faults.empty()) {
+        std::cout << file << ": good " << kind << "\n";
+        return true;
+    }
+    std::cout << file << ": " << faults.size() << " fault" << (faults.size() == 1 ? "" : "s")
+              << " in this " << kind << json::listFaults(faults) << "\n";
+    return false;
+}
+
+int check(const std::vector<std::string> &files)
+{
+    if (files.empty()) {
+        return usageError("check takes at least one file");
+    }
+    bool good = true;
+    for (const std::string &file : files) {
+        good = checkFile(file) && good;
+    }
+    return good ? ExitOk : ExitFault;
+}
+
+int query(const std::string &address, const std::string &path)
+{
+    const auto parsed = settings::parseAddress(address);
+    if (!parsed.ok()) {
+        return usageError("--address: " + parsed.error().message());
+    }
+    http::ClientRequest request;
+    request.url = "http://" + address + path;
+    request.totalTimeout = queryTimeout;
+    std::string body;
+    const http::TransferResult result = http::fetch(request, body);
+    if (result.end != http::TransferEnd::Complete) {
+        std::cerr << "azurespindle: no answer from " << address << ": " << result.detail << "\n";
+        return ExitUnreachable;
+    }
+    std::cout << body;
+    return result.status == statusOk ? ExitOk : ExitFault;
+}
+
+int configurationQuery(const std::string &address, const cxxopts::ParseResult &options)
+{
+    std::string path = "/configuration";
+    for (const char *subject : {"workspace", "upstream", "zone"}) {
+        if (options.count(subject) > 0) {
+            path += std::string("?") + subject + "=" + options[subject].as<std::string>();
+            break;
+        }
+    }
+    return query(address, path);
+}
+
+int dispatch(const cxxopts::ParseResult &options)
+{
+    if (options.count("help") > 0) {
+        std::cout << usage;
+        return ExitOk;
+    }
+    if (options.count("version") > 0) {
+        std::cout << "azurespindle " << version << "\n";
+        return ExitOk;
+    }
+    if (options.count("command") == 0) {
+        return usageError("a command is missing");
+    }
+    const auto command = options["command"].as<std::string>();
+    const auto arguments = options.count("arguments") > 0
+        ? options["arguments"].as<std::vector<std::string>>()
+        : std::vector<std::string>();
+    const auto address = options["address"].as<std::string>();
+    if (command == "serve") {
+        return serve(arguments, options.count("verbose") > 0);
+    }
+    if (command == "check") {
+        return check(arguments);
+    }
+    if (command == "explain") {
+        return arguments.size() == 1 ? query(address, "/explain?id=" + arguments.front())
+                                     : usageError("explain takes one ID");
+    }
+    if (!arguments.empty()) {
+        return usageError(command + " takes no \"" + arguments.front() + "\"");
+    }
+    if (command == "status") {
+        return query(address, "/status");
+    }
+    if (command == "configuration") {
+        return configurationQuery(address, options);
+    }
+    return usageError("there is no command \"" + command + "\"");
+}
+
+} // namespace
+
+int run(int count, char **values)
+{
+    cxxopts::Options options("azurespindle");
+    auto add = options.add_options();
+    add("command", "", cxxopts::value<std::string>());
+    add("arguments", "", cxxopts::value<std::vector<std::string>>());
+    add("address", "", cxxopts::value<std::string>()->default_value("127.0.0.1:8080"));
+    add("workspace", "", cxxopts::value<std::string>());
+    add("upstream", "", cxxopts::value<std::string>());
+    add("zone", "", cxxopts::value<std::string>());
+    add("verbose", "");
+    add("help", "");
+    add("version", "");
+    options.parse_positional({"command", "arguments"});
+    try {
+        return dispatch(options.parse(count, values));
+    } catch (const cxxopts::exceptions::exception &error) {
+        return usageError(error.what());
+    }
+}
+
+} // namespace azurespindle::cli
--- /dev/null
+++ b/src/cli/main.cpp
@@ -0,0 +1,9 @@
+#include "cli/commands.h"
+
+#include <csignal>
+
+int main(int count, char **values)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    return azurespindle::cli::run(count, values);
+}
--- /dev/null
+++ b/src/configuration/document_keeper.cpp
@@ -0,0 +1,53 @@
+#include "configuration/document_keeper.h"
+
+#include <utility>
+#include <xxhash.h>
+
+namespace azurespindle::configuration {
+namespace {
+
+std::uint64_t revisionOf(const nlohmann::json &document)
+{
+    const auto found = document.is_object() ? document.find("revision") : document.end();
+    const bool there
+        = document.is_object() && found != document.end() && found->is_number_unsigned();
+    return there ? found->get<std::uint64_t>() : 0;
+}
+
+} // namespace
+
+DocumentKeeper::DocumentKeeper(Check check) : check(std::move(check))
+{ }
+
+Offer DocumentKeeper::offer(const std::string &text)
+{
+    json::Faults faults;
+    std::optional<nlohmann::json> parsed;
+    if (text.size() > maxBytes) {
+        faults.push_back({"$", std::to_string(text.size()) + " bytes", "at most 1048576 bytes"});
+    } else {
+        parsed = json::parseText(text, faults);
+    }
+    const std::uint64_t revision = parsed ? revisionOf(*parsed) : 0;
+    if (parsed && revision != 0 && revision <= this->currentRevision) {
+        return revision == this->currentRevision ? Offer::Known : Offer::Stale;
+    }
+    if (parsed && revision == 0) {
+        faults.push_back({"$.revision", "nothing usable", "a whole number above 0"});
+    }
+    if (faults.empty()) {
+        faults = this->check(*parsed);
+    }
+    if (!faults.empty()) {
+        this->lastRefused = revision;
+        this->lastFaults = std::move(faults);
+        return Offer::Refused;
+    }
+    this->currentRevision = revision;
+    this->currentDigest = XXH3_64bits(text.data(), text.size());
+    this->currentText = text;
+    this->currentDocument = std::move(*parsed);
+    return Offer::Accepted;
+}
+
+} // namespace azurespindle::configuration
--- /dev/null
+++ b/src/decision/dispatcher.cpp
@@ -0,0 +1,391 @@
+#include "decision/dispatcher.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace azurespindle::decision {
+namespace {
+
+/// Workspaces whose first request is tried before dispatch gives up for now.
+constexpr std::size_t headsTried = 4;
+/// A request that waited so long is no longer overtaken by ones that fit more easily.
+constexpr milliseconds overtakingLimit {2'000};
+/// Candidates named in the journal as passed over.
+constexpr std::size_t passedOverShown = 4;
+/// A prompt token costs so much less than an output token.
+constexpr double promptCost = 0.25;
+constexpr milliseconds overloadRetry {1'000};
+constexpr milliseconds stoppingRetry {100};
+
+std::string percent(double fraction)
+{
+    return std::to_string(std::lround(fraction * 100.0)) + "%";
+}
+
+std::string passedOver(const std::vector<Candidate> &candidates, std::size_t chosen)
+{
+    std::string text;
+    std::size_t shown = 0;
+    for (std::size_t index = 0; index < candidates.size() && shown < passedOverShown; ++index) {
+        if (index == chosen) {
+            continue;
+        }
+        const Candidate &candidate = candidates[index];
+        text += (shown == 0 ? "" : ", ") + candidate.upstream->listed.name + " ("
+            + name(candidate.obstacle) + ", peak " + percent(candidate.peakFraction) + ")";
+        shown += 1;
+    }
+    return text.empty() ? "none" : text;
+}
+
+/// Returns true if the request failed on every upstream that serves.
+bool failedEverywhere(const std::vector<Candidate> &candidates)
+{
+    const auto failed
+        = [](const Candidate &each) { return each.obstacle == Obstacle::FailedBefore; };
+    const auto open = [&](const Candidate &each) {
+        return !failed(each) && each.obstacle != Obstacle::NotServing;
+    };
+    return std::any_of(candidates.begin(), candidates.end(), failed)
+        && std::none_of(candidates.begin(), candidates.end(), open);
+}
+
+std::string millisecondsText(microseconds duration)
+{
+    return std::to_string(std::chrono::duration_cast<milliseconds>(duration).count());
+}
+
+} // namespace
+
+Dispatcher::Dispatcher(DispatcherOptions options) : options(std::move(options))
+{ }
+
+Effects Dispatcher::handle(const Event &event, Instant at)
+{
+    this->now = at;
+    std::visit([this](const auto &each) { this->on(each); }, event);
+    return std::exchange(this->effects, {});
+}
+
+DispatcherStatus Dispatcher::status() const
+{
+    return {this->open.size() - this->queue.size(), this->queue.size(), this->upstreams.all()};
+}
+
+Dispatcher::Open *Dispatcher::find(RequestId id)
+{
+    const auto found = this->open.find(id);
+    return found == this->open.end() ? nullptr : &found->second;
+}
+
+Dispatcher::Open *Dispatcher::findCurrent(RequestId id, AttemptNumber attempt)
+{
+    Open *found = this->find(id);
+    const bool current = found != nullptr && found->running && found->attempt == attempt;
+    if (current) {
+        return found;
+    }
+    this->journal(journal::EventId::AnswerIgnored,
+                  {{"request", std::to_string(id)}, {"attempt", std::to_string(attempt)}});
+    return nullptr;
+}
+
+void Dispatcher::journal(journal::EventId id, std::vector<journal::Field> fields)
+{
+    this->emit(Journal {{id, std::move(fields)}});
+}
+
+journal::Field Dispatcher::requestField(const Open &open)
+{
+    return {"request", std::to_string(open.request.id)};
+}
+
+MemoryProfile Dispatcher::profileOf(const Open &open) const
+{
+    const Request &request = open.request;
+    return MemoryProfile::ofGeneration(this->forecast, request.workspace, request.trafficClass,
+                                       request.promptTokens, open.received, request.maxTokens);
+}
+
+void Dispatcher::on(const RequestArrived &event)
+{
+    Open opened;
+    opened.request = event.request;
+    opened.arrived = this->now;
+    opened.lastToken = this->now;
+    const RequestId id = event.request.id;
+    Open &entered = this->open.insert_or_assign(id, std::move(opened)).first->second;
+    if (this->stopping) {
+        this->refuse(
+            entered,
+            {RefusalCode::Stopping, Outcome::NotRun, stoppingRetry, "this process is stopping"});
+        return;
+    }
+    if (event.request.resume) {
+        this->resumeForCaller(entered);
+        return;
+    }
+    this->admit(entered);
+    this->dispatch();
+}
+
+void Dispatcher::resumeForCaller(Open &resumed)
+{
+    const ResumePoint &point = *resumed.request.resume;
+    Upstream *upstream = this->upstreams.find(point.upstream);
+    if (upstream == nullptr) {
+        this->refuse(resumed,
+                     {RefusalCode::GenerationLost, Outcome::Ran, milliseconds(0),
+                      "upstream " + point.upstream + " is no longer listed"});
+        return;
+    }
+    resumed.upstream = point.upstream;
+    resumed.generation = point.generation;
+    resumed.received = point.offset;
+    resumed.mayHaveRun = true;
+    resumed.started = this->now;
+    resumed.profile = this->profileOf(resumed);
+    resumed.running = true;
+    this->upstreams.begin(*upstream, resumed.profile, false);
+    this->resume(resumed, milliseconds(0));
+}
+
+void Dispatcher::admit(Open &arrived)
+{
+    const Request &request = arrived.request;
+    if (this->crashes.refuses(request.fingerprint, this->now)) {
+        this->refuse(arrived,
+                     {RefusalCode::CrashSuspect, Outcome::NotRun, milliseconds(0),
+                      "two upstreams died while they ran this request"});
+        return;
+    }
+    if (this->upstreams.all().empty()) {
+        this->refuse(
+            arrived,
+            {RefusalCode::NoUpstream, Outcome::NotRun, overloadRetry, "no upstream is listed"});
+        return;
+    }
+    const configuration::WorkspacePolicy &policy = this->queue.policy(request.workspace);
+    const QueuedRequest queued {request.id, request.priority, this->now,
+                                this->now + policy.queueTimeout};
+    if (!this->queue.push(request.workspace, queued)) {
+        this->refuse(arrived,
+                     {RefusalCode::Overloaded, Outcome::NotRun, overloadRetry,
+                      "the queue of workspace " + request.workspace + " is full"});
+        return;
+    }
+    this->retries.earn();
+}
+
+void Dispatcher::dispatch()
+{
+    bool placedAny = true;
+    while (placedAny && this->queue.size() > 0) {
+        placedAny = false;
+        for (const QueuedRequest &head : this->queue.heads(headsTried)) {
+            placedAny = this->tryPlace(head);
+            const bool mayBeOvertaken = this->now - head.arrived < overtakingLimit;
+            if (placedAny || !mayBeOvertaken) {
+                break;
+            }
+        }
+    }
+    if (this->queue.size() > 0) {
+        this->askLeases(true);
+    }
+}
+
+bool Dispatcher::tryPlace(const QueuedRequest &queued)
+{
+    Open &waiting = this->open.at(queued.id);
+    PlacementQuery query;
+    query.request = &waiting.request;
+    query.profile = this->profileOf(waiting);
+    query.suspect = this->crashes.suspects(waiting.request.fingerprint, this->now);
+    query.failedOn = waiting.failedOn;
+    query.deviations = this->options.memoryDeviations;
+    query.now = this->now;
+    this->upstreams.assess(query, this->candidates);
+    if (failedEverywhere(this->candidates)) {
+        this->giveUp(waiting);
+        return true;
+    }
+    const auto chosen = this->options.placement(this->candidates, this->turns);
+    if (!chosen) {
+        return false;
+    }
+    this->turns += 1;
+    this->queue.remove(waiting.request.workspace, queued.id);
+    waiting.profile = query.profile;
+    waiting.suspect = query.suspect;
+    Upstream *upstream = this->upstreams.find(this->candidates[*chosen].upstream->listed.name);
+    this->start(waiting, *upstream, *chosen);
+    return true;
+}
+
+void Dispatcher::giveUp(Open &failed)
+{
+    const Outcome outcome = failed.mayHaveRun ? Outcome::Unknown : Outcome::NotRun;
+    this->refuse(failed,
+                 {RefusalCode::RetriesExhausted, outcome, overloadRetry,
+                  "it failed on every upstream that serves"});
+}
+
+void Dispatcher::start(Open &placed, Upstream &upstream, std::size_t chosen)
+{
+    const Request &request = placed.request;
+    placed.running = true;
+    placed.attempt += 1;
+    placed.tries += 1;
+    placed.resumes = 0;
+    placed.deadResumes = 0;
+    placed.upstream = upstream.listed.name;
+    placed.generation.clear();
+    placed.received = 0;
+    placed.nextProfile = 0;
+    placed.started = this->now;
+    placed.lastToken = this->now;
+    const double expected = promptCost * request.promptTokens
+        + this->forecast.expectedRemaining(request.workspace, request.trafficClass, 0,
+                                           request.maxTokens);
+    this->queue.charge(request.workspace, expected - placed.charged);
+    placed.charged = expected;
+    const Instant leaseExpires = this->options.leasing
+        ? std::max(upstream.lease.expires, upstream.lease.standaloneExpires)
+        : Instant::max();
+    this->journal(journal::EventId::RequestPlaced,
+                  {requestField(placed),
+                   {"workspace", request.workspace},
+                   {"upstream", placed.upstream},
+                   {"attempt", std::to_string(placed.attempt)},
+                   {"waitedMs", millisecondsText(this->now - placed.arrived)},
+                   {"expectedTokens", std::to_string(std::lround(expected))},
+                   {"peak", percent(this->candidates[chosen].peakFraction)},
+                   {"load", percent(this->candidates[chosen].loadFraction)},
+                   {"cached", percent(this->candidates[chosen].cachedFraction)},
+                   {"passedOver", passedOver(this->candidates, chosen)}});
+    this->upstreams.begin(upstream, placed.profile, placed.suspect);
+    upstream.prefixes.add(request.prefixBlocks);
+    this->emit(StartAttempt {request.id, placed.attempt, placed.upstream, leaseExpires});
+}
+
+void Dispatcher::askLeases(bool urgent)
+{
+    if (!this->options.leasing) {
+        return;
+    }
+    std::size_t serving = 0;
+    for (const Upstream &upstream : this->upstreams.all()) {
+        serving += upstream.listed.condition == Condition::Serving ? 1 : 0;
+    }
+    if (serving == 0) {
+        return;
+    }
+    const std::size_t perUpstream = (this->queue.size() + serving - 1) / serving;
+    const microseconds interval = urgent ? urgentLeaseInterval : leaseInterval;
+    for (const Upstream &each : this->upstreams.all()) {
+        Upstream &upstream = *this->upstreams.find(each.listed.name);
+        const bool serves = upstream.listed.condition == Condition::Serving;
+        const auto wanted = static_cast<std::uint32_t>(serves ? perUpstream : 0);
+        const bool needed = wanted > 0 || upstream.outstanding > 0 || upstream.lease.concurrency > 0
+            || upstream.evidence != Evidence {};
+        if (needed && this->now - upstream.lastAsked >= interval) {
+            this->askLease(upstream, wanted);
+        }
+    }
+}
+
+void Dispatcher::askLease(Upstream &upstream, std::uint32_t wanted)
+{
+    upstream.lastAsked = this->now;
+    this->emit(AskLease {upstream.listed.name, upstream.outstanding, wanted, upstream.evidence});
+    upstream.evidence = {};
+    upstream.evidence.peakOutstanding = 0;
+}
+
+void Dispatcher::refuseExpired()
+{
+    for (const RequestId id : this->queue.takeExpired(this->now)) {
+        Open &expired = this->open.at(id);
+        const Outcome outcome = expired.mayHaveRun ? Outcome::Unknown : Outcome::NotRun;
+        this->refuse(
+            expired,
+            {RefusalCode::QueueTimeout, outcome, overloadRetry, "no upstream had room in time"});
+    }
+}
+
+void Dispatcher::on(const UpstreamsListed &event)
+{
+    for (journal::Entry &entry : this->upstreams.list(event.upstreams)) {
+        this->emit(Journal {std::move(entry)});
+    }
+    if (!this->options.leasing) {
+        for (const ListedUpstream &listed : event.upstreams) {
+            this->upstreams.grant({listed.name,
+                                   static_cast<std::uint32_t>(listed.policy.maxConcurrency), 1.0,
+                                   Instant::max(), 0, Instant()});
+        }
+    }
+    this->dispatch();
+}
+
+void Dispatcher::on(const PoliciesChanged &event)
+{
+    this->queue.setPolicies(event.defaults, event.exceptions);
+    this->retries.setShare(event.retryShare);
+}
+
+void Dispatcher::on(const UpstreamReported &event)
+{
+    const auto entries = this->upstreams.report(event.upstream, event.report);
+    for (const journal::Entry &entry : entries) {
+        this->emit(Journal {entry});
+    }
+    if (!entries.empty()) {
+        Upstream *upstream = this->upstreams.find(event.upstream);
+        upstream->evidence.failures += 1;
+    }
+    this->dispatch();
+}
+
+void Dispatcher::on(const CacheChanged &event)
+{
+    this->upstreams.changeCache(event);
+}
+
+void Dispatcher::on(const LeaseGranted &event)
+{
+    const Upstream *upstream = this->upstreams.find(event.upstream);
+    if (upstream == nullptr) {
+        return;
+    }
+    if (upstream->lease.concurrency != event.concurrency) {
+        this->journal(journal::EventId::LeaseChanged,
+                      {{"upstream", event.upstream},
+                       {"from", std::to_string(upstream->lease.concurrency)},
+                       {"to", std::to_string(event.concurrency)}});
+    }
+    this->upstreams.grant(event);
+    this->dispatch();
+}
+
+void Dispatcher::on(const CrashReported &event)
+{
+    this->crashes.blame(event.fingerprint, event.upstream, event.boot, this->now);
+}
+
+void Dispatcher::on(const Tick &)
+{
+    this->refuseExpired();
+    this->checkSilence();
+    this->dispatch();
+    this->askLeases(false);
+}
+
+void Dispatcher::on(const StopRequested &)
+{
+    this->stopping = true;
+}
+
+} // namespace azurespindle::decision
--- /dev/null
+++ b/src/decision/fair_queue.cpp
@@ -0,0 +1,189 @@
+#include "decision/fair_queue.h"
+
+#include <algorithm>
+
+namespace azurespindle::decision {
+namespace {
+
+std::size_t rank(Priority priority)
+{
+    return static_cast<std::size_t>(Priority::Interactive) - static_cast<std::size_t>(priority);
+}
+
+} // namespace
+
+void FairQueue::setPolicies(
+    const configuration::WorkspacePolicy &newDefaults,
+    const std::vector<std::pair<std::string, configuration::WorkspacePolicy>> &newExceptions)
+{
+    this->defaults = newDefaults;
+    this->exceptions = {newExceptions.begin(), newExceptions.end()};
+}
+
+const configuration::WorkspacePolicy &FairQueue::policy(const std::string &workspace) const
+{
+    const auto found = this->exceptions.find(workspace);
+    return found == this->exceptions.end() ? this->defaults : found->second;
+}
+
+double FairQueue::counter(const std::string &workspace) const
+{
+    const auto found = this->workspaces.find(workspace);
+    return found == this->workspaces.end() ? 0.0 : found->second.counter;
+}
+
+FairQueue::Workspace &FairQueue::enter(const std::string &name)
+{
+    const auto found = this->workspaces.find(name);
+    if (found != this->workspaces.end()) {
+        return found->second;
+    }
+    if (this->workspaces.size() >= maxWorkspaces) {
+        this->forgetIdle();
+    }
+    Workspace &workspace = this->workspaces[name];
+    workspace.counter = this->floor;
+    return workspace;
+}
+
+void FairQueue::forgetIdle()
+{
+    for (auto each = this->workspaces.begin(); each != this->workspaces.end();) {
+        const bool idle = each->second.queued == 0;
+        each = idle ? this->workspaces.erase(each) : std::next(each);
+    }
+}
+
+void FairQueue::activate(const std::string &name, Workspace &workspace)
+{
+    if (!this->byCounter.empty()) {
+        this->floor = std::max(this->floor, this->byCounter.begin()->first);
+    }
+    workspace.counter = std::max(workspace.counter, this->floor);
+    this->byCounter.emplace(workspace.counter, name);
+}
+
+void FairQueue::setCounter(const std::string &name, Workspace &workspace, double counter)
+{
+    if (workspace.queued > 0) {
+        auto [first, last] = this->byCounter.equal_range(workspace.counter);
+        const auto own
+            = std::find_if(first, last, [&](const auto &entry) { return entry.second == name; });
+        this->byCounter.erase(own);
+        this->byCounter.emplace(counter, name);
+    }
+    workspace.counter = counter;
+}
+
+bool FairQueue::push(const std::string &workspace, const QueuedRequest &request)
+{
+    if (this->queued >= maxQueued) {
+        return false;
+    }
+    Workspace &entered = this->enter(workspace);
+    if (entered.queued >= this->policy(workspace).maxQueued) {
+        return false;
+    }
+    if (entered.queued == 0) {
+        this->activate(workspace, entered);
+    }
+    entered.queues[rank(request.priority)].push_back(request);
+    entered.queued += 1;
+    this->queued += 1;
+    return true;
+}
+
+void FairQueue::pushFront(const std::string &workspace, const QueuedRequest &request)
+{
+    Workspace &entered = this->enter(workspace);
+    if (entered.queued == 0) {
+        this->activate(workspace, entered);
+    }
+    entered.queues[rank(request.priority)].push_front(request);
+    entered.queued += 1;
+    this->queued += 1;
+}
+
+void FairQueue::noteRemoved(const std::string &name, Workspace &workspace)
+{
+    workspace.queued -= 1;
+    this->queued -= 1;
+    if (workspace.queued > 0) {
+        return;
+    }
+    auto [first, last] = this->byCounter.equal_range(workspace.counter);
+    const auto own
+        = std::find_if(first, last, [&](const auto &entry) { return entry.second == name; });
+    this->floor = std::max(this->floor, this->byCounter.begin()->first);
+    this->byCounter.erase(own);
+}
+
+bool FairQueue::remove(const std::string &workspace, RequestId id)
+{
+    const auto found = this->workspaces.find(workspace);
+    if (found == this->workspaces.end()) {
+        return false;
+    }
+    for (std::deque<QueuedRequest> &queue : found->second.queues) {
+        const auto position = std::find_if(
+            queue.begin(), queue.end(), [&](const QueuedRequest &each) { return each.id == id; });
+        if (position != queue.end()) {
+            queue.erase(position);
+            this->noteRemoved(workspace, found->second);
+            return true;
+        }
+    }
+    return false;
+}
+
+void FairQueue::charge(const std::string &workspace, double tokens)
+{
+    Workspace &entered = this->enter(workspace);
+    const double weighted = tokens / this->policy(workspace).weight;
+    this->setCounter(workspace, entered, entered.counter + weighted);
+}
+
+std::vector<RequestId> FairQueue::takeExpired(Instant now)
+{
+    std::vector<RequestId> expired;
+    std::vector<std::pair<std::string, RequestId>> found;
+    for (const auto &[counter, name] : this->byCounter) {
+        for (const std::deque<QueuedRequest> &queue : this->workspaces.at(name).queues) {
+            for (const QueuedRequest &request : queue) {
+                if (request.expires <= now) {
+                    found.emplace_back(name, request.id);
+                }
+            }
+        }
+    }
+    for (const auto &[name, id] : found) {
+        this->remove(name, id);
+        expired.push_back(id);
+    }
+    std::sort(expired.begin(), expired.end());
+    return expired;
+}
+
+const QueuedRequest *FairQueue::head(const Workspace &workspace)
+{
+    for (const std::deque<QueuedRequest> &queue : workspace.queues) {
+        if (!queue.empty()) {
+            return &queue.front();
+        }
+    }
+    return nullptr;
+}
+
+std::vector<QueuedRequest> FairQueue::heads(std::size_t most) const
+{
+    std::vector<QueuedRequest> heads;
+    for (const auto &[counter, name] : this->byCounter) {
+        if (heads.size() >= most) {
+            break;
+        }
+        heads.push_back(*head(this->workspaces.at(name)));
+    }
+    return heads;
+}
+
+} // namespace azurespindle::decision
--- /dev/null
+++ b/src/decision/lease_steward.cpp
@@ -0,0 +1,235 @@
+#include "decision/lease_steward.h"
+
+#include <algorithm>
+
+namespace azurespindle::decision {
+namespace {
+
+void noteRamp(const std::string &upstream, RampReason reason, std::uint32_t before,
+              std::uint32_t after, std::vector<journal::Entry> &entries)
+{
+    if (reason == RampReason::None || before == after) {
+        return;
+    }
+    entries.push_back({journal::EventId::RampChanged,
+                       {{"upstream", upstream},
+                        {"from", std::to_string(before)},
+                        {"to", std::to_string(after)},
+                        {"reason", name(reason)}}});
+}
+
+} // namespace
+
+void LeaseSteward::adopt(const std::string &upstream, const configuration::UpstreamPolicy &policy,
+                         Instant now, bool mayHavePredecessor)
+{
+    const auto found = this->stewardedUpstreams.find(upstream);
+    if (found != this->stewardedUpstreams.end()) {
+        found->second.ramp.setPolicy(policy);
+        return;
+    }
+    Stewarded stewarded {Ramp(policy), Condition::Serving, now, false, {}};
+    if (mayHavePredecessor) {
+        stewarded.openFrom = now + leaseDuration + margin;
+        stewarded.adoptUse = true;
+    }
+    this->stewardedUpstreams.emplace(upstream, std::move(stewarded));
+}
+
+void LeaseSteward::release(const std::string &upstream)
+{
+    this->stewardedUpstreams.erase(upstream);
+}
+
+void LeaseSteward::setCondition(const std::string &upstream, Condition condition)
+{
+    const auto found = this->stewardedUpstreams.find(upstream);
+    if (found != this->stewardedUpstreams.end()) {
+        found->second.condition = condition;
+    }
+}
+
+std::uint32_t LeaseSteward::heldBy(const Holder &holder, Instant now)
+{
+    std::uint32_t held = holder.inUse;
+    if (now < holder.expires) {
+        held = std::max(held, holder.granted);
+    }
+    if (now < holder.standaloneExpires) {
+        held = std::max(held, holder.standalone);
+    }
+    return held;
+}
+
+std::uint32_t LeaseSteward::total(const Stewarded &stewarded, Instant now)
+{
+    std::uint32_t sum = 0;
+    for (const auto &[name, holder] : stewarded.holders) {
+        sum += heldBy(holder, now);
+    }
+    return sum;
+}
+
+std::uint32_t LeaseSteward::room(const Stewarded &stewarded, const std::string &holder, Instant now)
+{
+    std::uint32_t others = 0;
+    for (const auto &[name, other] : stewarded.holders) {
+        if (name != holder) {
+            others += heldBy(other, now);
+        }
+    }
+    const std::uint32_t limit = stewarded.ramp.limit();
+    return limit > others ? limit - others : 0;
+}
+
+std::uint32_t LeaseSteward::fairShare(const Stewarded &stewarded, const Holder &holder, Instant now)
+{
+    std::uint32_t asking = 0;
+    for (const auto &[name, other] : stewarded.holders) {
+        const bool recent = now - other.lastHeard < leaseDuration;
+        if (recent && other.inUse + other.wanted > 0) {
+            asking += 1;
+        }
+    }
+    const std::uint32_t even = stewarded.ramp.limit() / std::max(asking, 1U);
+    return std::max({even, holder.inUse, 1U});
+}
+
+std::uint32_t LeaseSteward::grantFor(Stewarded &stewarded, const LeaseRequest &request, Instant now)
+{
+    if (stewarded.condition != Condition::Serving || now < stewarded.openFrom) {
+        return 0;
+    }
+    const Holder &holder = stewarded.holders.at(request.holder);
+    const std::uint32_t needed = request.inUse + request.wanted;
+    if (needed == 0) {
+        return 0;
+    }
+    const std::uint32_t available = room(stewarded, request.holder, now);
+    std::uint32_t unmet = 0;
+    for (const auto &[name, other] : stewarded.holders) {
+        const bool recent = now - other.lastHeard < leaseDuration;
+        if (name != request.holder && recent && other.inUse + other.wanted > other.granted) {
+            unmet += 1;
+        }
+    }
+    if (unmet > 0) {
+        const std::uint32_t share = fairShare(stewarded, holder, now);
+        return std::min({available, needed, share});
+    }
+    const std::uint32_t spare = stewarded.ramp.warm() ? spareSlots + needed / 4 : 0;
+    return std::min(available, needed + spare);
+}
+
+void LeaseSteward::weigh(Stewarded &stewarded, const LeaseRequest &request, Instant now,
+                         std::vector<journal::Entry> &entries)
+{
+    std::uint32_t outstanding = 0;
+    for (const auto &[name, holder] : stewarded.holders) {
+        outstanding += holder.inUse;
+    }
+    const std::uint32_t before = stewarded.ramp.limit();
+    const RampReason reason = stewarded.ramp.weigh(request.evidence, outstanding, now);
+    noteRamp(request.upstream, reason, before, stewarded.ramp.limit(), entries);
+}
+
+void LeaseSteward::forgetSilent(Stewarded &stewarded, Instant now)
+{
+    for (auto each = stewarded.holders.begin(); each != stewarded.holders.end();) {
+        const Holder &holder = each->second;
+        const bool silent = now - holder.lastHeard > standaloneDuration + margin;
+        each = silent ? stewarded.holders.erase(each) : std::next(each);
+    }
+}
+
+LeaseGrant LeaseSteward::handle(const LeaseRequest &request, std::size_t memberCount, Instant now,
+                                std::vector<journal::Entry> &entries)
+{
+    const auto found = this->stewardedUpstreams.find(request.upstream);
+    if (found == this->stewardedUpstreams.end()) {
+        return {request.upstream, 0, 0.0, milliseconds(0), 0, milliseconds(0)};
+    }
+    Stewarded &stewarded = found->second;
+    if (stewarded.holders.count(request.holder) == 0 && stewarded.holders.size() >= maxHolders) {
+        forgetSilent(stewarded, now);
+        if (stewarded.holders.size() >= maxHolders) {
+            return {request.upstream, 0, 0.0, milliseconds(0), 0, milliseconds(0)};
+        }
+    }
+    Holder &holder = stewarded.holders[request.holder];
+    holder.inUse = request.inUse;
+    holder.wanted = request.wanted;
+    holder.lastHeard = now;
+    holder.standalone = 0;
+    if (stewarded.adoptUse && now >= stewarded.openFrom) {
+        stewarded.adoptUse = false;
+        stewarded.ramp.adopt(total(stewarded, now), now);
+    }
+    this->weigh(stewarded, request, now, entries);
+    LeaseGrant grant;
+    grant.upstream = request.upstream;
+    grant.concurrency = grantFor(stewarded, request, now);
+    grant.duration = leaseDuration;
+    holder.granted = grant.concurrency;
+    holder.expires = now + leaseDuration + margin;
+    if (stewarded.ramp.warm() && grant.concurrency > 0) {
+        const auto members = static_cast<std::uint32_t>(std::max<std::size_t>(memberCount, 1));
+        grant.standalone = std::min(stewarded.ramp.limit() / members, grant.concurrency);
+        grant.standaloneDuration = standaloneDuration;
+    }
+    holder.standalone = grant.standalone;
+    holder.standaloneExpires = now + grant.standaloneDuration + margin;
+    const std::uint32_t committed = std::max(total(stewarded, now), 1U);
+    grant.memoryShare = std::max(grant.concurrency, request.inUse) / static_cast<double>(committed);
+    return grant;
+}
+
+void LeaseSteward::noteBoot(const std::string &upstream, std::uint64_t boot, Instant now,
+                            std::vector<journal::Entry> &entries)
+{
+    const auto found = this->stewardedUpstreams.find(upstream);
+    if (found == this->stewardedUpstreams.end()) {
+        return;
+    }
+    const std::uint32_t before = found->second.ramp.limit();
+    const RampReason reason = found->second.ramp.noteBoot(boot, now);
+    noteRamp(upstream, reason, before, found->second.ramp.limit(), entries);
+}
+
+void LeaseSteward::passTime(Instant now, std::vector<journal::Entry> &entries)
+{
+    for (auto &[upstream, stewarded] : this->stewardedUpstreams) {
+        const std::uint32_t before = stewarded.ramp.limit();
+        const RampReason reason = stewarded.ramp.passTime(now);
+        noteRamp(upstream, reason, before, stewarded.ramp.limit(), entries);
+        forgetSilent(stewarded, now);
+    }
+}
+
+bool LeaseSteward::stewards(const std::string &upstream) const
+{
+    return this->stewardedUpstreams.count(upstream) > 0;
+}
+
+std::uint32_t LeaseSteward::limit(const std::string &upstream) const
+{
+    const auto found = this->stewardedUpstreams.find(upstream);
+    return found == this->stewardedUpstreams.end() ? 0 : found->second.ramp.limit();
+}
+
+std::uint32_t LeaseSteward::committed(const std::string &upstream, Instant now) const
+{
+    const auto found = this->stewardedUpstreams.find(upstream);
+    return found == this->stewardedUpstreams.end() ? 0 : total(found->second, now);
+}
+
+std::vector<std::string> LeaseSteward::upstreams() const
+{
+    std::vector<std::string> names;
+    for (const auto &[name, stewarded] : this->stewardedUpstreams) {
+        names.push_back(name);
+    }
+    return names;
+}
+
+} // namespace azurespindle::decision
--- /dev/null
+++ b/src/decision/lease_steward.h
@@ -0,0 +1,117 @@
+#ifndef AZURESPINDLE_DECISION_LEASE_STEWARD_H
+#define AZURESPINDLE_DECISION_LEASE_STEWARD_H
+
+#include "decision/events.h"
+#include "decision/ramp.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace azurespindle::decision {
+
+/// What a holder asks of the steward of an upstream.
+struct LeaseRequest
+{
+    std::string holder; ///< Name and incarnation of the asking process.
+    std::string upstream;
+    std::uint32_t inUse = 0;
+    std::uint32_t wanted = 0;
+    Evidence evidence;
+    bool operator==(const LeaseRequest &other) const = default;
+};
+
+/// The steward's answer. Durations, not instants: two machines share no clock.
+struct LeaseGrant
+{
+    std::string upstream;
+    std::uint32_t concurrency = 0;
+    double memoryShare = 1.0;
+    milliseconds duration {0};
+    std::uint32_t standalone = 0;
+    milliseconds standaloneDuration {0};
+    bool operator==(const LeaseGrant &other) const = default;
+};
+
+/// Hands out the capacity of upstreams as short leases, so that the fleet together never gives an
+/// upstream more than its ramp allows.
+///
+/// The sum of what holders may have started is at most the ramp's limit: a grant counts until it
+/// expires at its holder, by the steward's clock plus a margin for the way; running attempts count
+/// for as long as they are reported. A new steward hands out nothing until every lease of its
+/// predecessor has run out, and then begins at what the upstream was seen to bear.
+class LeaseSteward
+{
+public:
+    static constexpr milliseconds leaseDuration {2'000};
+    /// Clock drift and time on the way that the steward allows for.
+    static constexpr milliseconds margin {500};
+    /// How long a cut-off holder may use its standalone share of a warm upstream.
+    static constexpr milliseconds standaloneDuration {60'000};
+    static constexpr std::size_t maxHolders = 1'024; ///< For each upstream.
+    /// Slots granted beyond the stated need while there is room.
+    static constexpr std::uint32_t spareSlots = 2;
+
+    // Commands
+
+    /// Begins to steward an upstream at \a now, or takes over its changed policy.
+    void adopt(const std::string &upstream, const configuration::UpstreamPolicy &policy,
+               Instant now, bool mayHavePredecessor);
+    /// Stops stewarding an upstream.
+    void release(const std::string &upstream);
+    /// Marks an upstream that takes no new work: its grants are 0.
+    void setCondition(const std::string &upstream, Condition condition);
+    /// Weighs a holder's evidence and answers its request. \a memberCount is the number of
+    /// processes that may ask. Adds what happened to \a entries.
+    LeaseGrant handle(const LeaseRequest &request, std::size_t memberCount, Instant now,
+                      std::vector<journal::Entry> &entries);
+    /// Takes in the boot number of a load report.
+    void noteBoot(const std::string &upstream, std::uint64_t boot, Instant now,
+                  std::vector<journal::Entry> &entries);
+    /// Lets unused limits fall and forgets silent holders.
+    void passTime(Instant now, std::vector<journal::Entry> &entries);
+
+    // Queries
+
+    bool stewards(const std::string &upstream) const;
+    /// Returns the fleet-wide limit of an upstream, 0 if it is not stewarded here.
+    std::uint32_t limit(const std::string &upstream) const;
+    /// Returns the attempts that all holders may have running at \a now.
+    std::uint32_t committed(const std::string &upstream, Instant now) const;
+    std::vector<std::string> upstreams() const;
+
+private:
+    struct Holder
+    {
+        std::uint32_t granted = 0;
+        std::uint32_t inUse = 0;
+        std::uint32_t wanted = 0;
+        std::uint32_t standalone = 0;
+        Instant expires;           ///< Of the lease, margin included.
+        Instant standaloneExpires; ///< Of the standalone share, margin included.
+        Instant lastHeard;
+    };
+    struct Stewarded
+    {
+        Ramp ramp;
+        Condition condition = Condition::Serving;
+        Instant openFrom; ///< Nothing is handed out before.
+        bool adoptUse = false;
+        std::map<std::string, Holder> holders;
+    };
+
+    static std::uint32_t heldBy(const Holder &holder, Instant now);
+    static std::uint32_t total(const Stewarded &stewarded, Instant now);
+    static std::uint32_t room(const Stewarded &stewarded, const std::string &holder, Instant now);
+    static std::uint32_t fairShare(const Stewarded &stewarded, const Holder &holder, Instant now);
+    static void forgetSilent(Stewarded &stewarded, Instant now);
+    void weigh(Stewarded &stewarded, const LeaseRequest &request, Instant now,
+               std::vector<journal::Entry> &entries);
+    static std::uint32_t grantFor(Stewarded &stewarded, const LeaseRequest &request, Instant now);
+
+    std::map<std::string, Stewarded> stewardedUpstreams;
+};
+
+} // namespace azurespindle::decision
+
+#endif
--- /dev/null
+++ b/src/decision/placement.h
@@ -0,0 +1,30 @@
+#ifndef AZURESPINDLE_DECISION_PLACEMENT_H
+#define AZURESPINDLE_DECISION_PLACEMENT_H
+
+#include "decision/upstream_table.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <vector>
+
+namespace azurespindle::decision {
+
+/// Chooses the position of a candidate, or nothing if the request should wait.
+/// \a turn counts the choices made so far.
+using PlacementPolicy = std::function<std::optional<std::size_t>(
+    const std::vector<Candidate> &candidates, std::uint64_t turn)>;
+
+/// Returns the policy that weighs memory at the time it will be needed, load and cached prefixes,
+/// and never chooses a candidate with an obstacle.
+PlacementPolicy expectedMemoryPlacement();
+
+/// Returns the baseline that takes serving upstreams in turn.
+PlacementPolicy roundRobinPlacement();
+
+/// Returns the baseline that takes the serving upstream with the fewest attempts.
+PlacementPolicy leastOutstandingPlacement();
+
+} // namespace azurespindle::decision
+
+#endif
--- /dev/null
+++ b/src/decision/prefix_index.cpp
@@ -0,0 +1,36 @@
+#include "decision/prefix_index.h"
+
+namespace azurespindle::decision {
+
+void PrefixIndex::add(const std::vector<std::uint64_t> &blocks)
+{
+    for (const std::uint64_t block : blocks) {
+        this->known.touch(block);
+    }
+}
+
+void PrefixIndex::drop(const std::vector<std::uint64_t> &blocks)
+{
+    for (const std::uint64_t block : blocks) {
+        this->known.erase(block);
+    }
+}
+
+void PrefixIndex::clear()
+{
+    this->known.eraseIf([](std::uint64_t, const Mark &) { return true; });
+}
+
+Tokens PrefixIndex::cachedTokens(const std::vector<std::uint64_t> &blocks) const
+{
+    Tokens tokens = 0;
+    for (const std::uint64_t block : blocks) {
+        if (this->known.find(block) == nullptr) {
+            break;
+        }
+        tokens += prefixBlockTokens;
+    }
+    return tokens;
+}
+
+} // namespace azurespindle::decision
--- /dev/null
+++ b/src/decision/types.cpp
@@ -0,0 +1,92 @@
+#include "decision/types.h"
+
+namespace azurespindle::decision {
+
+const char *name(Priority priority)
+{
+    switch (priority) {
+    case Priority::Batch:
+        return "batch";
+    case Priority::Standard:
+        return "standard";
+    case Priority::Interactive:
+        return "interactive";
+    }
+    return "standard";
+}
+
+const char *name(Outcome outcome)
+{
+    switch (outcome) {
+    case Outcome::NotRun:
+        return "not-run";
+    case Outcome::Unknown:
+        return "unknown";
+    case Outcome::Ran:
+        return "ran";
+    }
+    return "unknown";
+}
+
+const char *name(RefusalCode code)
+{
+    switch (code) {
+    case RefusalCode::Overloaded:
+        return "overloaded";
+    case RefusalCode::QueueTimeout:
+        return "queue-timeout";
+    case RefusalCode::NoUpstream:
+        return "no-upstream";
+    case RefusalCode::CrashSuspect:
+        return "crash-suspect";
+    case RefusalCode::RetriesExhausted:
+        return "retries-exhausted";
+    case RefusalCode::GenerationLost:
+        return "generation-lost";
+    case RefusalCode::OutcomeUnknown:
+        return "outcome-unknown";
+    case RefusalCode::Stopping:
+        return "stopping";
+    case RefusalCode::UpstreamRefused:
+        return "upstream-refused";
+    case RefusalCode::CallerGone:
+        return "caller-gone";
+    }
+    return "refused";
+}
+
+const char *name(FailureKind kind)
+{
+    switch (kind) {
+    case FailureKind::NotSent:
+        return "not-sent";
+    case FailureKind::ConnectionRefused:
+        return "connection-refused";
+    case FailureKind::Rejected:
+        return "rejected";
+    case FailureKind::Lost:
+        return "lost";
+    case FailureKind::Silent:
+        return "silent";
+    case FailureKind::GenerationGone:
+        return "generation-gone";
+    case FailureKind::Failed:
+        return "failed";
+    }
+    return "failed";
+}
+
+const char *name(Condition condition)
+{
+    switch (condition) {
+    case Condition::Serving:
+        return "serving";
+    case Condition::Leaving:
+        return "leaving";
+    case Condition::Out:
+        return "out";
+    }
+    return "out";
+}
+
+} // namespace azurespindle::decision
--- /dev/null
+++ b/src/decision/upstream_table.cpp
@@ -0,0 +1,200 @@
+#include "decision/upstream_table.h"
+
+#include <algorithm>
+
+namespace azurespindle::decision {
+namespace {
+
+journal::Entry conditionEntry(const ListedUpstream &listed)
+{
+    return {
+        journal::EventId::UpstreamCondition,
+        {{"upstream", listed.name}, {"zone", listed.zone}, {"condition", name(listed.condition)}}};
+}
+
+} // namespace
+
+const char *name(Obstacle obstacle)
+{
+    switch (obstacle) {
+    case Obstacle::None:
+        return "higher cost";
+    case Obstacle::NotServing:
+        return "not serving";
+    case Obstacle::NoSlot:
+        return "no slot";
+    case Obstacle::NoMemory:
+        return "memory";
+    case Obstacle::FailedBefore:
+        return "failed before";
+    case Obstacle::HasSuspect:
+        return "has a crash suspect";
+    }
+    return "unknown";
+}
+
+std::uint32_t Upstream::slots(Instant now) const
+{
+    if (now < this->lease.expires) {
+        return this->lease.concurrency;
+    }
+    return now < this->lease.standaloneExpires ? this->lease.standalone : 0;
+}
+
+double Upstream::memoryBudget() const
+{
+    const double whole = this->report.memoryTokens * this->listed.policy.memoryTarget;
+    const double foreignShare = (1.0 - this->lease.memoryShare) * whole;
+    const double excess = std::max(0.0, this->foreignMemory - foreignShare);
+    return this->lease.memoryShare * whole - excess;
+}
+
+std::vector<journal::Entry> UpstreamTable::list(const std::vector<ListedUpstream> &listed)
+{
+    std::vector<journal::Entry> entries;
+    std::vector<Upstream> next;
+    for (const ListedUpstream &each : listed) {
+        Upstream *known = this->find(each.name);
+        if (known == nullptr) {
+            Upstream added;
+            added.listed = each;
+            entries.push_back(
+                {journal::EventId::UpstreamAdded, {{"upstream", each.name}, {"zone", each.zone}}});
+            next.push_back(std::move(added));
+            continue;
+        }
+        if (known->listed.condition != each.condition) {
+            entries.push_back(conditionEntry(each));
+        }
+        known->listed = each;
+        next.push_back(std::move(*known));
+        this->positions.erase(each.name);
+    }
+    for (const auto &[name, position] : this->positions) {
+        Upstream &missing = this->upstreams[position];
+        if (missing.outstanding == 0) {
+            entries.push_back({journal::EventId::UpstreamRemoved, {{"upstream", name}}});
+            continue;
+        }
+        missing.listed.condition = Condition::Leaving;
+        next.push_back(std::move(missing));
+    }
+    this->upstreams = std::move(next);
+    this->positions.clear();
+    for (std::size_t index = 0; index < this->upstreams.size(); ++index) {
+        this->positions[this->upstreams[index].listed.name] = index;
+    }
+    return entries;
+}
+
+std::vector<journal::Entry> UpstreamTable::report(const std::string &name,
+                                                  const EngineReport &report)
+{
+    Upstream *upstream = this->find(name);
+    if (upstream == nullptr) {
+        return {};
+    }
+    const bool restarted = upstream->report.boot != 0 && upstream->report.boot != report.boot;
+    upstream->report = report;
+    const double own = upstream->profile.current();
+    upstream->foreignMemory = std::max(0.0, report.memoryUsed - own);
+    if (!restarted) {
+        return {};
+    }
+    upstream->prefixes.clear();
+    upstream->foreignMemory = 0.0;
+    return {{journal::EventId::UpstreamRestarted,
+             {{"upstream", name}, {"boot", std::to_string(report.boot)}}}};
+}
+
+void UpstreamTable::changeCache(const CacheChanged &change)
+{
+    Upstream *upstream = this->find(change.upstream);
+    if (upstream != nullptr) {
+        upstream->prefixes.add(change.added);
+        upstream->prefixes.drop(change.dropped);
+    }
+}
+
+void UpstreamTable::grant(const LeaseGranted &lease)
+{
+    Upstream *upstream = this->find(lease.upstream);
+    if (upstream != nullptr) {
+        upstream->lease = lease;
+    }
+}
+
+Upstream *UpstreamTable::find(const std::string &name)
+{
+    const auto found = this->positions.find(name);
+    return found == this->positions.end() ? nullptr : &this->upstreams[found->second];
+}
+
+const Upstream *UpstreamTable::find(const std::string &name) const
+{
+    const auto found = this->positions.find(name);
+    return found == this->positions.end() ? nullptr : &this->upstreams[found->second];
+}
+
+void UpstreamTable::begin(Upstream &upstream, const MemoryProfile &profile, bool suspect)
+{
+    upstream.profile.add(profile);
+    upstream.outstanding += 1;
+    upstream.suspects += suspect ? 1 : 0;
+    upstream.evidence.peakOutstanding
+        = std::max(upstream.evidence.peakOutstanding, upstream.outstanding);
+}
+
+void UpstreamTable::end(Upstream &upstream, const MemoryProfile &profile, bool suspect)
+{
+    upstream.profile.subtract(profile);
+    upstream.outstanding -= 1;
+    upstream.suspects -= suspect ? 1 : 0;
+    if (upstream.outstanding == 0) {
+        upstream.profile = {};
+    }
+}
+
+Obstacle UpstreamTable::obstacle(const Upstream &upstream, const PlacementQuery &query, double peak)
+{
+    if (upstream.listed.condition != Condition::Serving) {
+        return Obstacle::NotServing;
+    }
+    const auto &failedOn = query.failedOn;
+    if (std::find(failedOn.begin(), failedOn.end(), upstream.listed.name) != failedOn.end()) {
+        return Obstacle::FailedBefore;
+    }
+    if (query.suspect && upstream.suspects > 0) {
+        return Obstacle::HasSuspect;
+    }
+    if (upstream.outstanding >= upstream.slots(query.now)) {
+        return Obstacle::NoSlot;
+    }
+    const bool bounded = upstream.report.memoryTokens > 0 && upstream.outstanding > 0;
+    if (bounded && peak > upstream.memoryBudget()) {
+        return Obstacle::NoMemory;
+    }
+    return Obstacle::None;
+}
+
+void UpstreamTable::assess(const PlacementQuery &query, std::vector<Candidate> &candidates) const
+{
+    candidates.clear();
+    for (const Upstream &upstream : this->upstreams) {
+        const double peak = upstream.profile.peakWith(query.profile, query.deviations);
+        const double memory = std::max(1U, upstream.report.memoryTokens);
+        const double slots = std::max(1U, upstream.slots(query.now));
+        const double prompt = std::max(1U, query.request->promptTokens);
+        Candidate candidate;
+        candidate.upstream = &upstream;
+        candidate.obstacle = obstacle(upstream, query, peak);
+        candidate.peakFraction
+            = upstream.report.memoryTokens > 0 ? (peak + upstream.foreignMemory) / memory : 0.0;
+        candidate.loadFraction = (upstream.outstanding + 1.0) / slots;
+        candidate.cachedFraction
+            = upstream.prefixes.cachedTokens(query.request->prefixBlocks) / prompt;
+        candidates.push_back(candidate);
+    }
+}
+
+} // namespace azurespindle::decision
--- /dev/null
+++ b/src/decision/upstream_table.h
@@ -0,0 +1,95 @@
+#ifndef AZURESPINDLE_DECISION_UPSTREAM_TABLE_H
+#define AZURESPINDLE_DECISION_UPSTREAM_TABLE_H
+
+#include "decision/events.h"
+#include "decision/memory_profile.h"
+#include "decision/prefix_index.h"
+
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace azurespindle::decision {
+
+/// Why an upstream cannot take a request now.
+enum class Obstacle { None, NotServing, NoSlot, NoMemory, FailedBefore, HasSuspect };
+
+/// Returns a short text for logs.
+const char *name(Obstacle obstacle);
+
+/// One upstream as this process sees it.
+struct Upstream
+{
+    ListedUpstream listed;
+    LeaseGranted lease;
+    EngineReport report;
+    MemoryProfile profile;         ///< Of this process's attempts there.
+    std::uint32_t outstanding = 0; ///< Attempts of this process.
+    std::uint32_t suspects = 0;    ///< Of these, crash suspects.
+    double foreignMemory = 0.0;    ///< KV tokens that others hold, from the last report.
+    Evidence evidence;             ///< Not yet told to the steward.
+    Instant lastAsked;
+    PrefixIndex prefixes;
+
+    /// Returns how many attempts at once this process may have there at \a now.
+    std::uint32_t slots(Instant now) const;
+    /// Returns the KV tokens that this process may plan with; 0 if the engine never reported.
+    double memoryBudget() const;
+};
+
+/// What placement asks about.
+struct PlacementQuery
+{
+    const Request *request = nullptr;
+    MemoryProfile profile;             ///< Of the request, were it placed.
+    bool suspect = false;              ///< An upstream died running it.
+    std::vector<std::string> failedOn; ///< Upstreams that failed it before.
+    double deviations = 1.0;           ///< Safety margin on memory, in standard deviations.
+    Instant now;
+};
+
+/// One upstream in view of one request.
+struct Candidate
+{
+    const Upstream *upstream = nullptr;
+    Obstacle obstacle = Obstacle::None;
+    double peakFraction = 0.0;   ///< Expected peak memory over the engine's, with the request.
+    double loadFraction = 0.0;   ///< Attempts over slots, with the request.
+    double cachedFraction = 0.0; ///< Part of the prompt that is probably cached.
+};
+
+/// The upstreams of one pool: what is listed, leased, reported, outstanding.
+class UpstreamTable
+{
+public:
+    // Commands
+
+    /// Takes over the list. \return journal entries of what changed.
+    std::vector<journal::Entry> list(const std::vector<ListedUpstream> &upstreams);
+    /// Takes in a report. \return an entry if the engine restarted.
+    std::vector<journal::Entry> report(const std::string &upstream, const EngineReport &report);
+    void changeCache(const CacheChanged &change);
+    void grant(const LeaseGranted &lease);
+    /// Returns the upstream to be changed, or nullptr.
+    Upstream *find(const std::string &name);
+    /// Counts an attempt that holds \a profile.
+    void begin(Upstream &upstream, const MemoryProfile &profile, bool suspect);
+    void end(Upstream &upstream, const MemoryProfile &profile, bool suspect);
+
+    // Queries
+
+    const Upstream *find(const std::string &name) const;
+    const std::vector<Upstream> &all() const { return this->upstreams; }
+    /// Fills \a candidates with every upstream in view of the request.
+    void assess(const PlacementQuery &query, std::vector<Candidate> &candidates) const;
+
+private:
+    static Obstacle obstacle(const Upstream &upstream, const PlacementQuery &query, double peak);
+
+    std::vector<Upstream> upstreams;
+    std::unordered_map<std::string, std::size_t> positions;
+};
+
+} // namespace azurespindle::decision
+
+#endif
--- /dev/null
+++ b/src/journal/event_id.cpp
@@ -0,0 +1,103 @@
+#include "journal/event_id.h"
+
+#include <cassert>
+
+namespace azurespindle::journal {
+
+const std::vector<EventDescription> &catalogue()
+{
+    using S = Severity;
+    using E = EventId;
+    static const std::vector<EventDescription> events {
+        {E::ProcessStarted, "process-started", S::Info, "The process listens and serves."},
+        {E::ProcessStopping, "process-stopping", S::Info,
+         "A graceful stop began: no new work, open requests run to their end."},
+        {E::ProcessStopped, "process-stopped", S::Info, "The process ends; `cut` should be 0."},
+        {E::InternalFault, "internal-fault", S::Error,
+         "Something that should not happen did; the request concerned ended with an error."},
+        {E::RequestPlaced, "request-placed", S::Info, "A request was given to an upstream."},
+        {E::RequestQueued, "request-queued", S::Debug, "No upstream had room; the request waits."},
+        {E::RequestRefused, "request-refused", S::Warning,
+         "A request ended without its whole answer; `outcome` says whether it ran."},
+        {E::RequestFinished, "request-finished", S::Info, "A request got its whole answer."},
+        {E::AttemptFailed, "attempt-failed", S::Warning, "One try of a request broke off."},
+        {E::GenerationResumed, "generation-resumed", S::Info,
+         "A broken stream goes on at its offset on the same upstream."},
+        {E::RequestRetried, "request-retried", S::Info,
+         "A request that delivered nothing yet runs again on another upstream."},
+        {E::AnswerIgnored, "answer-ignored", S::Info,
+         "Tokens of an attempt that is no longer current were dropped."},
+        {E::CallerLeft, "caller-left", S::Info, "A caller hung up; its generation is cancelled."},
+        {E::CallerTooSlow, "caller-too-slow", S::Warning,
+         "A caller read nothing for too long and was disconnected."},
+        {E::UpstreamAdded, "upstream-added", S::Info, "An upstream is known now."},
+        {E::UpstreamRemoved, "upstream-removed", S::Info, "An upstream is no longer listed."},
+        {E::UpstreamCondition, "upstream-condition", S::Info,
+         "An upstream came into service, is leaving, or was marked out."},
+        {E::UpstreamLost, "upstream-lost", S::Warning,
+         "An upstream died or lost what it was running."},
+        {E::UpstreamRestarted, "upstream-restarted", S::Warning,
+         "An upstream reports a new boot number and counts as cold."},
+        {E::RampChanged, "ramp-changed", S::Info,
+         "The fleet-wide limit of an upstream moved, for the stated reason."},
+        {E::LeaseChanged, "lease-changed", S::Debug, "The share of this process changed."},
+        {E::CrashSuspected, "crash-suspected", S::Warning,
+         "An upstream died while it ran a request of this fingerprint."},
+        {E::CrashCleared, "crash-cleared", S::Info, "A suspected request ran to its end."},
+        {E::ConfigurationAccepted, "configuration-accepted", S::Info,
+         "A higher revision is in force in this process."},
+        {E::ConfigurationRefused, "configuration-refused", S::Error,
+         "A document failed its check as a whole; the last good one stays in force."},
+        {E::ConfigurationStale, "configuration-stale", S::Warning,
+         "A source offered a lower revision than the one in force; it was not taken."},
+        {E::ConfigurationServiceLost, "configuration-service-lost", S::Warning,
+         "The configuration service does not answer; peers are asked instead."},
+        {E::ConfigurationServiceBack, "configuration-service-back", S::Info,
+         "The configuration service answers again."},
+        {E::VmListRefused, "vm-list-refused", S::Error,
+         "The VM list failed its check; the last good one stays."},
+        {E::MemberJoined, "member-joined", S::Info, "Another entry process is a member now."},
+        {E::MemberSuspected, "member-suspected", S::Warning,
+         "A member is silent; it is removed unless it speaks up."},
+        {E::MemberRemoved, "member-removed", S::Warning, "A member was silent for too long."},
+        {E::MemberRefuted, "member-refuted", S::Info,
+         "This process was suspected and answered with a new incarnation."},
+        {E::FrameRefused, "frame-refused", S::Warning,
+         "A peer frame could not be decoded; only its connection was closed."},
+        {E::StewardChanged, "steward-changed", S::Info,
+         "Another member hands out the leases of an upstream."},
+        {E::KeyMinted, "key-minted", S::Debug, "An idempotency key was issued."},
+        {E::KeyRefused, "key-refused", S::Warning, "An idempotency key could not be honoured."},
+        {E::CallForwarded, "call-forwarded", S::Debug,
+         "A call was passed to the member that issued its key."},
+        {E::OrderSent, "order-sent", S::Info, "An engine was ordered to load a version."},
+        {E::OrderAccepted, "order-accepted", S::Info, "An engine runs the wanted version."},
+        {E::OrderRefused, "order-refused", S::Warning, "An engine refused an order."},
+        {E::OrderPostponed, "order-postponed", S::Debug,
+         "An order waits for the weight store or for another warm copy."},
+    };
+    return events;
+}
+
+const EventDescription &describe(EventId id)
+{
+    for (const EventDescription &description : catalogue()) {
+        if (description.id == id) {
+            return description;
+        }
+    }
+    assert(false && "every event stands in the catalogue");
+    return catalogue().front();
+}
+
+std::string Entry::value(const std::string &name) const
+{
+    for (const Field &field : this->fields) {
+        if (field.name == name) {
+            return field.value;
+        }
+    }
+    return {};
+}
+
+} // namespace azurespindle::journal
--- /dev/null
+++ b/src/journal/event_id.h
@@ -0,0 +1,101 @@
+#ifndef AZURESPINDLE_JOURNAL_EVENT_ID_H
+#define AZURESPINDLE_JOURNAL_EVENT_ID_H
+
+#include <array>
+#include <string>
+#include <vector>
+
+namespace azurespindle::journal {
+
+enum class Severity { Debug, Info, Warning, Error };
+
+/// Number of a logged event. Numbers are never reused; docs/EVENTS.md is the catalogue.
+enum class EventId {
+    ProcessStarted = 100,
+    ProcessStopping = 101,
+    ProcessStopped = 102,
+    InternalFault = 103,
+
+    RequestPlaced = 200,
+    RequestQueued = 201,
+    RequestRefused = 202,
+    RequestFinished = 203,
+    AttemptFailed = 204,
+    GenerationResumed = 205,
+    RequestRetried = 206,
+    AnswerIgnored = 207,
+    CallerLeft = 208,
+    CallerTooSlow = 209,
+
+    UpstreamAdded = 300,
+    UpstreamRemoved = 301,
+    UpstreamCondition = 302,
+    UpstreamLost = 303,
+    UpstreamRestarted = 304,
+    RampChanged = 305,
+    LeaseChanged = 306,
+    CrashSuspected = 307,
+    CrashCleared = 308,
+
+    ConfigurationAccepted = 400,
+    ConfigurationRefused = 401,
+    ConfigurationStale = 402,
+    ConfigurationServiceLost = 403,
+    ConfigurationServiceBack = 404,
+    VmListRefused = 405,
+
+    MemberJoined = 500,
+    MemberSuspected = 501,
+    MemberRemoved = 502,
+    MemberRefuted = 503,
+    FrameRefused = 504,
+    StewardChanged = 505,
+
+    KeyMinted = 600,
+    KeyRefused = 601,
+    CallForwarded = 602,
+
+    OrderSent = 700,
+    OrderAccepted = 701,
+    OrderRefused = 702,
+    OrderPostponed = 703,
+};
+
+/// Describes one event for the catalogue.
+struct EventDescription
+{
+    EventId id;
+    const char *name;
+    Severity severity;
+    const char *meaning;
+};
+
+/// Returns every event in the order of its number.
+const std::vector<EventDescription> &catalogue();
+
+/// Returns the description of \a id.
+const EventDescription &describe(EventId id);
+
+/// One named value of an event.
+struct Field
+{
+    std::string name;
+    std::string value;
+
+    bool operator==(const Field &other) const = default;
+};
+
+/// One thing that happened, without its time.
+struct Entry
+{
+    EventId id = EventId::InternalFault;
+    std::vector<Field> fields;
+
+    /// Returns the value of the field \a name, or an empty text.
+    std::string value(const std::string &name) const;
+    bool operator==(const Entry &other) const = default;
+};
+
+} // namespace azurespindle::journal
+
+#endif
--- /dev/null
+++ b/src/journal/journal.cpp
@@ -0,0 +1,136 @@
+#include "journal/journal.h"
+
+#include <boost/log/attributes/constant.hpp>
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sources/global_logger_storage.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/sources/severity_logger.hpp>
+#include <boost/log/support/date_time.hpp>
+#include <boost/log/utility/setup/common_attributes.hpp>
+#include <boost/log/utility/setup/console.hpp>
+#include <boost/log/utility/setup/file.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <iostream>
+#include <utility>
+
+namespace azurespindle::journal {
+namespace {
+
+namespace logging = boost::log;
+namespace expressions = boost::log::expressions;
+
+// The names are what the library's macros take them for.
+BOOST_LOG_ATTRIBUTE_KEYWORD(severityKeyword, "Severity", Severity)
+BOOST_LOG_INLINE_GLOBAL_LOGGER_DEFAULT(Logger, logging::sources::severity_logger_mt<Severity>)
+
+const char *name(Severity severity)
+{
+    switch (severity) {
+    case Severity::Debug:
+        return "debug";
+    case Severity::Info:
+        return "info";
+    case Severity::Warning:
+        return "warning";
+    case Severity::Error:
+        return "error";
+    }
+    return "info";
+}
+
+logging::formatter formatter(settings::LogFormat format, const std::string &process)
+{
+    const auto time = expressions::format_date_time<boost::posix_time::ptime>(
+        "TimeStamp", "%Y-%m-%dT%H:%M:%S.%fZ");
+    if (format == settings::LogFormat::Json) {
+        return expressions::stream << R"({"time":")" << time << R"(","process":")" << process
+                                   << R"(",)" << expressions::smessage;
+    }
+    return expressions::stream << time << " " << process << " " << expressions::smessage;
+}
+
+settings::LogFormat chosenFormat = settings::LogFormat::Text;
+
+} // namespace
+
+void openLog(settings::LogFormat format, const std::string &file, const std::string &processName,
+             Severity lowest)
+{
+    chosenFormat = format;
+    logging::core::get()->add_global_attribute("TimeStamp", logging::attributes::utc_clock());
+    logging::core::get()->set_filter(severityKeyword >= lowest);
+    if (file.empty()) {
+        logging::add_console_log(std::clog)->set_formatter(formatter(format, processName));
+        return;
+    }
+    auto sink = logging::add_file_log(logging::keywords::file_name = file,
+                                      logging::keywords::open_mode = std::ios::app,
+                                      logging::keywords::auto_flush = true);
+    sink->set_formatter(formatter(format, processName));
+}
+
+std::string toText(const Entry &entry)
+{
+    const EventDescription &description = describe(entry.id);
+    std::string text = std::string(name(description.severity)) + " "
+        + std::to_string(static_cast<int>(entry.id)) + " " + description.name;
+    for (const Field &field : entry.fields) {
+        const bool quoted = field.value.empty() || field.value.find(' ') != std::string::npos;
+        text += " " + field.name + "=" + (quoted ? "\"" + field.value + "\"" : field.value);
+    }
+    return text;
+}
+
+std::string toJson(const Entry &entry)
+{
+    const EventDescription &description = describe(entry.id);
+    nlohmann::ordered_json json;
+    json["severity"] = name(description.severity);
+    json["event"] = static_cast<int>(entry.id);
+    json["name"] = description.name;
+    for (const Field &field : entry.fields) {
+        json[field.name] = field.value;
+    }
+    return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+void Journal::record(Entry entry)
+{
+    const Severity severity = describe(entry.id).severity;
+    if (chosenFormat == settings::LogFormat::Json) {
+        BOOST_LOG_SEV(Logger::get(), severity) << toJson(entry).substr(1);
+    } else {
+        BOOST_LOG_SEV(Logger::get(), severity) << toText(entry);
+    }
+    const std::lock_guard lock(this->mutex);
+    if (this->recent.size() >= maxRecent) {
+        this->recent.pop_front();
+    }
+    this->recent.push_back({std::chrono::system_clock::now(), std::move(entry)});
+}
+
+std::vector<Recorded> Journal::concerning(const std::string &value) const
+{
+    const std::lock_guard lock(this->mutex);
+    std::vector<Recorded> found;
+    for (const Recorded &recorded : this->recent) {
+        const auto &fields = recorded.entry.fields;
+        const bool names = std::any_of(fields.begin(), fields.end(),
+                                       [&](const Field &each) { return each.value == value; });
+        if (names) {
+            found.push_back(recorded);
+        }
+    }
+    return found;
+}
+
+std::size_t Journal::recentCount() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->recent.size();
+}
+
+} // namespace azurespindle::journal
--- /dev/null
+++ b/src/members/coordinator.cpp
@@ -0,0 +1,545 @@
+#include "members/coordinator.h"
+
+#include "configuration/document.h"
+#include "configuration/vm_list.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace azurespindle::members {
+namespace {
+
+constexpr std::uint64_t seedTurns = 4; ///< Heartbeats between two tries of the seeds.
+
+json::Faults checkConfiguration(const nlohmann::json &document)
+{
+    json::Faults faults;
+    configuration::parseDocument(document, faults);
+    return faults;
+}
+
+json::Faults checkVmList(const nlohmann::json &document)
+{
+    json::Faults faults;
+    configuration::parseVmList(document, faults);
+    return faults;
+}
+
+const char *name(DocumentKind kind)
+{
+    return kind == DocumentKind::Configuration ? "configuration" : "vm-list";
+}
+
+platform::WatchCallbacks watchCallbacks(Coordinator &owner, DocumentKind kind,
+                                        journal::Journal &journal)
+{
+    return {[&owner, kind](const std::string &text) { owner.offer(kind, text, "service"); },
+            [&journal, kind] {
+                journal.record(
+                    {journal::EventId::ConfigurationServiceLost, {{"document", name(kind)}}});
+            },
+            [&journal, kind] {
+                journal.record(
+                    {journal::EventId::ConfigurationServiceBack, {{"document", name(kind)}}});
+            }};
+}
+
+std::string watchUrl(const std::string &base, const char *path)
+{
+    return base.empty() ? "" : base + path;
+}
+
+} // namespace
+
+Coordinator::Coordinator(const settings::Settings &settings, MemberRecord self,
+                         http::Client &client, timer::TimerService &timers,
+                         metrics::Registry &registry, journal::Journal &journal,
+                         CoordinatorHooks hooks)
+    : settings(settings), timers(timers), journal(journal), hooks(std::move(hooks)),
+      started(monotonicNow()), membership(std::move(self)), configurationKeeper(checkConfiguration),
+      vmListKeeper(checkVmList),
+      configurationWatch(watchUrl(settings.configurationService, "/configuration"), client, timers,
+                         registry, watchCallbacks(*this, DocumentKind::Configuration, journal)),
+      vmListWatch(watchUrl(settings.vmList, "/vms"), client, timers, registry,
+                  watchCallbacks(*this, DocumentKind::VmList, journal)),
+      network(settings.memberAddress, registry,
+              {[this](const MemberRecord &record) { this->onHello(record); },
+               [this](const std::string &from, const Message &message) {
+                   this->onMessage(from, message);
+               },
+               [this](const std::string &from, const Error &error) {
+                   this->journal.record({journal::EventId::FrameRefused,
+                                         {{"member", from}, {"detail", error.message()}}});
+               }})
+{ }
+
+std::error_code Coordinator::start()
+{
+    this->network.setSelf(this->self());
+    const std::error_code error = this->network.start();
+    if (error) {
+        return error;
+    }
+    this->timers.subscribe(Membership::heartbeatInterval, [this] { this->tick(); });
+    this->dialSeeds();
+    this->timers.after(peerPatience, [this] { this->chooseWatch(); });
+    return {};
+}
+
+void Coordinator::stop()
+{
+    this->configurationWatch.setActive(false);
+    this->vmListWatch.setActive(false);
+    this->network.stop();
+}
+
+void Coordinator::leave()
+{
+    News news;
+    {
+        const std::lock_guard lock(this->mutex);
+        news = this->membership.leave();
+    }
+    this->network.setSelf(this->self());
+    this->tellNeighbours(MemberNews {news, false});
+}
+
+void Coordinator::dialSeeds()
+{
+    std::vector<std::string> addresses;
+    {
+        const std::lock_guard lock(this->mutex);
+        addresses = this->vmListAddresses;
+    }
+    for (const settings::Address &seed : this->settings.seeds) {
+        addresses.push_back(seed.text());
+    }
+    const std::string own = this->self().memberAddress;
+    for (const std::string &address : addresses) {
+        const std::vector<MemberRecord> active = this->active();
+        const bool known = std::any_of(active.begin(), active.end(), [&](const auto &each) {
+            return each.memberAddress == address;
+        });
+        if (!known && address != own) {
+            this->network.dial(address);
+        }
+    }
+}
+
+// Time -----------------------------------------------------------------------------------------
+
+void Coordinator::tick()
+{
+    News news;
+    std::optional<MemberRecord> lost;
+    std::vector<std::string> silent;
+    {
+        const std::lock_guard lock(this->mutex);
+        const Instant now = monotonicNow();
+        this->turn += 1;
+        news = this->membership.passTime(now);
+        lost = this->membership.deadToTry(this->turn);
+        for (const MemberRecord &neighbour : this->membership.neighbours()) {
+            if (this->membership.silence(neighbour.name, now) > Membership::redialAfter) {
+                silent.push_back(neighbour.name);
+            }
+        }
+    }
+    for (const std::string &member : silent) {
+        this->network.drop(member);
+    }
+    if (lost && this->turn % seedTurns == 0) {
+        this->network.dial(lost->memberAddress);
+    }
+    if (this->turn % seedTurns == 0) {
+        this->dialSeeds();
+    }
+    this->afterChange(news);
+    this->beat();
+    this->chooseWatch();
+}
+
+Heartbeat Coordinator::heartbeat() const
+{
+    const MemberRecord &own = this->membership.self();
+    Heartbeat heartbeat;
+    heartbeat.name = own.name;
+    heartbeat.incarnation = own.incarnation;
+    heartbeat.configuration
+        = {this->configurationKeeper.revision(), this->configurationKeeper.digest()};
+    heartbeat.vmList = {this->vmListKeeper.revision(), this->vmListKeeper.digest()};
+    heartbeat.refusedRevision = this->configurationKeeper.refusedRevision();
+    heartbeat.membershipDigest = this->membership.digest();
+    return heartbeat;
+}
+
+void Coordinator::beat()
+{
+    Heartbeat heartbeat;
+    {
+        const std::lock_guard lock(this->mutex);
+        heartbeat = this->heartbeat();
+    }
+    this->tellNeighbours(heartbeat);
+}
+
+void Coordinator::tellNeighbours(const Message &message)
+{
+    std::vector<MemberRecord> neighbours;
+    {
+        const std::lock_guard lock(this->mutex);
+        neighbours = this->membership.neighbours();
+        // Those who chose this member as their neighbour listen on the same connection.
+        for (const auto &each : this->heartbeats) {
+            const std::string &name = each.first;
+            const auto record = this->membership.find(name);
+            const bool listed = std::any_of(neighbours.begin(), neighbours.end(),
+                                            [&](const auto &other) { return other.name == name; });
+            const bool active = record && record->state != MemberState::Dead
+                && record->state != MemberState::Left;
+            const bool linked = active
+                && this->membership.silence(name, monotonicNow()) < Membership::suspectAfter;
+            if (!listed && linked) {
+                neighbours.push_back(*record);
+            }
+        }
+    }
+    for (const MemberRecord &neighbour : neighbours) {
+        this->network.send(neighbour, message);
+    }
+}
+
+void Coordinator::spread(const News &news)
+{
+    if (!news.empty()) {
+        this->tellNeighbours(MemberNews {news, false});
+    }
+}
+
+void Coordinator::afterChange(const News &news)
+{
+    std::vector<journal::Entry> entries;
+    MemberRecord own;
+    {
+        const std::lock_guard lock(this->mutex);
+        entries = this->membership.takeEntries();
+        own = this->membership.self();
+    }
+    this->record(std::move(entries));
+    if (!news.empty()) {
+        this->network.setSelf(own);
+        this->spread(news);
+        this->hooks.onMembersChanged();
+    }
+}
+
+void Coordinator::record(std::vector<journal::Entry> entries)
+{
+    for (journal::Entry &entry : entries) {
+        this->journal.record(std::move(entry));
+    }
+}
+
+void Coordinator::chooseWatch()
+{
+    if (!this->settled()) {
+        return;
+    }
+    bool watches = false;
+    {
+        const std::lock_guard lock(this->mutex);
+        std::vector<std::string> names;
+        for (const MemberRecord &each : this->membership.activeIn(this->membership.self().zone)) {
+            names.push_back(each.name);
+        }
+        for (std::size_t rank = 0; rank < watchersPerZone && !names.empty(); ++rank) {
+            const std::size_t chosen = *rendezvous(names, "watch");
+            watches = watches || names[chosen] == this->membership.self().name;
+            names.erase(names.begin() + static_cast<std::ptrdiff_t>(chosen));
+        }
+    }
+    this->configurationWatch.setActive(watches);
+    this->vmListWatch.setActive(watches);
+}
+
+// Messages -------------------------------------------------------------------------------------
+
+void Coordinator::onHello(const MemberRecord &record)
+{
+    News news;
+    MemberNews whole;
+    {
+        const std::lock_guard lock(this->mutex);
+        const Instant now = monotonicNow();
+        this->peerHeard = true;
+        news = this->membership.learn({record}, now);
+        const News heard = this->membership.hear(record.name, record.incarnation, now);
+        news.insert(news.end(), heard.begin(), heard.end());
+        whole = {this->membership.records(), true};
+    }
+    if (!news.empty()) {
+        this->network.send(record, whole);
+    }
+    Heartbeat own;
+    {
+        const std::lock_guard lock(this->mutex);
+        own = this->heartbeat();
+    }
+    this->network.send(record, own);
+    this->afterChange(news);
+}
+
+void Coordinator::onMessage(const std::string &from, const Message &message)
+{
+    if (const auto *heartbeat = std::get_if<Heartbeat>(&message)) {
+        this->handle(from, *heartbeat);
+    } else if (const auto *news = std::get_if<MemberNews>(&message)) {
+        this->handle(from, *news);
+    } else if (const auto *wanted = std::get_if<DocumentWanted>(&message)) {
+        this->handle(from, *wanted);
+    } else if (const auto *body = std::get_if<DocumentBody>(&message)) {
+        this->handle(from, *body);
+    } else if (const auto *requests = std::get_if<LeaseRequests>(&message)) {
+        this->hooks.onLeaseRequests(from, *requests);
+    } else if (const auto *grants = std::get_if<LeaseGrants>(&message)) {
+        this->hooks.onLeaseGrants(from, *grants);
+    } else if (const auto *note = std::get_if<CrashNote>(&message)) {
+        this->handle(*note);
+    }
+}
+
+void Coordinator::handle(const std::string &from, const Heartbeat &heartbeat)
+{
+    News news;
+    std::optional<MemberRecord> sender;
+    MemberNews whole;
+    bool wantsConfiguration = false;
+    bool wantsVmList = false;
+    bool differs = false;
+    {
+        const std::lock_guard lock(this->mutex);
+        news = this->membership.hear(heartbeat.name, heartbeat.incarnation, monotonicNow());
+        sender = this->membership.find(from);
+        this->heartbeats[from] = heartbeat;
+        if (this->heartbeats.size() > Membership::maxMembers) {
+            this->heartbeats.erase(this->heartbeats.begin());
+        }
+        wantsConfiguration
+            = heartbeat.configuration.revision > this->configurationKeeper.revision();
+        wantsVmList = heartbeat.vmList.revision > this->vmListKeeper.revision();
+        differs = heartbeat.membershipDigest != this->membership.digest();
+        whole = {this->membership.records(), true};
+    }
+    if (!sender) {
+        return;
+    }
+    if (wantsConfiguration) {
+        this->network.send(*sender, DocumentWanted {DocumentKind::Configuration});
+    }
+    if (wantsVmList) {
+        this->network.send(*sender, DocumentWanted {DocumentKind::VmList});
+    }
+    if (differs) {
+        this->network.send(*sender, whole);
+    }
+    this->afterChange(news);
+}
+
+void Coordinator::handle(const std::string &, const MemberNews &received)
+{
+    News news;
+    {
+        const std::lock_guard lock(this->mutex);
+        news = this->membership.learn(received.records, monotonicNow());
+    }
+    this->afterChange(news);
+}
+
+void Coordinator::handle(const std::string &from, const DocumentWanted &wanted)
+{
+    std::string text;
+    std::optional<MemberRecord> sender;
+    {
+        const std::lock_guard lock(this->mutex);
+        text = this->keeper(wanted.kind).text();
+        sender = this->membership.find(from);
+    }
+    if (sender && !text.empty()) {
+        this->network.send(*sender, DocumentBody {wanted.kind, text});
+    }
+}
+
+void Coordinator::handle(const std::string &from, const DocumentBody &body)
+{
+    this->offer(body.kind, body.text, "member " + from);
+}
+
+void Coordinator::handle(const CrashNote &note)
+{
+    const std::string key
+        = note.upstream + "/" + std::to_string(note.boot) + "/" + std::to_string(note.fingerprint);
+    {
+        const std::lock_guard lock(this->mutex);
+        if (std::exchange(this->crashNotes.touch(key), true)) {
+            return;
+        }
+    }
+    this->hooks.onCrash(note);
+    this->tellNeighbours(note);
+}
+
+void Coordinator::tellCrash(const CrashNote &note)
+{
+    this->handle(note);
+}
+
+void Coordinator::send(const std::string &member, const Message &message)
+{
+    const auto record = this->find(member);
+    if (record) {
+        this->network.send(*record, message);
+    }
+}
+
+// Documents ------------------------------------------------------------------------------------
+
+configuration::DocumentKeeper &Coordinator::keeper(DocumentKind kind)
+{
+    return kind == DocumentKind::Configuration ? this->configurationKeeper : this->vmListKeeper;
+}
+
+const configuration::DocumentKeeper &Coordinator::keeper(DocumentKind kind) const
+{
+    return kind == DocumentKind::Configuration ? this->configurationKeeper : this->vmListKeeper;
+}
+
+platform::DocumentWatch &Coordinator::watch(DocumentKind kind)
+{
+    return kind == DocumentKind::Configuration ? this->configurationWatch : this->vmListWatch;
+}
+
+void Coordinator::offer(DocumentKind kind, const std::string &text, const std::string &source)
+{
+    configuration::Offer result = configuration::Offer::Known;
+    std::string faults;
+    std::uint64_t revision = 0;
+    std::uint64_t known = 0;
+    bool repeated = false;
+    nlohmann::json document;
+    {
+        const std::lock_guard lock(this->mutex);
+        configuration::DocumentKeeper &keeper = this->keeper(kind);
+        result = keeper.offer(text);
+        faults = json::listFaults(keeper.refusedFaults());
+        revision = result == configuration::Offer::Refused ? keeper.refusedRevision()
+                                                           : keeper.revision();
+        known = std::max(keeper.revision(), keeper.refusedRevision());
+        std::string &last = this->lastRejected[static_cast<std::size_t>(kind)];
+        const bool rejected
+            = result == configuration::Offer::Stale || result == configuration::Offer::Refused;
+        repeated = rejected && last == text;
+        last = rejected ? text : std::string();
+        document = keeper.document();
+        if (result == configuration::Offer::Accepted && kind == DocumentKind::VmList) {
+            this->vmListAddresses.clear();
+            json::Faults none;
+            for (const configuration::Vm &vm : configuration::parseVmList(document, none).vms) {
+                if (vm.role == configuration::VmRole::Entry) {
+                    this->vmListAddresses.push_back(vm.address.text());
+                }
+            }
+        }
+    }
+    this->watch(kind).setKnown(known);
+    if (repeated) {
+        return;
+    }
+    const std::vector<journal::Field> fields {
+        {"document", name(kind)}, {"revision", std::to_string(revision)}, {"source", source}};
+    if (result == configuration::Offer::Accepted) {
+        this->journal.record({journal::EventId::ConfigurationAccepted, fields});
+        this->beat();
+        this->hooks.onDocument(kind, document);
+    } else if (result == configuration::Offer::Stale) {
+        this->journal.record({journal::EventId::ConfigurationStale, fields});
+    } else if (result == configuration::Offer::Refused) {
+        std::vector<journal::Field> withFaults = fields;
+        withFaults.push_back({"faults", faults});
+        this->journal.record({journal::EventId::ConfigurationRefused, withFaults});
+    }
+}
+
+// Queries --------------------------------------------------------------------------------------
+
+std::vector<MemberRecord> Coordinator::active() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->membership.active();
+}
+
+std::string Coordinator::steward(const std::string &zone, const std::string &key) const
+{
+    const std::lock_guard lock(this->mutex);
+    std::vector<std::string> names;
+    for (const MemberRecord &each : this->membership.activeIn(zone)) {
+        names.push_back(each.name);
+    }
+    const auto chosen = rendezvous(names, key);
+    return chosen ? names[*chosen] : std::string();
+}
+
+std::optional<MemberRecord> Coordinator::find(const std::string &name) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->membership.find(name);
+}
+
+std::vector<MemberStatus> Coordinator::status() const
+{
+    const std::lock_guard lock(this->mutex);
+    const Instant now = monotonicNow();
+    std::vector<MemberStatus> all;
+    for (const MemberRecord &record : this->membership.records()) {
+        MemberStatus status {record, microseconds(0), {}};
+        if (record.name == this->membership.self().name) {
+            status.heartbeat = this->heartbeat();
+        } else {
+            status.silence = this->membership.silence(record.name, now);
+            const auto found = this->heartbeats.find(record.name);
+            status.heartbeat = found == this->heartbeats.end() ? Heartbeat {} : found->second;
+        }
+        all.push_back(status);
+    }
+    return all;
+}
+
+MemberRecord Coordinator::self() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->membership.self();
+}
+
+std::uint64_t Coordinator::revision(DocumentKind kind) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->keeper(kind).revision();
+}
+
+std::string Coordinator::refusal() const
+{
+    const std::lock_guard lock(this->mutex);
+    const std::uint64_t refused = this->configurationKeeper.refusedRevision();
+    if (refused == 0 && this->configurationKeeper.refusedFaults().empty()) {
+        return {};
+    }
+    return "revision " + std::to_string(refused)
+        + json::listFaults(this->configurationKeeper.refusedFaults());
+}
+
+bool Coordinator::settled() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->peerHeard || monotonicNow() - this->started >= peerPatience;
+}
+
+} // namespace azurespindle::members
--- /dev/null
+++ b/src/members/coordinator.h
@@ -0,0 +1,129 @@
+#ifndef AZURESPINDLE_MEMBERS_COORDINATOR_H
+#define AZURESPINDLE_MEMBERS_COORDINATOR_H
+
+#include "base/recent_map.h"
+#include "configuration/document_keeper.h"
+#include "journal/journal.h"
+#include "members/membership.h"
+#include "members/peer_network.h"
+#include "platform/document_watch.h"
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace azurespindle::members {
+
+/// What the coordinator tells the rest of the process. Called without its lock.
+struct CoordinatorHooks
+{
+    /// A higher revision of one of the documents is in force.
+    std::function<void(DocumentKind kind, const nlohmann::json &document)> onDocument;
+    /// Members came or went.
+    std::function<void()> onMembersChanged;
+    std::function<void(const std::string &from, const LeaseRequests &requests)> onLeaseRequests;
+    std::function<void(const std::string &from, const LeaseGrants &grants)> onLeaseGrants;
+    std::function<void(const CrashNote &note)> onCrash;
+};
+
+/// What one member last said of itself, for `azurespindle status`.
+struct MemberStatus
+{
+    MemberRecord record;
+    microseconds silence {0};
+    Heartbeat heartbeat; ///< Of neighbours; empty for the others.
+};
+
+/// Brings membership, documents and the network together.
+class Coordinator
+{
+public:
+    /// Members of a zone that watch the platform's documents.
+    static constexpr std::size_t watchersPerZone = 2;
+    static constexpr std::size_t maxCrashNotes = 4'096;
+    /// How long a fresh process waits for a peer before it trusts the platform alone.
+    static constexpr milliseconds peerPatience {1'500};
+
+    Coordinator(const settings::Settings &settings, MemberRecord self, http::Client &client,
+                timer::TimerService &timers, metrics::Registry &registry, journal::Journal &journal,
+                CoordinatorHooks hooks);
+
+    // Commands
+
+    std::error_code start();
+    /// Tells the others that this process stops by plan.
+    void leave();
+    void stop();
+    void send(const std::string &member, const Message &message);
+    /// Tells every member, by way of the neighbours.
+    void tellCrash(const CrashNote &note);
+    /// Takes in a document; \a source names it in the journal.
+    void offer(DocumentKind kind, const std::string &text, const std::string &source);
+
+    // Queries
+
+    /// Returns the members that take part.
+    std::vector<MemberRecord> active() const;
+    /// Returns the member that stewards upstreams of \a zone under the key \a key.
+    std::string steward(const std::string &zone, const std::string &key) const;
+    std::optional<MemberRecord> find(const std::string &name) const;
+    std::vector<MemberStatus> status() const;
+    MemberRecord self() const;
+    std::uint64_t revision(DocumentKind kind) const;
+    /// Returns the revision refused last and its faults, as text; empty if there is none.
+    std::string refusal() const;
+    /// Returns true once a peer was heard, or none answered in time.
+    bool settled() const;
+    std::uint16_t port() const { return this->network.port(); }
+
+private:
+    using News = std::vector<MemberRecord>;
+
+    void onHello(const MemberRecord &record);
+    void onMessage(const std::string &from, const Message &message);
+    void handle(const std::string &from, const Heartbeat &heartbeat);
+    void handle(const std::string &from, const MemberNews &news);
+    void handle(const std::string &from, const DocumentWanted &wanted);
+    void handle(const std::string &from, const DocumentBody &body);
+    void handle(const CrashNote &note);
+    void tick();
+    void dialSeeds();
+    void beat();
+    void spread(const News &news);
+    void tellNeighbours(const Message &message);
+    void afterChange(const News &news);
+    void chooseWatch();
+    Heartbeat heartbeat() const;
+    configuration::DocumentKeeper &keeper(DocumentKind kind);
+    const configuration::DocumentKeeper &keeper(DocumentKind kind) const;
+    platform::DocumentWatch &watch(DocumentKind kind);
+    void record(std::vector<journal::Entry> entries);
+
+    const settings::Settings &settings;
+    timer::TimerService &timers;
+    journal::Journal &journal;
+    const CoordinatorHooks hooks;
+    const Instant started;
+
+    mutable std::mutex mutex; ///< Guards the members up to the network.
+    Membership membership;
+    configuration::DocumentKeeper configurationKeeper;
+    configuration::DocumentKeeper vmListKeeper;
+    std::map<std::string, Heartbeat> heartbeats;
+    std::vector<std::string> vmListAddresses;
+    RecentMap<std::string, bool> crashNotes {maxCrashNotes};
+    std::array<std::string, 2> lastRejected; ///< By kind; so that it is journalled once.
+    bool peerHeard = false;
+    std::uint64_t turn = 0;
+
+    platform::DocumentWatch configurationWatch;
+    platform::DocumentWatch vmListWatch;
+    PeerNetwork network;
+};
+
+} // namespace azurespindle::members
+
+#endif
--- /dev/null
+++ b/src/members/messages.h
@@ -0,0 +1,140 @@
+#ifndef AZURESPINDLE_MEMBERS_MESSAGES_H
+#define AZURESPINDLE_MEMBERS_MESSAGES_H
+
+#include "base/error.h"
+#include "decision/lease_steward.h"
+#include "decision/types.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace azurespindle::members {
+
+/// Version of the protocol between entry processes. A member that speaks another one is refused
+/// at its Hello, so that a rolling update sees two fleets of leases rather than a garbled one.
+constexpr std::uint32_t protocolVersion = 1;
+
+/// Frames larger than this are refused: a document of one megabyte and its envelope fit.
+constexpr std::size_t maxFrameBytes = 1'500'000;
+
+enum class MemberState : std::uint8_t {
+    Alive = 0,
+    Suspect = 1,
+    Dead = 2, ///< Silent for too long; may come back with a higher incarnation.
+    Left = 3, ///< Stopped by plan.
+};
+
+const char *name(MemberState state);
+
+/// One member as the members tell one another.
+struct MemberRecord
+{
+    std::string name;
+    std::string zone;
+    std::string memberAddress; ///< IP:PORT of the protocol between members.
+    std::string callerAddress; ///< IP:PORT of its HTTP interface.
+    std::uint64_t incarnation = 0;
+    MemberState state = MemberState::Alive;
+    bool operator==(const MemberRecord &other) const = default;
+};
+
+/// First frame of each connection, in both directions.
+struct Hello
+{
+    std::uint32_t version = protocolVersion;
+    MemberRecord self;
+    bool operator==(const Hello &other) const = default;
+};
+
+/// What a member last knew of a document that all share.
+struct DocumentMark
+{
+    std::uint64_t revision = 0;
+    std::uint64_t digest = 0;
+    bool operator==(const DocumentMark &other) const = default;
+};
+
+/// Sent to every neighbour each heartbeatInterval, and at once when a document changes.
+struct Heartbeat
+{
+    std::string name;
+    std::uint64_t incarnation = 0;
+    DocumentMark configuration;
+    DocumentMark vmList;
+    std::uint64_t refusedRevision = 0; ///< Last configuration that failed its check here.
+    std::uint64_t membershipDigest = 0;
+    bool operator==(const Heartbeat &other) const = default;
+};
+
+/// News about members; \a whole when it is everything the sender knows.
+struct MemberNews
+{
+    std::vector<MemberRecord> records;
+    bool whole = false;
+    bool operator==(const MemberNews &other) const = default;
+};
+
+enum class DocumentKind : std::uint8_t { Configuration = 0, VmList = 1 };
+
+/// Asks for a document.
+struct DocumentWanted
+{
+    DocumentKind kind = DocumentKind::Configuration;
+    bool operator==(const DocumentWanted &other) const = default;
+};
+
+/// A document as it was published.
+struct DocumentBody
+{
+    DocumentKind kind = DocumentKind::Configuration;
+    std::string text;
+    bool operator==(const DocumentBody &other) const = default;
+};
+
+/// Lease requests of one holder to one steward.
+struct LeaseRequests
+{
+    std::vector<decision::LeaseRequest> requests;
+    bool operator==(const LeaseRequests &other) const = default;
+};
+
+/// A grant with the upstream's last load report.
+struct GrantWithReport
+{
+    decision::LeaseGrant grant;
+    bool hasReport = false;
+    decision::EngineReport report; ///< `at` is set by the receiver.
+    bool operator==(const GrantWithReport &other) const = default;
+};
+
+struct LeaseGrants
+{
+    std::vector<GrantWithReport> grants;
+    bool operator==(const LeaseGrants &other) const = default;
+};
+
+/// An upstream died while it ran a request of this fingerprint. Passed on once by each member.
+struct CrashNote
+{
+    std::string pool;
+    std::uint64_t fingerprint = 0;
+    std::string upstream;
+    std::uint64_t boot = 0;
+    bool operator==(const CrashNote &other) const = default;
+};
+
+using Message = std::variant<Hello, Heartbeat, MemberNews, DocumentWanted, DocumentBody,
+                             LeaseRequests, LeaseGrants, CrashNote>;
+
+/// Returns the frame's payload: a msgpack array of version, type and body.
+std::string encode(const Message &message);
+
+/// Decodes a payload. \return FrameMalformed with what was wrong if it is not one of ours.
+Result<Message> decode(std::string_view payload);
+
+} // namespace azurespindle::members
+
+#endif
--- /dev/null
+++ b/src/platform/document_watch.cpp
@@ -0,0 +1,114 @@
+#include "platform/document_watch.h"
+
+#include <utility>
+
+namespace azurespindle::platform {
+namespace {
+
+constexpr int statusOk = 200;
+constexpr int statusNoContent = 204;
+constexpr milliseconds answerMargin {5'000};
+
+} // namespace
+
+struct DocumentWatch::State
+{
+    State(std::string url, http::Client &client, timer::TimerService &timers,
+          metrics::Registry &registry, WatchCallbacks callbacks)
+        : url(std::move(url)), client(client), timers(timers), registry(registry),
+          callbacks(std::move(callbacks))
+    { }
+
+    const std::string url;
+    http::Client &client;
+    timer::TimerService &timers;
+    metrics::Registry &registry;
+    const WatchCallbacks callbacks;
+    std::mutex mutex; ///< Guards the members below.
+    bool active = false;
+    bool calling = false;
+    bool lost = false;
+    std::uint64_t known = 0;
+    std::string lastBody; ///< A source that answers the same again is not asked at once.
+};
+
+DocumentWatch::DocumentWatch(std::string url, http::Client &client, timer::TimerService &timers,
+                             metrics::Registry &registry, WatchCallbacks callbacks)
+    : state(std::make_shared<State>(std::move(url), client, timers, registry, std::move(callbacks)))
+{ }
+
+void DocumentWatch::setActive(bool active)
+{
+    {
+        const std::lock_guard lock(this->state->mutex);
+        this->state->active = active;
+        if (!active || this->state->calling || this->state->url.empty()) {
+            return;
+        }
+        this->state->calling = true;
+    }
+    call(this->state);
+}
+
+void DocumentWatch::setKnown(std::uint64_t revision)
+{
+    const std::lock_guard lock(this->state->mutex);
+    this->state->known = revision;
+}
+
+void DocumentWatch::call(const std::shared_ptr<State> &state)
+{
+    http::ClientRequest request;
+    {
+        const std::lock_guard lock(state->mutex);
+        request.url = state->url + "?after=" + std::to_string(state->known)
+            + "&waitMs=" + std::to_string(waitTime.count());
+    }
+    request.totalTimeout = waitTime + answerMargin;
+    // A kept connection may have gone silent for good, and a watch would not notice for long.
+    request.freshConnection = true;
+    state->registry.count(metrics::Counter::ConfigurationReads);
+    auto body = std::make_shared<std::string>();
+    http::TransferCallbacks callbacks;
+    callbacks.onData = [body](std::string_view bytes) {
+        *body += bytes;
+        return true;
+    };
+    callbacks.onDone
+        = [state, body](const http::TransferResult &result) { finish(state, result, *body); };
+    state->client.start(std::move(request), std::move(callbacks));
+}
+
+void DocumentWatch::finish(const std::shared_ptr<State> &state, const http::TransferResult &result,
+                           const std::string &body)
+{
+    const bool answered = result.end == http::TransferEnd::Complete
+        && (result.status == statusOk || result.status == statusNoContent);
+    bool changed = false;
+    bool repeated = false;
+    {
+        const std::lock_guard lock(state->mutex);
+        repeated = !body.empty() && body == state->lastBody;
+        state->lastBody = body;
+        changed = std::exchange(state->lost, !answered) == answered;
+    }
+    if (changed) {
+        (answered ? state->callbacks.onBack : state->callbacks.onLost)();
+    }
+    if (answered && result.status == statusOk) {
+        state->callbacks.onDocument(body);
+    }
+    const bool slow = !answered || repeated;
+    state->timers.after(slow ? retryTime : minInterval, [state] {
+        {
+            const std::lock_guard lock(state->mutex);
+            state->calling = state->active;
+            if (!state->active) {
+                return;
+            }
+        }
+        call(state);
+    });
+}
+
+} // namespace azurespindle::platform
--- /dev/null
+++ b/src/serving/core.cpp
@@ -0,0 +1,212 @@
+#include "serving/core.h"
+
+#include <type_traits>
+#include <utility>
+
+namespace azurespindle::serving {
+
+Core::Core(const settings::Settings &settings, timer::TimerService &timers,
+           metrics::Registry &registry, journal::Journal &journal, CoreHooks hooks)
+    : settings(settings), registry(registry), journal(journal), hooks(std::move(hooks)),
+      currentDirectory(std::make_shared<Directory>()),
+      attempts(settings.upstreams, settings.upstreamThreads, timers)
+{ }
+
+std::shared_ptr<PoolRunner> Core::makePool(const std::string &name)
+{
+    decision::DispatcherOptions options;
+    options.firstTokenTimeout = this->settings.upstreams.firstToken;
+    options.gapTimeout = this->settings.upstreams.gap;
+    options.callTimeout = this->settings.upstreams.call;
+    return std::make_shared<PoolRunner>(
+        name, std::move(options),
+        [this](PoolRunner &pool, const decision::Effect &effect, const TokenTexts &texts) {
+            this->execute(pool, effect, texts);
+        });
+}
+
+void Core::setDirectory(const std::shared_ptr<const Directory> &directory)
+{
+    std::map<std::string, std::shared_ptr<PoolRunner>> current;
+    {
+        const std::lock_guard lock(this->mutex);
+        this->currentDirectory = directory;
+        for (const auto &[name, upstreams] : directory->pools) {
+            if (this->pools.count(name) == 0) {
+                this->pools[name] = this->makePool(name);
+            }
+        }
+        current = this->pools;
+    }
+    const decision::PoliciesChanged policies = directory->policies();
+    for (const auto &[name, pool] : current) {
+        pool->post(policies);
+        pool->post(directory->listing(name));
+    }
+}
+
+std::shared_ptr<const Directory> Core::directory() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->currentDirectory;
+}
+
+std::shared_ptr<PoolRunner> Core::find(const std::string &pool) const
+{
+    const std::lock_guard lock(this->mutex);
+    const auto found = this->pools.find(pool);
+    return found == this->pools.end() ? nullptr : found->second;
+}
+
+std::vector<std::shared_ptr<PoolRunner>> Core::allPools() const
+{
+    const std::lock_guard lock(this->mutex);
+    std::vector<std::shared_ptr<PoolRunner>> all;
+    for (const auto &[name, pool] : this->pools) {
+        all.push_back(pool);
+    }
+    return all;
+}
+
+bool Core::submit(const std::string &pool, const SessionPtr &session)
+{
+    const std::shared_ptr<PoolRunner> runner = this->find(pool);
+    if (runner == nullptr) {
+        return false;
+    }
+    this->registry.count(metrics::Counter::Requests);
+    this->sessions.add(session);
+    const decision::RequestId id = session->request().id;
+    runner->post(decision::RequestArrived {session->request()});
+    session->exchange()->onGone([this, runner, id] {
+        this->registry.count(metrics::Counter::CallersGone);
+        runner->post(decision::CallerLeft {id});
+    });
+    return true;
+}
+
+void Core::post(const std::string &pool, decision::Event event)
+{
+    const std::shared_ptr<PoolRunner> runner = this->find(pool);
+    if (runner != nullptr) {
+        runner->post(std::move(event));
+    }
+}
+
+void Core::postToAll(const decision::Event &event)
+{
+    for (const auto &pool : this->allPools()) {
+        pool->post(event);
+    }
+}
+
+std::map<std::string, decision::DispatcherStatus> Core::status() const
+{
+    std::map<std::string, decision::DispatcherStatus> all;
+    for (const auto &pool : this->allPools()) {
+        all[pool->name()] = pool->status();
+    }
+    return all;
+}
+
+std::size_t Core::openRequests() const
+{
+    std::size_t sum = 0;
+    for (const auto &pool : this->allPools()) {
+        sum += pool->openRequests();
+    }
+    return sum;
+}
+
+settings::Address Core::addressOf(const std::string &upstream) const
+{
+    const std::shared_ptr<const Directory> directory = this->directory();
+    const auto found = directory->upstreams.find(upstream);
+    return found == directory->upstreams.end() ? settings::Address {} : found->second.address;
+}
+
+void Core::execute(PoolRunner &pool, const decision::Effect &effect, const TokenTexts &texts)
+{
+    std::visit(
+        [&](const auto &each) {
+            using Kind = std::decay_t<decltype(each)>;
+            if constexpr (std::is_same_v<
+                              Kind,
+                              decision::
+                                  StartAttempt> || std::is_same_v<Kind, decision::ResumeAttempt>) {
+                this->carryOut(pool, each);
+            } else if constexpr (std::is_same_v<Kind, decision::Deliver>) {
+                this->carryOut(each, texts);
+            } else if constexpr (std::is_same_v<Kind, decision::AskLease>) {
+                this->hooks.askLease(pool.name(), each);
+            } else if constexpr (std::is_same_v<Kind, decision::TellCrash>) {
+                this->hooks.tellCrash(pool.name(), each);
+            } else if constexpr (std::is_same_v<Kind, decision::Journal>) {
+                this->journal.record(each.entry);
+            } else {
+                this->carryOut(each);
+            }
+        },
+        effect);
+}
+
+void Core::carryOut(PoolRunner &pool, const decision::StartAttempt &start)
+{
+    const SessionPtr session = this->sessions.find(start.request);
+    if (session == nullptr) {
+        return;
+    }
+    if (start.attempt > 1) {
+        this->registry.count(metrics::Counter::Retries);
+    }
+    this->attempts.start(pool, session, start, this->addressOf(start.upstream));
+}
+
+void Core::carryOut(PoolRunner &pool, const decision::ResumeAttempt &resume)
+{
+    const SessionPtr session = this->sessions.find(resume.request);
+    if (session != nullptr) {
+        this->registry.count(metrics::Counter::Resumes);
+        this->attempts.resume(pool, session, resume, this->addressOf(resume.upstream));
+    }
+}
+
+void Core::carryOut(const decision::CancelAttempt &cancel)
+{
+    const SessionPtr session = this->sessions.find(cancel.request);
+    if (session != nullptr) {
+        this->attempts.cancel(session, cancel, this->addressOf(cancel.upstream));
+    }
+}
+
+void Core::carryOut(const decision::Deliver &deliver, const TokenTexts &texts)
+{
+    const SessionPtr session = this->sessions.find(deliver.request);
+    if (session == nullptr) {
+        return;
+    }
+    session->deliver(deliver, texts);
+    if (deliver.last) {
+        this->sessions.remove(deliver.request);
+    }
+}
+
+void Core::carryOut(const decision::DeliverAnswer &deliver)
+{
+    const SessionPtr session = this->sessions.find(deliver.request);
+    if (session != nullptr) {
+        session->deliverAnswer();
+        this->sessions.remove(deliver.request);
+    }
+}
+
+void Core::carryOut(const decision::Refuse &refuse)
+{
+    const SessionPtr session = this->sessions.find(refuse.request);
+    if (session != nullptr) {
+        session->refuse(refuse.refusal);
+        this->sessions.remove(refuse.request);
+    }
+}
+
+} // namespace azurespindle::serving
--- /dev/null
+++ b/src/serving/core.h
@@ -0,0 +1,82 @@
+#ifndef AZURESPINDLE_SERVING_CORE_H
+#define AZURESPINDLE_SERVING_CORE_H
+
+#include "journal/journal.h"
+#include "metrics/registry.h"
+#include "serving/directory.h"
+#include "serving/pool_runner.h"
+#include "serving/session.h"
+#include "settings/settings.h"
+#include "timer/timer_service.h"
+#include "upstreams/attempt_runner.h"
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace azurespindle::serving {
+
+/// Effects that concern other processes.
+struct CoreHooks
+{
+    std::function<void(const std::string &pool, const decision::AskLease &ask)> askLease;
+    std::function<void(const std::string &pool, const decision::TellCrash &crash)> tellCrash;
+};
+
+/// The pools of one process: takes requests in, carries out what the pools decide.
+class Core
+{
+public:
+    Core(const settings::Settings &settings, timer::TimerService &timers,
+         metrics::Registry &registry, journal::Journal &journal, CoreHooks hooks);
+
+    // Commands
+
+    /// Takes over a new directory: makes pools, tells them their upstreams and policies.
+    void setDirectory(const std::shared_ptr<const Directory> &directory);
+    /// Hands a request to its pool. \return false if there is no such pool.
+    bool submit(const std::string &pool, const SessionPtr &session);
+    /// Posts an event to one pool, or to all of them.
+    void post(const std::string &pool, decision::Event event);
+    void postToAll(const decision::Event &event);
+
+    // Queries
+
+    std::shared_ptr<const Directory> directory() const;
+    decision::RequestId nextRequestId() { return this->lastRequest += 1; }
+    metrics::Registry &metricsRegistry() { return this->registry; }
+    journal::Journal &eventJournal() { return this->journal; }
+    std::map<std::string, decision::DispatcherStatus> status() const;
+    std::size_t openRequests() const;
+
+private:
+    std::shared_ptr<PoolRunner> find(const std::string &pool) const;
+    std::vector<std::shared_ptr<PoolRunner>> allPools() const;
+    std::shared_ptr<PoolRunner> makePool(const std::string &name);
+    settings::Address addressOf(const std::string &upstream) const;
+    void execute(PoolRunner &pool, const decision::Effect &effect, const TokenTexts &texts);
+    void carryOut(PoolRunner &pool, const decision::StartAttempt &start);
+    void carryOut(PoolRunner &pool, const decision::ResumeAttempt &resume);
+    void carryOut(const decision::CancelAttempt &cancel);
+    void carryOut(const decision::Deliver &deliver, const TokenTexts &texts);
+    void carryOut(const decision::DeliverAnswer &deliver);
+    void carryOut(const decision::Refuse &refuse);
+
+    const settings::Settings &settings;
+    metrics::Registry &registry;
+    journal::Journal &journal;
+    const CoreHooks hooks;
+    std::atomic<decision::RequestId> lastRequest {0};
+    SessionTable sessions;
+    mutable std::mutex mutex; ///< Guards the two below.
+    std::shared_ptr<const Directory> currentDirectory;
+    std::map<std::string, std::shared_ptr<PoolRunner>> pools;
+    upstreams::AttemptRunner attempts;
+};
+
+} // namespace azurespindle::serving
+
+#endif
--- /dev/null
+++ b/src/serving/directory.cpp
@@ -0,0 +1,111 @@
+#include "serving/directory.h"
+
+#include <utility>
+
+namespace azurespindle::serving {
+namespace {
+
+decision::Condition conditionOf(const configuration::Document &document,
+                                const configuration::Vm &vm)
+{
+    if (configuration::outMark(document, vm.name, vm.zone)) {
+        return decision::Condition::Out;
+    }
+    return vm.state == configuration::VmState::Leaving ? decision::Condition::Leaving
+                                                       : decision::Condition::Serving;
+}
+
+} // namespace
+
+std::string servicePool(const std::string &service)
+{
+    return "service:" + service;
+}
+
+Directory buildDirectory(const configuration::Document &document,
+                         const configuration::VmList &vmList)
+{
+    Directory directory;
+    directory.configuration = document;
+    directory.vmList = vmList;
+    for (const configuration::Model &model : document.models) {
+        directory.pools[model.name];
+    }
+    for (const configuration::Service &service : document.services) {
+        directory.pools[servicePool(service.name)];
+    }
+    for (const configuration::Vm &vm : vmList.vms) {
+        if (vm.role == configuration::VmRole::Entry) {
+            continue;
+        }
+        const bool engine = vm.role == configuration::VmRole::Engine;
+        const auto pool = directory.pools.find(engine ? vm.serves : servicePool(vm.serves));
+        if (pool == directory.pools.end()) {
+            continue;
+        }
+        DirectoryEntry entry;
+        entry.listed = {vm.name, vm.zone, conditionOf(document, vm),
+                        configuration::upstreamPolicy(document, vm.name, vm.zone).policy};
+        entry.address = vm.address;
+        entry.pool = pool->first;
+        entry.engine = engine;
+        pool->second.push_back(entry);
+        directory.upstreams[vm.name] = entry;
+    }
+    return directory;
+}
+
+decision::UpstreamsListed Directory::listing(const std::string &pool) const
+{
+    decision::UpstreamsListed listing;
+    const auto found = this->pools.find(pool);
+    if (found != this->pools.end()) {
+        for (const DirectoryEntry &entry : found->second) {
+            listing.upstreams.push_back(entry.listed);
+        }
+    }
+    return listing;
+}
+
+decision::PoliciesChanged Directory::policies() const
+{
+    decision::PoliciesChanged changed;
+    changed.defaults = this->configuration.workspaceDefaults;
+    changed.retryShare = this->configuration.retryShare;
+    for (const configuration::Exception &exception : this->configuration.exceptions) {
+        if (exception.kind != configuration::SubjectKind::Workspace) {
+            continue;
+        }
+        const std::string &workspace = exception.subject;
+        changed.exceptions.emplace_back(
+            workspace, configuration::workspacePolicy(this->configuration, workspace).policy);
+    }
+    return changed;
+}
+
+std::optional<configuration::Service> Directory::service(const std::string &name) const
+{
+    for (const configuration::Service &service : this->configuration.services) {
+        if (service.name == name) {
+            return service;
+        }
+    }
+    return std::nullopt;
+}
+
+std::string Directory::outReason(const std::string &name, const std::string &zone) const
+{
+    const auto mark = configuration::outMark(this->configuration, name, zone);
+    if (mark) {
+        return std::string(configuration::name(mark->kind)) + " " + mark->subject
+            + " is marked out: " + mark->reason;
+    }
+    for (const configuration::Vm &vm : this->vmList.vms) {
+        if (vm.name == name && vm.state == configuration::VmState::Leaving) {
+            return "VM " + name + " is leaving";
+        }
+    }
+    return {};
+}
+
+} // namespace azurespindle::serving
--- /dev/null
+++ b/src/serving/directory.h
@@ -0,0 +1,53 @@
+#ifndef AZURESPINDLE_SERVING_DIRECTORY_H
+#define AZURESPINDLE_SERVING_DIRECTORY_H
+
+#include "configuration/document.h"
+#include "configuration/vm_list.h"
+#include "decision/events.h"
+#include "settings/settings.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace azurespindle::serving {
+
+/// One upstream with its address.
+struct DirectoryEntry
+{
+    decision::ListedUpstream listed;
+    settings::Address address;
+    std::string pool;
+    bool engine = true;
+};
+
+/// What the configuration and the VM list together say. Immutable once built.
+struct Directory
+{
+    configuration::Document configuration;
+    configuration::VmList vmList;
+    /// Upstreams of each pool. A pool is the name of a model, or "service:" and a name.
+    std::map<std::string, std::vector<DirectoryEntry>> pools;
+    std::map<std::string, DirectoryEntry> upstreams; ///< By name.
+
+    /// Returns the event that tells a pool its upstreams.
+    decision::UpstreamsListed listing(const std::string &pool) const;
+    /// Returns the event that tells a pool the workspaces' policies.
+    decision::PoliciesChanged policies() const;
+    std::optional<configuration::Service> service(const std::string &name) const;
+    /// Returns why the entry VM \a name in \a zone takes no new work, or an empty text.
+    std::string outReason(const std::string &name, const std::string &zone) const;
+};
+
+/// Returns the pool of a plain service.
+std::string servicePool(const std::string &service);
+
+/// Builds the directory. Upstreams of a model or service that the configuration does not name
+/// are left out.
+Directory buildDirectory(const configuration::Document &document,
+                         const configuration::VmList &vmList);
+
+} // namespace azurespindle::serving
+
+#endif
--- /dev/null
+++ b/src/serving/entry_process.cpp
@@ -0,0 +1,191 @@
+#include "serving/entry_process.h"
+
+#include <chrono>
+#include <thread>
+#include <utility>
+
+namespace azurespindle::serving {
+namespace {
+
+constexpr int statusNotFound = 404;
+constexpr int statusMethodNotAllowed = 405;
+constexpr milliseconds sweepInterval {1'000};
+constexpr milliseconds stopPoll {20};
+/// Time for the last bytes to leave, and for the balancer to see that the process is unready.
+constexpr milliseconds lastBytes {100};
+
+std::uint64_t wallClockMilliseconds()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(now).count());
+}
+
+} // namespace
+
+EntryProcess::EntryProcess(settings::Settings given)
+    : settings(std::move(given)), life(wallClockMilliseconds()),
+      core(this->settings, this->timers, this->registry, this->journal,
+           {[this](const std::string &pool, const decision::AskLease &ask) {
+                this->leases.ask(pool, ask);
+            },
+            [this](const std::string &pool, const decision::TellCrash &crash) {
+                this->coordinator.tellCrash({pool, crash.fingerprint, crash.upstream, crash.boot});
+            }}),
+      coordinator(this->settings, this->makeSelf(), this->client, this->timers, this->registry,
+                  this->journal,
+                  {[this](members::DocumentKind kind, const nlohmann::json &document) {
+                       this->takeDocument(kind, document);
+                   },
+                   [this] { this->refreshLeases(); },
+                   [this](const std::string &from, const members::LeaseRequests &requests) {
+                       this->leases.onRequests(from, requests);
+                   },
+                   [this](const std::string &, const members::LeaseGrants &grants) {
+                       this->leases.onGrants(grants);
+                   },
+                   [this](const members::CrashNote &note) {
+                       this->core.post(
+                           note.pool,
+                           decision::CrashReported {note.fingerprint, note.upstream, note.boot});
+                   }}),
+      leases(this->settings.name + "#" + std::to_string(this->life), this->coordinator,
+             this->client, this->registry, this->journal,
+             [this](const std::string &pool, decision::Event event) {
+                 this->core.post(pool, std::move(event));
+             }),
+      completions(this->core),
+      services(this->core, this->coordinator, this->client, this->settings.upstreams, this->life),
+      operators(this->core, this->coordinator, this->leases, this->stopping),
+      server(this->settings.callerAddress, this->settings.callers, this->settings.workerThreads,
+             [this](const http::ServerRequest &request, const http::ExchangePtr &exchange) {
+                 this->route(request, exchange);
+             })
+{ }
+
+EntryProcess::~EntryProcess()
+{
+    this->stop();
+}
+
+members::MemberRecord EntryProcess::makeSelf() const
+{
+    return {this->settings.name,
+            this->settings.zone,
+            this->settings.memberAddress.text(),
+            this->settings.callerAddress.text(),
+            this->life,
+            members::MemberState::Alive};
+}
+
+std::error_code EntryProcess::start()
+{
+    this->timers.subscribe(decision::Dispatcher::tickInterval,
+                           [this] { this->core.postToAll(decision::Tick {}); });
+    this->timers.subscribe(LeaseService::loadInterval, [this] { this->leases.tick(); });
+    this->timers.subscribe(sweepInterval, [this] {
+        this->server.sweep();
+        this->services.tick();
+    });
+    if (const std::error_code error = this->coordinator.start()) {
+        return error;
+    }
+    if (const std::error_code error = this->server.start()) {
+        return error;
+    }
+    this->timers.start();
+    this->journal.record({journal::EventId::ProcessStarted,
+                          {{"member", this->settings.name},
+                           {"zone", this->settings.zone},
+                           {"callers", this->settings.callerAddress.text()},
+                           {"members", this->settings.memberAddress.text()}}});
+    return {};
+}
+
+void EntryProcess::takeDocument(members::DocumentKind kind, const nlohmann::json &document)
+{
+    json::Faults none;
+    std::shared_ptr<const Directory> directory;
+    {
+        const std::lock_guard lock(this->mutex);
+        if (kind == members::DocumentKind::Configuration) {
+            this->configuration = configuration::parseDocument(document, none);
+        } else {
+            this->vmList = configuration::parseVmList(document, none);
+        }
+        directory = std::make_shared<Directory>(buildDirectory(this->configuration, this->vmList));
+    }
+    this->core.setDirectory(directory);
+    this->leases.refresh(*directory);
+}
+
+void EntryProcess::refreshLeases()
+{
+    this->leases.refresh(*this->core.directory());
+}
+
+void EntryProcess::route(const http::ServerRequest &request, const http::ExchangePtr &exchange)
+{
+    using callers::CompletionKind;
+    const std::string &path = request.path;
+    if (path == "/v1/completions") {
+        this->completions.complete(CompletionKind::Text, request, exchange);
+    } else if (path == "/v1/chat/completions") {
+        this->completions.complete(CompletionKind::Chat, request, exchange);
+    } else if (path.rfind("/services/", 0) == 0) {
+        this->services.call(request, exchange);
+    } else if (path == "/v1/idempotency-keys" && request.method == "POST") {
+        this->services.mintKey(exchange);
+    } else if (path == "/v1/idempotency-keys") {
+        callers::respond(
+            exchange, callers::notRun(statusMethodNotAllowed, "wrong-method", "POST issues a key"));
+    } else if (path == "/v1/models") {
+        this->completions.listModels(exchange);
+    } else if (path == "/healthz") {
+        this->operators.answerHealth(exchange);
+    } else if (path == "/readyz") {
+        this->operators.answerReady(exchange);
+    } else if (path == "/metrics") {
+        this->operators.answerMetrics(exchange);
+    } else if (path == "/status") {
+        this->operators.answerStatus(exchange);
+    } else if (path == "/explain") {
+        this->operators.answerExplain(request, exchange);
+    } else if (path == "/configuration") {
+        this->operators.answerConfiguration(request, exchange);
+    } else {
+        callers::respond(
+            exchange,
+            callers::notRun(statusNotFound, "unknown-path", "nothing is served at " + path));
+    }
+}
+
+std::size_t EntryProcess::stopGracefully()
+{
+    this->journal.record({journal::EventId::ProcessStopping, {{"member", this->settings.name}}});
+    this->stopping = true;
+    this->core.postToAll(decision::StopRequested {});
+    this->coordinator.leave();
+    const Instant deadline = monotonicNow() + this->settings.stopTimeout;
+    while (this->core.openRequests() > 0 && monotonicNow() < deadline) {
+        std::this_thread::sleep_for(stopPoll);
+    }
+    this->server.drain();
+    while (this->server.openExchanges() > 0 && monotonicNow() < deadline) {
+        std::this_thread::sleep_for(stopPoll);
+    }
+    std::this_thread::sleep_for(lastBytes);
+    const std::size_t cut = this->core.openRequests();
+    this->journal.record({journal::EventId::ProcessStopped,
+                          {{"member", this->settings.name}, {"cut", std::to_string(cut)}}});
+    this->stop();
+    return cut;
+}
+
+void EntryProcess::stop()
+{
+    this->timers.stop();
+    this->coordinator.stop();
+    this->server.stop();
+}
+
+} // namespace azurespindle::serving
--- /dev/null
+++ b/src/serving/lease_service.cpp
@@ -0,0 +1,270 @@
+#include "serving/lease_service.h"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace azurespindle::serving {
+namespace {
+
+constexpr milliseconds loadTimeout {1'000};
+constexpr int statusOk = 200;
+
+/// Returns the report, or nothing if the body is not one.
+std::optional<decision::EngineReport> parseReport(const nlohmann::json &json)
+{
+    json::Faults faults;
+    json::ObjectReader reader(json, "$", faults);
+    constexpr json::Range<std::int64_t> tokens {0, UINT32_MAX};
+    decision::EngineReport report;
+    report.at = monotonicNow();
+    report.boot = static_cast<std::uint64_t>(reader.requiredInteger("boot", {1, INT64_MAX}));
+    report.memoryTokens
+        = static_cast<decision::Tokens>(reader.requiredInteger("memoryTokens", tokens));
+    report.memoryUsed = static_cast<decision::Tokens>(reader.requiredInteger("memoryUsed", tokens));
+    report.running = static_cast<std::uint32_t>(reader.integer("running", tokens, 0));
+    report.waiting = static_cast<std::uint32_t>(reader.integer("waiting", tokens, 0));
+    report.preemptions
+        = static_cast<std::uint64_t>(reader.integer("preemptions", {0, INT64_MAX}, 0));
+    if (!faults.empty()) {
+        return std::nullopt;
+    }
+    return report;
+}
+
+std::vector<std::uint64_t> readBlocks(const nlohmann::json &json, const char *name)
+{
+    std::vector<std::uint64_t> blocks;
+    const auto found = json.find(name);
+    if (found == json.end() || !found->is_array()) {
+        return blocks;
+    }
+    for (const auto &each : *found) {
+        if (each.is_number_unsigned() && blocks.size() < decision::PrefixIndex::maxBlocks) {
+            blocks.push_back(each.get<std::uint64_t>());
+        }
+    }
+    return blocks;
+}
+
+} // namespace
+
+LeaseService::LeaseService(std::string holder, members::Coordinator &coordinator,
+                           http::Client &client, metrics::Registry &registry,
+                           journal::Journal &journal, PostToPool postToPool)
+    : holder(std::move(holder)), coordinator(coordinator), client(client), registry(registry),
+      journal(journal), postToPool(std::move(postToPool))
+{ }
+
+void LeaseService::record(std::vector<journal::Entry> entries)
+{
+    for (journal::Entry &entry : entries) {
+        this->journal.record(std::move(entry));
+    }
+}
+
+void LeaseService::refresh(const Directory &directory)
+{
+    std::vector<journal::Entry> entries;
+    const std::string self = this->coordinator.self().name;
+    {
+        const std::lock_guard lock(this->mutex);
+        std::map<std::string, Known> next;
+        for (const auto &[pool, listed] : directory.pools) {
+            for (const DirectoryEntry &entry : listed) {
+                const std::string &name = entry.listed.name;
+                Known known = this->upstreams.count(name) > 0 ? this->upstreams[name] : Known {};
+                const std::string before = known.steward;
+                known.pool = pool;
+                known.address = entry.address;
+                known.engine = entry.engine;
+                known.steward = this->coordinator.steward(entry.listed.zone, name);
+                if (known.steward == self) {
+                    this->steward.adopt(name, entry.listed.policy, monotonicNow(), true);
+                    this->steward.setCondition(name, entry.listed.condition);
+                } else {
+                    this->steward.release(name);
+                }
+                if (before != known.steward) {
+                    entries.push_back({journal::EventId::StewardChanged,
+                                       {{"upstream", name}, {"steward", known.steward}}});
+                }
+                next[name] = std::move(known);
+            }
+        }
+        this->upstreams = std::move(next);
+        for (const std::string &name : this->steward.upstreams()) {
+            if (this->upstreams.count(name) == 0) {
+                this->steward.release(name);
+            }
+        }
+    }
+    this->record(std::move(entries));
+}
+
+void LeaseService::ask(const std::string &, const decision::AskLease &ask)
+{
+    const decision::LeaseRequest request {this->holder, ask.upstream, ask.inUse, ask.wanted,
+                                          ask.evidence};
+    std::string stewardName;
+    {
+        const std::lock_guard lock(this->mutex);
+        const auto found = this->upstreams.find(ask.upstream);
+        if (found == this->upstreams.end()) {
+            return;
+        }
+        stewardName = found->second.steward;
+    }
+    if (stewardName == this->coordinator.self().name) {
+        this->apply(this->answer(request));
+        return;
+    }
+    this->coordinator.send(stewardName, members::LeaseRequests {{request}});
+}
+
+members::GrantWithReport LeaseService::answer(const decision::LeaseRequest &request)
+{
+    members::GrantWithReport granted;
+    std::vector<journal::Entry> entries;
+    const std::size_t memberCount = this->coordinator.active().size();
+    {
+        const std::lock_guard lock(this->mutex);
+        granted.grant = this->steward.handle(request, memberCount, monotonicNow(), entries);
+        const auto found = this->upstreams.find(request.upstream);
+        if (found != this->upstreams.end()) {
+            granted.hasReport = found->second.hasReport;
+            granted.report = found->second.report;
+        }
+    }
+    this->record(std::move(entries));
+    return granted;
+}
+
+void LeaseService::apply(const members::GrantWithReport &granted)
+{
+    std::string pool;
+    {
+        const std::lock_guard lock(this->mutex);
+        const auto found = this->upstreams.find(granted.grant.upstream);
+        if (found == this->upstreams.end()) {
+            return;
+        }
+        pool = found->second.pool;
+    }
+    const Instant now = monotonicNow();
+    const decision::LeaseGrant &grant = granted.grant;
+    if (granted.hasReport) {
+        decision::EngineReport report = granted.report;
+        report.at = now;
+        this->postToPool(pool, decision::UpstreamReported {grant.upstream, report});
+    }
+    this->postToPool(pool,
+                     decision::LeaseGranted {grant.upstream, grant.concurrency, grant.memoryShare,
+                                             now + grant.duration, grant.standalone,
+                                             now + grant.standaloneDuration});
+}
+
+void LeaseService::onRequests(const std::string &from, const members::LeaseRequests &requests)
+{
+    members::LeaseGrants grants;
+    for (const decision::LeaseRequest &request : requests.requests) {
+        grants.grants.push_back(this->answer(request));
+    }
+    this->coordinator.send(from, grants);
+}
+
+void LeaseService::onGrants(const members::LeaseGrants &grants)
+{
+    for (const members::GrantWithReport &granted : grants.grants) {
+        this->apply(granted);
+    }
+}
+
+void LeaseService::tick()
+{
+    std::vector<journal::Entry> entries;
+    std::vector<std::pair<std::string, settings::Address>> due;
+    {
+        const std::lock_guard lock(this->mutex);
+        this->steward.passTime(monotonicNow(), entries);
+        for (auto &[name, known] : this->upstreams) {
+            const bool own = this->steward.stewards(name);
+            if (own && known.engine && !std::exchange(known.reading, true)) {
+                due.emplace_back(name, known.address);
+            }
+        }
+    }
+    this->record(std::move(entries));
+    for (const auto &[name, address] : due) {
+        this->readLoad(name, address);
+    }
+}
+
+void LeaseService::readLoad(const std::string &upstream, const settings::Address &address)
+{
+    http::ClientRequest request;
+    request.url = "http://" + address.text() + "/load";
+    request.connectTimeout = loadTimeout;
+    request.totalTimeout = loadTimeout;
+    this->registry.count(metrics::Counter::LoadReads);
+    auto body = std::make_shared<std::string>();
+    http::TransferCallbacks callbacks;
+    callbacks.onData = [body](std::string_view bytes) {
+        *body += bytes;
+        return true;
+    };
+    callbacks.onDone = [this, upstream, body](const http::TransferResult &result) {
+        const bool whole = result.end == http::TransferEnd::Complete && result.status == statusOk;
+        this->takeLoad(upstream, whole ? *body : std::string());
+    };
+    this->client.start(std::move(request), std::move(callbacks));
+}
+
+void LeaseService::takeLoad(const std::string &upstream, const std::string &body)
+{
+    const auto json = nlohmann::json::parse(body, nullptr, false);
+    const auto report
+        = json.is_object() ? parseReport(json) : std::optional<decision::EngineReport>();
+    std::vector<journal::Entry> entries;
+    std::string pool;
+    {
+        const std::lock_guard lock(this->mutex);
+        const auto found = this->upstreams.find(upstream);
+        if (found == this->upstreams.end()) {
+            return;
+        }
+        found->second.reading = false;
+        if (!report) {
+            return;
+        }
+        found->second.hasReport = true;
+        found->second.report = *report;
+        pool = found->second.pool;
+        this->steward.noteBoot(upstream, report->boot, monotonicNow(), entries);
+    }
+    this->record(std::move(entries));
+    this->postToPool(pool, decision::UpstreamReported {upstream, *report});
+    this->postToPool(pool,
+                     decision::CacheChanged {upstream, readBlocks(json, "cacheAdded"),
+                                             readBlocks(json, "cacheDropped")});
+}
+
+std::vector<LeaseService::Stewarded> LeaseService::stewarded() const
+{
+    const std::lock_guard lock(this->mutex);
+    std::vector<Stewarded> all;
+    for (const std::string &name : this->steward.upstreams()) {
+        all.push_back(
+            {name, this->steward.limit(name), this->steward.committed(name, monotonicNow())});
+    }
+    return all;
+}
+
+std::string LeaseService::stewardOf(const std::string &upstream) const
+{
+    const std::lock_guard lock(this->mutex);
+    const auto found = this->upstreams.find(upstream);
+    return found == this->upstreams.end() ? std::string() : found->second.steward;
+}
+
+} // namespace azurespindle::serving
--- /dev/null
+++ b/src/serving/lease_service.h
@@ -0,0 +1,89 @@
+#ifndef AZURESPINDLE_SERVING_LEASE_SERVICE_H
+#define AZURESPINDLE_SERVING_LEASE_SERVICE_H
+
+#include "decision/lease_steward.h"
+#include "http/client.h"
+#include "journal/journal.h"
+#include "members/coordinator.h"
+#include "serving/directory.h"
+#include "serving/pool_runner.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace azurespindle::serving {
+
+/// Both sides of the leases: asks the stewards of upstreams for room on behalf of the pools, and
+/// stewards the upstreams that fall to this process.
+///
+/// A steward also reads the load of its engines and sends it along with each grant, so that an
+/// engine is read by one process however many use it.
+class LeaseService
+{
+public:
+    /// Between two readings of an engine's load.
+    static constexpr milliseconds loadInterval {250};
+
+    using PostToPool = std::function<void(const std::string &pool, decision::Event event)>;
+
+    LeaseService(std::string holder, members::Coordinator &coordinator, http::Client &client,
+                 metrics::Registry &registry, journal::Journal &journal, PostToPool postToPool);
+
+    // Commands
+
+    /// Takes over which upstreams there are, and which of them fall to this process.
+    void refresh(const Directory &directory);
+    /// Carries a pool's request to the steward.
+    void ask(const std::string &pool, const decision::AskLease &ask);
+    void onRequests(const std::string &from, const members::LeaseRequests &requests);
+    void onGrants(const members::LeaseGrants &grants);
+    /// Reads the load of the stewarded engines and lets time pass.
+    void tick();
+
+    // Queries
+
+    /// Returns the limit and what is committed of each stewarded upstream.
+    struct Stewarded
+    {
+        std::string upstream;
+        std::uint32_t limit = 0;
+        std::uint32_t committed = 0;
+    };
+    std::vector<Stewarded> stewarded() const;
+    std::string stewardOf(const std::string &upstream) const;
+
+private:
+    struct Known
+    {
+        std::string pool;
+        std::string steward;
+        settings::Address address;
+        bool engine = true;
+        bool reading = false;
+        bool hasReport = false;
+        decision::EngineReport report;
+    };
+
+    members::GrantWithReport answer(const decision::LeaseRequest &request);
+    void apply(const members::GrantWithReport &granted);
+    void readLoad(const std::string &upstream, const settings::Address &address);
+    void takeLoad(const std::string &upstream, const std::string &body);
+    void record(std::vector<journal::Entry> entries);
+
+    const std::string holder;
+    members::Coordinator &coordinator;
+    http::Client &client;
+    metrics::Registry &registry;
+    journal::Journal &journal;
+    const PostToPool postToPool;
+    mutable std::mutex mutex; ///< Guards the members below.
+    decision::LeaseSteward steward;
+    std::map<std::string, Known> upstreams;
+};
+
+} // namespace azurespindle::serving
+
+#endif
--- /dev/null
+++ b/src/serving/session.cpp
@@ -0,0 +1,303 @@
+#include "serving/session.h"
+
+#include "callers/event_id.h"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace azurespindle::serving {
+namespace {
+
+constexpr int statusOk = 200;
+constexpr int statusBadGateway = 502;
+constexpr int statusUnavailable = 503;
+constexpr int statusUnprocessable = 422;
+/// A gap so long that the engine probably preempted the generation.
+constexpr milliseconds preemptionGap {1'000};
+
+int statusOf(decision::RefusalCode code)
+{
+    using Code = decision::RefusalCode;
+    switch (code) {
+    case Code::Overloaded:
+    case Code::QueueTimeout:
+    case Code::NoUpstream:
+    case Code::Stopping:
+        return statusUnavailable;
+    case Code::CrashSuspect:
+        return statusUnprocessable;
+    case Code::RetriesExhausted:
+    case Code::GenerationLost:
+    case Code::OutcomeUnknown:
+    case Code::UpstreamRefused:
+    case Code::CallerGone:
+        return statusBadGateway;
+    }
+    return statusBadGateway;
+}
+
+std::string quoted(const std::string &text)
+{
+    return nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+} // namespace
+
+http::Problem toProblem(const decision::Refusal &refusal)
+{
+    return {statusOf(refusal.code), static_cast<int>(refusal.code), name(refusal.code),
+            refusal.reason,         name(refusal.outcome),          refusal.retryAfter};
+}
+
+Session::Session(decision::Request request, http::ExchangePtr exchange, metrics::Registry &registry)
+    : asked(std::move(request)), answer(std::move(exchange)), registry(registry),
+      arrived(monotonicNow())
+{ }
+
+void Session::setCompletion(callers::CompletionKind newKind, std::string newModel,
+                            std::string upstreamBody)
+{
+    this->kind = newKind;
+    this->model = std::move(newModel);
+    this->body = std::move(upstreamBody);
+}
+
+void Session::setCall(ServiceCall call)
+{
+    this->serviceCall = std::move(call);
+}
+
+void Session::onAnswer(std::function<void(const ServiceAnswer &)> callback)
+{
+    const std::lock_guard lock(this->mutex);
+    this->answerCallback = std::move(callback);
+}
+
+void Session::beginAttempt(decision::AttemptNumber, const std::string &generation)
+{
+    const std::lock_guard lock(this->mutex);
+    this->generationName = generation;
+    this->collected.clear();
+}
+
+void Session::setTransfer(std::size_t client, http::TransferId transfer)
+{
+    const std::lock_guard lock(this->mutex);
+    this->clientIndex = client;
+    this->transferId = transfer;
+}
+
+std::pair<std::size_t, http::TransferId> Session::transfer() const
+{
+    const std::lock_guard lock(this->mutex);
+    return {this->clientIndex, this->transferId};
+}
+
+std::string Session::generation() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->generationName;
+}
+
+void Session::setAnswer(ServiceAnswer newAnswer)
+{
+    const std::lock_guard lock(this->mutex);
+    this->serviceAnswer = std::move(newAnswer);
+}
+
+void Session::beginStream()
+{
+    if (std::exchange(this->streamBegun, true)) {
+        return;
+    }
+    this->answer->beginStream(
+        statusOk, {{"content-type", "text/event-stream"}, {"cache-control", "no-store"}});
+}
+
+std::string Session::tokenEvent(const decision::Deliver &deliver, decision::Tokens received,
+                                const std::string &text) const
+{
+    const std::string id = callers::formatEventId(deliver.upstream, deliver.generation, received);
+    std::string event = "id: " + id + "\ndata: {\"id\":\"cmpl-" + std::to_string(this->asked.id)
+        + "\",\"object\":\"";
+    if (this->kind == callers::CompletionKind::Chat) {
+        event += "chat.completion.chunk\",\"model\":" + quoted(this->model)
+            + ",\"choices\":[{\"index\":0,\"delta\":{\"content\":" + quoted(text) + "}";
+    } else {
+        event += "text_completion\",\"model\":" + quoted(this->model)
+            + ",\"choices\":[{\"index\":0,\"text\":" + quoted(text);
+    }
+    return event + ",\"finish_reason\":null}]}\n\n";
+}
+
+void Session::observe(decision::Tokens count)
+{
+    const Instant now = monotonicNow();
+    const std::string &workspace = this->asked.workspace;
+    const std::string &trafficClass = this->asked.trafficClass;
+    if (this->lastToken == Instant()) {
+        this->registry.observe(metrics::Measure::FirstToken, workspace, trafficClass,
+                               inSeconds(now - this->arrived));
+    } else {
+        const microseconds gap = now - this->lastToken;
+        this->registry.observe(metrics::Measure::Gap, workspace, trafficClass,
+                               inSeconds(gap / count));
+        if (gap > metrics::stallGap) {
+            this->stalled += gap;
+        }
+        if (gap > preemptionGap) {
+            this->registry.observe(metrics::Measure::Preemptions, workspace, trafficClass, 1.0);
+        }
+    }
+    this->lastToken = now;
+}
+
+void Session::observeEnd(decision::Tokens tokens)
+{
+    this->registry.observe(metrics::Measure::OutputTokens, this->asked.workspace,
+                           this->asked.trafficClass, tokens);
+    this->registry.observe(metrics::Measure::Stall, this->asked.workspace, this->asked.trafficClass,
+                           inSeconds(this->stalled));
+}
+
+void Session::deliver(const decision::Deliver &deliver, const std::vector<std::string> &texts)
+{
+    const std::lock_guard lock(this->mutex);
+    if (this->ended) {
+        return;
+    }
+    if (deliver.count > 0) {
+        this->observe(deliver.count);
+    }
+    if (this->asked.streamed) {
+        this->deliverStreamed(deliver, texts);
+    } else {
+        this->collect(deliver, texts);
+    }
+    if (deliver.last) {
+        this->ended = true;
+        this->observeEnd(deliver.offset + deliver.count);
+    }
+}
+
+void Session::deliverStreamed(const decision::Deliver &deliver,
+                              const std::vector<std::string> &texts)
+{
+    this->beginStream();
+    std::string events;
+    for (decision::Tokens index = 0; index < deliver.count; ++index) {
+        events += this->tokenEvent(deliver, deliver.offset + index + 1,
+                                   texts.at(deliver.skip + index));
+    }
+    if (deliver.last) {
+        events += "data: [DONE]\n\n";
+    }
+    this->answer->send(events);
+    if (deliver.last) {
+        this->answer->finish();
+    }
+}
+
+void Session::collect(const decision::Deliver &deliver, const std::vector<std::string> &texts)
+{
+    for (decision::Tokens index = 0; index < deliver.count; ++index) {
+        if (this->collected.size() < maxCollectedBytes) {
+            this->collected += texts.at(deliver.skip + index);
+        }
+    }
+    if (deliver.last) {
+        this->answer->respond(statusOk, {{"content-type", "application/json"}},
+                              this->wholeAnswer(deliver.offset + deliver.count));
+    }
+}
+
+std::string Session::wholeAnswer(decision::Tokens tokens) const
+{
+    const bool chat = this->kind == callers::CompletionKind::Chat;
+    nlohmann::ordered_json choice;
+    choice["index"] = 0;
+    if (chat) {
+        choice["message"] = {{"role", "assistant"}, {"content", this->collected}};
+    } else {
+        choice["text"] = this->collected;
+    }
+    choice["finish_reason"] = "stop";
+    nlohmann::ordered_json json;
+    json["id"] = "cmpl-" + std::to_string(this->asked.id);
+    json["object"] = chat ? "chat.completion" : "text_completion";
+    json["model"] = this->model;
+    json["choices"] = nlohmann::json::array({choice});
+    json["usage"] = {{"prompt_tokens", this->asked.promptTokens}, {"completion_tokens", tokens}};
+    return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+void Session::deliverAnswer()
+{
+    ServiceAnswer given;
+    std::function<void(const ServiceAnswer &)> callback;
+    {
+        const std::lock_guard lock(this->mutex);
+        this->ended = true;
+        given = this->serviceAnswer;
+        callback = this->answerCallback;
+    }
+    if (callback) {
+        callback(given);
+    }
+    this->answer->respond(given.status, given.headers, given.body);
+}
+
+void Session::refuse(const decision::Refusal &refusal)
+{
+    const http::Problem problem = toProblem(refusal);
+    std::function<void(const ServiceAnswer &)> callback;
+    bool streaming = false;
+    {
+        const std::lock_guard lock(this->mutex);
+        if (std::exchange(this->ended, true)) {
+            return;
+        }
+        callback = this->answerCallback;
+        streaming = this->streamBegun;
+    }
+    if (refusal.code != decision::RefusalCode::CallerGone) {
+        this->registry.count(metrics::Counter::Refusals);
+    }
+    if (callback) {
+        callback({problem.status, problem.headers(), problem.body()});
+    }
+    if (!streaming) {
+        this->answer->respond(problem.status, problem.headers(), problem.body());
+        return;
+    }
+    std::string text = problem.body();
+    text.pop_back();
+    this->answer->send("event: error\ndata: " + text + "\n\n");
+    this->answer->finish();
+}
+
+void SessionTable::add(const SessionPtr &session)
+{
+    const decision::RequestId id = session->request().id;
+    Shard &shard = this->shards[id % shardCount];
+    const std::lock_guard lock(shard.mutex);
+    shard.sessions[id] = session;
+}
+
+void SessionTable::remove(decision::RequestId id)
+{
+    Shard &shard = this->shards[id % shardCount];
+    const std::lock_guard lock(shard.mutex);
+    shard.sessions.erase(id);
+}
+
+SessionPtr SessionTable::find(decision::RequestId id) const
+{
+    const Shard &shard = this->shards[id % shardCount];
+    const std::lock_guard lock(shard.mutex);
+    const auto found = shard.sessions.find(id);
+    return found == shard.sessions.end() ? nullptr : found->second;
+}
+
+} // namespace azurespindle::serving
--- /dev/null
+++ b/src/session/codec.cpp
@@ -0,0 +1,384 @@
+#include "session/codec.h"
+
+#include <array>
+#include <functional>
+#include <nlohmann/json.hpp>
+#include <unordered_map>
+#include <utility>
+
+namespace azurespindle::session {
+namespace {
+
+using Json = nlohmann::ordered_json;
+using Reader = json::ObjectReader;
+using namespace decision;
+
+constexpr json::Range<std::int64_t> countRange {0, UINT32_MAX};
+constexpr json::Range<std::int64_t> wideRange {0, INT64_MAX};
+
+std::uint32_t count(Reader &in, const std::string &name, std::uint32_t fallback = 0)
+{
+    return static_cast<std::uint32_t>(in.integer(name, countRange, fallback));
+}
+
+std::uint64_t wide(Reader &in, const std::string &name, std::uint64_t fallback = 0)
+{
+    return static_cast<std::uint64_t>(
+        in.integer(name, wideRange, static_cast<std::int64_t>(fallback)));
+}
+
+Instant instant(Reader &in, const std::string &name)
+{
+    return Instant(microseconds(in.integer(name, wideRange, 0)));
+}
+
+std::int64_t inMicroseconds(Instant at)
+{
+    return at.time_since_epoch().count();
+}
+
+std::vector<std::uint64_t> numbers(Reader &in, const std::string &name)
+{
+    std::vector<std::uint64_t> parsed;
+    for (const std::string &text : in.textList(name)) {
+        parsed.push_back(std::strtoull(text.c_str(), nullptr, 16));
+    }
+    return parsed;
+}
+
+// Events ----------------------------------------------------------------------------------------
+
+Priority priority(Reader &in)
+{
+    const std::string text
+        = in.choice("priority", {"batch", "standard", "interactive"}, "standard");
+    if (text == "interactive") {
+        return Priority::Interactive;
+    }
+    return text == "batch" ? Priority::Batch : Priority::Standard;
+}
+
+Event requestArrived(Reader &in)
+{
+    Request request;
+    request.id = wide(in, "request");
+    request.workspace = in.text("workspace", "default");
+    request.trafficClass = in.text("class", "default");
+    request.priority = priority(in);
+    request.promptTokens = count(in, "promptTokens");
+    request.maxTokens = count(in, "maxTokens", 4'096);
+    request.prefixBlocks = numbers(in, "prefixBlocks");
+    request.fingerprint = wide(in, "fingerprint", request.id);
+    request.streamed = in.boolean("streamed", true);
+    request.repeatable = in.boolean("repeatable", true);
+    in.object("resume", [&](Reader &resume) {
+        request.resume = ResumePoint {resume.requiredText("upstream"),
+                                      resume.requiredText("generation"), count(resume, "offset")};
+    });
+    return RequestArrived {request};
+}
+
+Event tokensArrived(Reader &in)
+{
+    TokensArrived event;
+    event.request = wide(in, "request");
+    event.attempt = count(in, "attempt", 1);
+    event.generation = in.text("generation", "g1");
+    event.offset = count(in, "offset");
+    event.count = count(in, "count", 1);
+    event.finished = in.boolean("finished", false);
+    return event;
+}
+
+Event attemptFailed(Reader &in)
+{
+    static const std::array<FailureKind, 7> kinds {
+        FailureKind::NotSent,  FailureKind::ConnectionRefused,
+        FailureKind::Rejected, FailureKind::Lost,
+        FailureKind::Silent,   FailureKind::GenerationGone,
+        FailureKind::Failed};
+    std::vector<std::string> names;
+    names.reserve(kinds.size());
+    for (const FailureKind kind : kinds) {
+        names.emplace_back(name(kind));
+    }
+    AttemptFailed event;
+    event.request = wide(in, "request");
+    event.attempt = count(in, "attempt", 1);
+    const std::string chosen = in.choice("kind", names, "lost");
+    for (const FailureKind kind : kinds) {
+        event.kind = chosen == name(kind) ? kind : event.kind;
+    }
+    event.detail = in.text("detail", "test");
+    return event;
+}
+
+ListedUpstream listedUpstream(Reader &in)
+{
+    ListedUpstream listed;
+    listed.name = in.requiredText("name");
+    listed.zone = in.text("zone", "north");
+    const std::string condition = in.choice("condition", {"serving", "leaving", "out"}, "serving");
+    listed.condition = condition == "serving" ? Condition::Serving
+        : condition == "leaving"              ? Condition::Leaving
+                                              : Condition::Out;
+    listed.policy.maxConcurrency = count(in, "maxConcurrency", 64);
+    return listed;
+}
+
+Event upstreamsListed(Reader &in)
+{
+    UpstreamsListed event;
+    in.objectList("upstreams",
+                  [&](Reader &each) { event.upstreams.push_back(listedUpstream(each)); });
+    return event;
+}
+
+Event policiesChanged(Reader &in)
+{
+    PoliciesChanged event;
+    event.defaults.maxQueued = count(in, "maxQueued", 256);
+    event.defaults.queueTimeout = milliseconds(in.integer("queueTimeoutMs", countRange, 20'000));
+    event.retryShare = in.number("retryShare", {0.0, 1.0}, 0.1);
+    in.objectList("exceptions", [&](Reader &each) {
+        configuration::WorkspacePolicy policy = event.defaults;
+        policy.weight = each.number("weight", {0.01, 1'000.0}, 1.0);
+        event.exceptions.emplace_back(each.requiredText("workspace"), policy);
+    });
+    return event;
+}
+
+Event upstreamReported(Reader &in)
+{
+    UpstreamReported event;
+    event.upstream = in.requiredText("upstream");
+    event.report.boot = wide(in, "boot", 1);
+    event.report.memoryTokens = count(in, "memoryTokens", 40'000);
+    event.report.memoryUsed = count(in, "memoryUsed");
+    event.report.running = count(in, "running");
+    event.report.waiting = count(in, "waiting");
+    return event;
+}
+
+Event leaseGranted(Reader &in)
+{
+    LeaseGranted event;
+    event.upstream = in.requiredText("upstream");
+    event.concurrency = count(in, "concurrency");
+    event.memoryShare = in.number("memoryShare", {0.0, 1.0}, 1.0);
+    event.expires = instant(in, "expires");
+    event.standalone = count(in, "standalone");
+    event.standaloneExpires = instant(in, "standaloneExpires");
+    return event;
+}
+
+Event crashReported(Reader &in)
+{
+    return CrashReported {wide(in, "fingerprint"), in.requiredText("upstream"), wide(in, "boot")};
+}
+
+Event callAnswered(Reader &in)
+{
+    return CallAnswered {wide(in, "request"), count(in, "attempt", 1)};
+}
+
+using ParseFunction = std::function<Event(Reader &)>;
+
+const std::unordered_map<std::string, ParseFunction> &eventParsers()
+{
+    static const std::unordered_map<std::string, ParseFunction> parsers {
+        {"RequestArrived", requestArrived},
+        {"TokensArrived", tokensArrived},
+        {"CallAnswered", callAnswered},
+        {"AttemptFailed", attemptFailed},
+        {"CallerLeft", [](Reader &in) -> Event { return CallerLeft {wide(in, "request")}; }},
+        {"CallerBusy",
+         [](Reader &in) -> Event {
+             return CallerBusy {wide(in, "request"), in.boolean("busy", false)};
+         }},
+        {"UpstreamsListed", upstreamsListed},
+        {"PoliciesChanged", policiesChanged},
+        {"UpstreamReported", upstreamReported},
+        {"CacheChanged",
+         [](Reader &in) -> Event {
+             return CacheChanged {in.requiredText("upstream"), numbers(in, "added"),
+                                  numbers(in, "dropped")};
+         }},
+        {"LeaseGranted", leaseGranted},
+        {"CrashReported", crashReported},
+        {"Tick", [](Reader &) -> Event { return Tick {}; }},
+        {"StopRequested", [](Reader &) -> Event { return StopRequested {}; }},
+    };
+    return parsers;
+}
+
+// Effects ---------------------------------------------------------------------------------------
+
+Json toJson(const StartAttempt &effect)
+{
+    Json json {{"type", "StartAttempt"},
+               {"request", effect.request},
+               {"attempt", effect.attempt},
+               {"upstream", effect.upstream}};
+    if (effect.leaseExpires != Instant::max()) {
+        json["leaseExpires"] = inMicroseconds(effect.leaseExpires);
+    }
+    return json;
+}
+
+Json toJson(const ResumeAttempt &effect)
+{
+    return {{"type", "ResumeAttempt"},         {"request", effect.request},
+            {"attempt", effect.attempt},       {"upstream", effect.upstream},
+            {"generation", effect.generation}, {"offset", effect.offset},
+            {"delayMs", effect.delay.count()}};
+}
+
+Json toJson(const CancelAttempt &effect)
+{
+    return {{"type", "CancelAttempt"},         {"request", effect.request},
+            {"attempt", effect.attempt},       {"upstream", effect.upstream},
+            {"generation", effect.generation}, {"keep", effect.keep}};
+}
+
+Json toJson(const Deliver &effect)
+{
+    return {{"type", "Deliver"},           {"request", effect.request},
+            {"upstream", effect.upstream}, {"generation", effect.generation},
+            {"offset", effect.offset},     {"count", effect.count},
+            {"skip", effect.skip},         {"last", effect.last}};
+}
+
+Json toJson(const DeliverAnswer &effect)
+{
+    return {{"type", "DeliverAnswer"}, {"request", effect.request}, {"attempt", effect.attempt}};
+}
+
+Json toJson(const Refuse &effect)
+{
+    return {{"type", "Refuse"},
+            {"request", effect.request},
+            {"code", name(effect.refusal.code)},
+            {"outcome", name(effect.refusal.outcome)},
+            {"retryAfterMs", effect.refusal.retryAfter.count()},
+            {"reason", effect.refusal.reason}};
+}
+
+Json toJson(const AskLease &effect)
+{
+    const Evidence &evidence = effect.evidence;
+    return {{"type", "AskLease"},
+            {"upstream", effect.upstream},
+            {"inUse", effect.inUse},
+            {"wanted", effect.wanted},
+            {"firstTokens", {evidence.firstTokensInTime, evidence.firstTokensLate}},
+            {"gaps", {evidence.gapsInTime, evidence.gapsLate}},
+            {"failures", evidence.failures}};
+}
+
+Json toJson(const TellCrash &effect)
+{
+    return {{"type", "TellCrash"},
+            {"fingerprint", effect.fingerprint},
+            {"upstream", effect.upstream},
+            {"boot", effect.boot}};
+}
+
+Json toJson(const Journal &effect)
+{
+    Json json {{"type", "Journal"}, {"event", journal::describe(effect.entry.id).name}};
+    for (const journal::Field &field : effect.entry.fields) {
+        json[field.name] = field.value;
+    }
+    return json;
+}
+
+// Sessions --------------------------------------------------------------------------------------
+
+DispatcherOptions parseOptions(Reader &in)
+{
+    DispatcherOptions options;
+    options.leasing = in.boolean("leasing", false);
+    options.firstTokenTimeout = milliseconds(in.integer("firstTokenMs", countRange, 30'000));
+    options.gapTimeout = milliseconds(in.integer("gapMs", countRange, 3'000));
+    options.callTimeout = milliseconds(in.integer("callMs", countRange, 60'000));
+    return options;
+}
+
+std::vector<std::string> splitLines(const std::string &text)
+{
+    std::vector<std::string> lines;
+    std::size_t begin = 0;
+    while (begin < text.size()) {
+        const std::size_t end = std::min(text.find('\n', begin), text.size());
+        lines.push_back(text.substr(begin, end - begin));
+        begin = end + 1;
+    }
+    return lines;
+}
+
+} // namespace
+
+Event parseEvent(const nlohmann::json &json, json::Faults &faults)
+{
+    Reader in(json, "$.event", faults);
+    const std::string type = in.requiredText("type");
+    const auto parser = eventParsers().find(type);
+    if (parser == eventParsers().end()) {
+        in.addFault("type", "the name of an event");
+        return Tick {};
+    }
+    Event event = parser->second(in);
+    in.finish();
+    return event;
+}
+
+std::string formatEffect(const Effect &effect)
+{
+    return std::visit([](const auto &each) { return toJson(each).dump(); }, effect);
+}
+
+std::string replay(const std::string &recorded, json::Faults &faults)
+{
+    DispatcherOptions options;
+    options.leasing = false;
+    std::optional<Dispatcher> dispatcher;
+    std::string replayed;
+    std::size_t number = 0;
+    for (const std::string &line : splitLines(recorded)) {
+        number += 1;
+        if (line.empty() || line.front() == '#') {
+            replayed += line + "\n";
+            continue;
+        }
+        json::Faults found;
+        const auto json = json::parseText(line, found);
+        if (json && json->contains("effect")) {
+            continue;
+        }
+        if (json && json->contains("options")) {
+            Reader in((*json)["options"], "$.options", found);
+            options = parseOptions(in);
+        } else if (json && json->contains("event")) {
+            if (!dispatcher) {
+                dispatcher.emplace(options);
+            }
+            const Event event = parseEvent((*json)["event"], found);
+            const Instant at(microseconds(json->value("at", std::int64_t(0))));
+            replayed += line + "\n";
+            for (const Effect &effect : dispatcher->handle(event, at)) {
+                replayed += "{\"effect\":" + formatEffect(effect) + "}\n";
+            }
+        }
+        if (json && json->contains("options")) {
+            replayed += line + "\n";
+        }
+        for (json::Fault &fault : found) {
+            fault.path = "line " + std::to_string(number) + " " + fault.path;
+            faults.push_back(std::move(fault));
+        }
+    }
+    return replayed;
+}
+
+} // namespace azurespindle::session
--- /dev/null
+++ b/src/upstreams/attempt_runner.cpp
@@ -0,0 +1,283 @@
+#include "upstreams/attempt_runner.h"
+
+#include "callers/event_id.h"
+
+#include <cstdio>
+#include <utility>
+
+namespace azurespindle::upstreams {
+namespace {
+
+constexpr int statusOk = 200;
+constexpr int statusNotFound = 404;
+constexpr int statusUnavailable = 503;
+constexpr std::size_t maxDetailBytes = 200;
+constexpr std::size_t maxAnswerBytes = 16'777'216;
+
+decision::FailureKind failureOf(http::TransferEnd end)
+{
+    switch (end) {
+    case http::TransferEnd::NotSent:
+        return decision::FailureKind::NotSent;
+    case http::TransferEnd::ConnectionRefused:
+        return decision::FailureKind::ConnectionRefused;
+    case http::TransferEnd::TimedOut:
+        return decision::FailureKind::Silent;
+    case http::TransferEnd::Complete:
+    case http::TransferEnd::Lost:
+        return decision::FailureKind::Lost;
+    }
+    return decision::FailureKind::Lost;
+}
+
+std::string blocksText(const std::vector<std::uint64_t> &blocks)
+{
+    std::string text;
+    for (const std::uint64_t block : blocks) {
+        char hex[20];
+        std::snprintf(hex, sizeof(hex), "%llx", static_cast<unsigned long long>(block));
+        text += (text.empty() ? "" : ",") + std::string(hex);
+    }
+    return text;
+}
+
+} // namespace
+
+/// What one attempt has seen so far. Touched by its client's thread only.
+struct AttemptRunner::Attempt
+{
+    serving::PoolRunner &pool;
+    serving::SessionPtr session;
+    decision::AttemptNumber number;
+    http::Client &client;
+    http::TransferId transfer = 0;
+    SseReader reader {};
+    int status = 0;
+    std::string errorText {};
+    bool finished = false;
+    bool paused = false;
+    bool resumed = false; ///< This attempt goes on with an earlier one.
+    decision::Tokens nextOffset = 0;
+
+    void fail(decision::FailureKind kind, const std::string &detail) const
+    {
+        this->pool.post(
+            decision::AttemptFailed {this->session->request().id, this->number, kind, detail});
+    }
+
+    bool takeBytes(std::string_view bytes);
+    void postTokens(const SseBatch &batch);
+    void conclude(const http::TransferResult &result);
+};
+
+bool AttemptRunner::Attempt::takeBytes(std::string_view bytes)
+{
+    if (this->status != statusOk) {
+        this->errorText
+            += bytes.substr(0, maxDetailBytes - std::min(maxDetailBytes, this->errorText.size()));
+        return true;
+    }
+    const decision::RequestId id = this->session->request().id;
+    if (this->session->exchange()->congested()) {
+        this->paused = true;
+        this->pool.post(decision::CallerBusy {id, true});
+        return false;
+    }
+    if (std::exchange(this->paused, false)) {
+        this->pool.post(decision::CallerBusy {id, false});
+    }
+    const SseBatch batch = this->reader.read(bytes);
+    this->postTokens(batch);
+    if (batch.malformed) {
+        this->fail(decision::FailureKind::Lost, "the stream cannot be understood");
+    }
+    return true;
+}
+
+void AttemptRunner::Attempt::postTokens(const SseBatch &batch)
+{
+    if (batch.tokens.empty() && !batch.finished) {
+        return;
+    }
+    decision::TokensArrived event;
+    event.request = this->session->request().id;
+    event.attempt = this->number;
+    event.finished = batch.finished;
+    event.generation = this->session->generation();
+    serving::TokenTexts texts;
+    for (const TokenEvent &token : batch.tokens) {
+        event.generation = token.generation;
+        texts.push_back(token.text);
+    }
+    event.count = static_cast<decision::Tokens>(texts.size());
+    event.offset = batch.tokens.empty() ? this->nextOffset : batch.tokens.front().offset;
+    this->nextOffset = event.offset + event.count;
+    this->finished = this->finished || batch.finished;
+    this->pool.post(std::move(event), std::move(texts));
+}
+
+void AttemptRunner::Attempt::conclude(const http::TransferResult &result)
+{
+    if (this->finished) {
+        return;
+    }
+    if (result.end != http::TransferEnd::Complete) {
+        this->fail(failureOf(result.end), result.detail);
+    } else if (result.status == statusOk) {
+        this->fail(decision::FailureKind::Lost, "the stream ended without its end mark");
+    } else if (result.status == statusNotFound && !this->session->generation().empty()
+               && this->resumed) {
+        this->fail(decision::FailureKind::GenerationGone, "the upstream does not know it");
+    } else if (result.status == statusUnavailable) {
+        this->fail(decision::FailureKind::Rejected, this->errorText);
+    } else {
+        this->fail(decision::FailureKind::Failed,
+                   std::to_string(result.status) + " " + this->errorText);
+    }
+}
+
+AttemptRunner::AttemptRunner(const settings::UpstreamTimeouts &timeouts, std::size_t threads,
+                             timer::TimerService &timers)
+    : timeouts(timeouts), timers(timers), generator(std::random_device {}())
+{
+    for (std::size_t index = 0; index < threads; ++index) {
+        this->clients.push_back(std::make_unique<http::Client>());
+    }
+}
+
+http::Client &AttemptRunner::clientFor(decision::RequestId id)
+{
+    return *this->clients[id % this->clients.size()];
+}
+
+std::uint64_t AttemptRunner::random()
+{
+    const std::lock_guard lock(this->mutex);
+    return this->generator();
+}
+
+void AttemptRunner::start(serving::PoolRunner &pool, const serving::SessionPtr &session,
+                          const decision::StartAttempt &start, const settings::Address &address)
+{
+    // A process that was paused wakes up here with an old lease in its hand.
+    if (monotonicNow() >= start.leaseExpires) {
+        pool.post(decision::AttemptFailed {start.request, start.attempt,
+                                           decision::FailureKind::NotSent, "the lease ran out"});
+        return;
+    }
+    if (session->isCall()) {
+        this->call(pool, session, start, address);
+        return;
+    }
+    const decision::Request &request = session->request();
+    const std::string generation
+        = callers::makeGenerationName(request.workspace, this->random(), request.id, start.attempt);
+    session->beginAttempt(start.attempt, generation);
+    http::ClientRequest send;
+    send.method = "POST";
+    send.url = "http://" + address.text() + "/v1/completions";
+    send.headers = {{"content-type", "application/json"},
+                    {"x-generation-id", generation},
+                    {"x-priority", name(request.priority)},
+                    {"x-prefix-blocks", blocksText(request.prefixBlocks)}};
+    send.body = session->upstreamBody();
+    auto attempt = std::make_shared<Attempt>(
+        Attempt {pool, session, start.attempt, this->clientFor(request.id)});
+    this->stream(attempt, std::move(send));
+}
+
+void AttemptRunner::stream(const std::shared_ptr<Attempt> &attempt, http::ClientRequest request)
+{
+    request.connectTimeout = this->timeouts.connect;
+    http::TransferCallbacks callbacks;
+    callbacks.onStatus = [attempt](int status, const http::Headers &) { attempt->status = status; };
+    callbacks.onData = [attempt](std::string_view bytes) { return attempt->takeBytes(bytes); };
+    callbacks.onDone = [attempt](const http::TransferResult &result) { attempt->conclude(result); };
+    http::Client &client = attempt->client;
+    const http::TransferId transfer = client.start(std::move(request), std::move(callbacks));
+    const decision::RequestId id = attempt->session->request().id;
+    attempt->session->setTransfer(id % this->clients.size(), transfer);
+    attempt->session->exchange()->onDrained([&client, transfer] { client.resume(transfer); });
+}
+
+void AttemptRunner::resume(serving::PoolRunner &pool, const serving::SessionPtr &session,
+                           const decision::ResumeAttempt &resume, const settings::Address &address)
+{
+    auto attempt = std::make_shared<Attempt>(
+        Attempt {pool, session, resume.attempt, this->clientFor(resume.request)});
+    attempt->resumed = true;
+    attempt->nextOffset = resume.offset;
+    http::ClientRequest send;
+    send.url = "http://" + address.text() + "/generations/" + resume.generation
+        + "?offset=" + std::to_string(resume.offset);
+    // The connection that went silent may still look open, so a resume never reuses one.
+    send.freshConnection = true;
+    if (resume.delay.count() == 0) {
+        this->stream(attempt, std::move(send));
+        return;
+    }
+    this->timers.after(resume.delay, [this, attempt, send] { this->stream(attempt, send); });
+}
+
+void AttemptRunner::call(serving::PoolRunner &pool, const serving::SessionPtr &session,
+                         const decision::StartAttempt &start, const settings::Address &address)
+{
+    const serving::ServiceCall &call = session->call();
+    http::ClientRequest send;
+    send.method = call.method;
+    send.url = "http://" + address.text() + call.path;
+    send.headers = call.headers;
+    send.body = call.body;
+    send.connectTimeout = this->timeouts.connect;
+    send.totalTimeout = this->timeouts.call;
+    send.freshConnection = !session->request().repeatable;
+    auto answer = std::make_shared<serving::ServiceAnswer>();
+    http::TransferCallbacks callbacks;
+    callbacks.onStatus = [answer](int status, const http::Headers &headers) {
+        answer->status = status;
+        const auto type = headers.find("content-type");
+        if (type != headers.end()) {
+            answer->headers["content-type"] = type->second;
+        }
+    };
+    callbacks.onData = [answer](std::string_view bytes) {
+        const bool fits = answer->body.size() + bytes.size() <= maxAnswerBytes;
+        answer->body += fits ? bytes : std::string_view();
+        return true;
+    };
+    const decision::RequestId id = start.request;
+    const decision::AttemptNumber number = start.attempt;
+    callbacks.onDone = [&pool, session, answer, id, number](const http::TransferResult &result) {
+        if (result.end != http::TransferEnd::Complete) {
+            pool.post(decision::AttemptFailed {id, number, failureOf(result.end), result.detail});
+            return;
+        }
+        session->setAnswer(*answer);
+        pool.post(decision::CallAnswered {id, number});
+    };
+    const http::TransferId transfer
+        = this->clientFor(id).start(std::move(send), std::move(callbacks));
+    session->setTransfer(id % this->clients.size(), transfer);
+}
+
+void AttemptRunner::cancel(const serving::SessionPtr &session,
+                           const decision::CancelAttempt &cancel, const settings::Address &address)
+{
+    const auto [client, transfer] = session->transfer();
+    if (transfer != 0) {
+        this->clients[client]->cancel(transfer);
+    }
+    const std::string generation
+        = cancel.generation.empty() ? session->generation() : cancel.generation;
+    if (cancel.keep || session->isCall() || generation.empty()) {
+        return;
+    }
+    http::ClientRequest send;
+    send.method = "DELETE";
+    send.url = "http://" + address.text() + "/generations/" + generation;
+    send.connectTimeout = this->timeouts.connect;
+    send.totalTimeout = this->timeouts.connect * 2;
+    this->clients[client]->start(std::move(send), {});
+}
+
+} // namespace azurespindle::upstreams
--- /dev/null
+++ b/src/upstreams/sse_reader.cpp
@@ -0,0 +1,96 @@
+#include "upstreams/sse_reader.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace azurespindle::upstreams {
+namespace {
+
+constexpr std::string_view eventEnd = "\n\n";
+constexpr std::string_view endMark = "[DONE]";
+
+/// Returns the value of the field \a name in an event's lines, or nothing.
+std::optional<std::string_view> field(std::string_view event, std::string_view name)
+{
+    while (!event.empty()) {
+        const std::size_t end = event.find('\n');
+        const std::string_view line = event.substr(0, end);
+        const bool named = line.size() > name.size() && line.substr(0, name.size()) == name
+            && line[name.size()] == ':';
+        if (named) {
+            std::string_view value = line.substr(name.size() + 1);
+            if (!value.empty() && value.front() == ' ') {
+                value.remove_prefix(1);
+            }
+            return value;
+        }
+        if (end == std::string_view::npos) {
+            break;
+        }
+        event.remove_prefix(end + 1);
+    }
+    return std::nullopt;
+}
+
+std::optional<TokenEvent> parseToken(std::string_view id, std::string_view data)
+{
+    const std::size_t colon = id.rfind(':');
+    if (colon == std::string_view::npos) {
+        return std::nullopt;
+    }
+    TokenEvent token;
+    token.generation = id.substr(0, colon);
+    const char *last = id.data() + id.size();
+    const auto [rest, code] = std::from_chars(id.data() + colon + 1, last, token.offset);
+    const auto json = nlohmann::json::parse(data, nullptr, false);
+    const bool readable = code == std::errc() && rest == last && json.is_object()
+        && json.contains("text") && json["text"].is_string();
+    if (!readable) {
+        return std::nullopt;
+    }
+    token.text = json["text"].get<std::string>();
+    return token;
+}
+
+} // namespace
+
+SseBatch SseReader::read(std::string_view bytes)
+{
+    SseBatch batch;
+    this->buffer += bytes;
+    std::size_t begin = 0;
+    while (!batch.malformed) {
+        const std::size_t end = this->buffer.find(eventEnd, begin);
+        if (end == std::string::npos) {
+            break;
+        }
+        this->readEvent(std::string_view(this->buffer).substr(begin, end - begin), batch);
+        begin = end + eventEnd.size();
+    }
+    this->buffer.erase(0, begin);
+    if (this->buffer.size() > maxEventBytes) {
+        batch.malformed = true;
+    }
+    return batch;
+}
+
+void SseReader::readEvent(std::string_view event, SseBatch &batch)
+{
+    const auto data = field(event, "data");
+    if (!data) {
+        return;
+    }
+    if (*data == endMark) {
+        batch.finished = true;
+        return;
+    }
+    const auto id = field(event, "id");
+    const auto token = id ? parseToken(*id, *data) : std::nullopt;
+    if (!token) {
+        batch.malformed = true;
+        return;
+    }
+    batch.tokens.push_back(*token);
+}
+
+} // namespace azurespindle::upstreams
--- /dev/null
+++ b/tests/main.cpp
@@ -0,0 +1,30 @@
+// Runs the tests of the named suites: azurespindle-tests SUITE...
+
+#include <cppunit/BriefTestProgressListener.h>
+#include <cppunit/CompilerOutputter.h>
+#include <cppunit/TestResult.h>
+#include <cppunit/TestResultCollector.h>
+#include <cppunit/TestRunner.h>
+#include <cppunit/extensions/TestFactoryRegistry.h>
+
+#include <csignal>
+#include <iostream>
+
+int main(int count, char **values)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    CppUnit::TestResult controller;
+    CppUnit::TestResultCollector results;
+    CppUnit::BriefTestProgressListener progress;
+    controller.addListener(&results);
+    controller.addListener(&progress);
+    CppUnit::TestRunner runner;
+    for (int index = 1; index < count; ++index) {
+        runner.addTest(CppUnit::TestFactoryRegistry::getRegistry(values[index]).makeTest());
+    }
+    runner.run(controller);
+    CppUnit::CompilerOutputter(&results, std::cerr).write();
+    const int failed = results.testFailuresTotal();
+    std::cout << results.runTests() - failed << " passed, " << failed << " failed\n";
+    return failed == 0 && results.runTests() > 0 ? 0 : 1;
+}
