--- a/src/base/recent_map.h
+++ b/src/base/recent_map.h
@@ -71,6 +71,13 @@
         }
     }
 
+    /// Returns the key of the least recently used entry, or nullptr if there is none.
+    const Key *oldest() const
+    {
+        const auto &byAge = this->entries.template get<0>();
+        return byAge.empty() ? nullptr : &byAge.front().key;
+    }
+
     std::size_t size() const { return this->entries.size(); }
     std::size_t capacity() const { return this->limit; }
 
--- a/src/decision/dispatcher.cpp
+++ b/src/decision/dispatcher.cpp
@@ -263,7 +263,7 @@
                    {"expectedTokens", std::to_string(std::lround(expected))},
                    {"peak", percent(this->candidates[chosen].peakFraction)},
                    {"load", percent(this->candidates[chosen].loadFraction)},
-                   {"cached", percent(this->candidates[chosen].cachedFraction)},
+                   {"uncached", std::to_string(this->candidates[chosen].uncachedTokens)},
                    {"passedOver", passedOver(this->candidates, chosen)}});
     this->upstreams.begin(upstream, placed.profile, placed.suspect);
     upstream.prefixes.add(request.prefixBlocks);
@@ -282,7 +282,11 @@
     if (serving == 0) {
         return;
     }
-    const std::size_t perUpstream = (this->queue.size() + serving - 1) / serving;
+    // While there is traffic each upstream is kept one attempt ahead: one that is never asked for
+    // would stay cold beside others that fill up.
+    const std::size_t standing = this->open.empty() ? 0 : 1;
+    const std::size_t perUpstream
+        = std::max(standing, (this->queue.size() + serving - 1) / serving);
     const microseconds interval = urgent ? urgentLeaseInterval : leaseInterval;
     for (const Upstream &each : this->upstreams.all()) {
         Upstream &upstream = *this->upstreams.find(each.listed.name);
--- a/src/decision/placement.cpp
+++ b/src/decision/placement.cpp
@@ -5,16 +5,12 @@
 namespace azurespindle::decision {
 namespace {
 
-/// Weight of the share of slots in use, beside a weight of 1 for memory.
-constexpr double loadWeight = 0.6;
-/// Gain of a wholly cached prompt. Small enough that affinity never fills one engine's memory
-/// while another's is empty.
-constexpr double prefixGain = 0.25;
+constexpr double thousand = 1'000.0;
 
-double cost(const Candidate &candidate)
+double cost(const Candidate &candidate, const PlacementWeights &weights)
 {
-    return candidate.peakFraction + loadWeight * candidate.loadFraction
-        - prefixGain * candidate.cachedFraction;
+    return weights.memory * candidate.peakFraction + weights.load * candidate.loadFraction
+        + weights.prefill * candidate.uncachedTokens / thousand;
 }
 
 bool serves(const Candidate &candidate)
@@ -25,9 +21,9 @@
 
 } // namespace
 
-PlacementPolicy expectedMemoryPlacement()
+PlacementPolicy expectedMemoryPlacement(const PlacementWeights &weights)
 {
-    return [](const std::vector<Candidate> &candidates,
+    return [weights](const std::vector<Candidate> &candidates,
               std::uint64_t turn) -> std::optional<std::size_t> {
         std::optional<std::size_t> best;
         double bestCost = 0.0;
@@ -37,7 +33,7 @@
             if (candidates[index].obstacle != Obstacle::None) {
                 continue;
             }
-            const double itsCost = cost(candidates[index]);
+            const double itsCost = cost(candidates[index], weights);
             if (!best || itsCost < bestCost) {
                 best = index;
                 bestCost = itsCost;
--- a/src/decision/placement.h
+++ b/src/decision/placement.h
@@ -15,9 +15,17 @@
 using PlacementPolicy = std::function<std::optional<std::size_t>(
     const std::vector<Candidate> &candidates, std::uint64_t turn)>;
 
-/// Returns the policy that weighs memory at the time it will be needed, load and cached prefixes,
-/// and never chooses a candidate with an obstacle.
-PlacementPolicy expectedMemoryPlacement();
+/// What one unit of each consideration costs, beside the others.
+struct PlacementWeights
+{
+    double memory = 1.0; ///< An engine whose memory is expected to be just full.
+    double load = 0.6;   ///< An engine with as many attempts as it is ever given.
+    double prefill = 0.3; ///< 1,000 prompt tokens to compute: each of its steps delays the others.
+};
+
+/// Returns the policy that weighs memory at the time it will be needed, load and the prompt that is
+/// still to be computed, and never chooses a candidate with an obstacle.
+PlacementPolicy expectedMemoryPlacement(const PlacementWeights &weights = {});
 
 /// Returns the baseline that takes serving upstreams in turn.
 PlacementPolicy roundRobinPlacement();
--- a/src/decision/upstream_table.cpp
+++ b/src/decision/upstream_table.cpp
@@ -183,16 +183,16 @@
     for (const Upstream &upstream : this->upstreams) {
         const double peak = upstream.profile.peakWith(query.profile, query.deviations);
         const double memory = std::max(1U, upstream.report.memoryTokens);
-        const double slots = std::max(1U, upstream.slots(query.now));
-        const double prompt = std::max(1U, query.request->promptTokens);
+        const auto most = static_cast<double>(upstream.listed.policy.maxConcurrency);
+        const Request &request = *query.request;
+        const Tokens cached = upstream.prefixes.cachedTokens(request.prefixBlocks);
         Candidate candidate;
         candidate.upstream = &upstream;
         candidate.obstacle = obstacle(upstream, query, peak);
         candidate.peakFraction
             = upstream.report.memoryTokens > 0 ? (peak + upstream.foreignMemory) / memory : 0.0;
-        candidate.loadFraction = (upstream.outstanding + 1.0) / slots;
-        candidate.cachedFraction
-            = upstream.prefixes.cachedTokens(query.request->prefixBlocks) / prompt;
+        candidate.loadFraction = (upstream.outstanding + 1.0) / most;
+        candidate.uncachedTokens = request.promptTokens - std::min(cached, request.promptTokens);
         candidates.push_back(candidate);
     }
 }
--- a/src/decision/upstream_table.h
+++ b/src/decision/upstream_table.h
@@ -54,8 +54,8 @@
     const Upstream *upstream = nullptr;
     Obstacle obstacle = Obstacle::None;
     double peakFraction = 0.0;   ///< Expected peak memory over the engine's, with the request.
-    double loadFraction = 0.0;   ///< Attempts over slots, with the request.
-    double cachedFraction = 0.0; ///< Part of the prompt that is probably cached.
+    double loadFraction = 0.0; ///< Attempts over what a warm engine is given, with the request.
+    Tokens uncachedTokens = 0; ///< Prompt tokens that the engine will probably compute.
 };
 
 /// The upstreams of one pool: what is listed, leased, reported, outstanding.
--- a/tests/standins/engine_model.cpp
+++ b/tests/standins/engine_model.cpp
@@ -22,7 +22,8 @@
 
 EngineModel::EngineModel(EngineOptions options)
     : options(options), boot(options.seed * 1'000 + 1),
-      bears(options.startsWarm ? options.maxBatch : options.coldBearable)
+      bears(options.startsWarm ? options.maxBatch : options.coldBearable),
+      cached(options.prefixCacheTokens / decision::prefixBlockTokens)
 { }
 
 bool EngineModel::knows(const std::string &id) const
@@ -67,7 +68,7 @@
 {
     Tokens tokens = 0;
     for (const std::uint64_t block : order.prefixBlocks) {
-        if (this->cached.count(block) == 0) {
+        if (this->cached.find(block) == nullptr) {
             break;
         }
         tokens += decision::prefixBlockTokens;
@@ -77,18 +78,14 @@
 
 void EngineModel::rememberPrefix(const GenerationOrder &order)
 {
-    const std::size_t capacity = this->options.prefixCacheTokens / decision::prefixBlockTokens;
     for (const std::uint64_t block : order.prefixBlocks) {
-        if (!this->cached.insert(block).second) {
-            continue;
-        }
-        this->cachedOrder.push_back(block);
-        this->cacheAdded.push_back(block);
-        if (this->cachedOrder.size() > capacity) {
-            this->cached.erase(this->cachedOrder.front());
-            this->cacheDropped.push_back(this->cachedOrder.front());
-            this->cachedOrder.pop_front();
+        if (this->cached.find(block) == nullptr) {
+            this->cacheAdded.push_back(block);
+            if (this->cached.size() >= this->cached.capacity()) {
+                this->cacheDropped.push_back(*this->cached.oldest());
+            }
         }
+        this->cached.touch(block);
     }
 }
 
@@ -240,8 +237,7 @@
     this->stepEnd = Instant::max();
     this->strainedAdmissions = 0;
     this->bears = this->options.coldBearable;
-    this->cached.clear();
-    this->cachedOrder.clear();
+    this->cached.eraseIf([](std::uint64_t, const Mark &) { return true; });
     this->cacheAdded.clear();
     this->cacheDropped.clear();
     this->history.clear();
--- a/tests/standins/engine_model.h
+++ b/tests/standins/engine_model.h
@@ -1,6 +1,7 @@
 #ifndef AZURESPINDLE_STANDINS_ENGINE_MODEL_H
 #define AZURESPINDLE_STANDINS_ENGINE_MODEL_H
 
+#include "base/recent_map.h"
 #include "decision/types.h"
 
 #include <cstdint>
@@ -8,7 +9,6 @@
 #include <list>
 #include <map>
 #include <string>
-#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -142,8 +142,10 @@
     std::uint64_t died = 0;
     std::uint32_t strainedAdmissions = 0;
     double bears;
-    std::deque<std::uint64_t> cachedOrder;
-    std::unordered_set<std::uint64_t> cached;
+    struct Mark
+    {
+    };
+    RecentMap<std::uint64_t, Mark> cached;
     std::vector<std::uint64_t> cacheAdded;
     std::vector<std::uint64_t> cacheDropped;
     std::deque<std::pair<Instant, LoadReport>> history;
