Forget prompts from their end; wait briefly for the engine that cached them

Cause: both the prefix index and the stand-in's cache forgot the leading block of a prompt first, after which its other blocks are useless; and a request whose prompt was cached on a full engine was computed anew elsewhere. Change: blocks are touched last to first; a request waits up to 250 ms for an engine that would save it much; sittings are under way from the start.

--- a/bench/experiment.cpp
+++ b/bench/experiment.cpp
@@ -8,8 +8,8 @@
 namespace {
 
 using namespace decision;
-using standins::EngineModel;
 using standins::Emission;
+using standins::EngineModel;
 
 constexpr milliseconds reportInterval {250};
 constexpr seconds stopAfterEnd {0};
@@ -33,9 +33,9 @@
     return values[rank];
 }
 
-PlacementPolicy placementOf(Policy policy)
+PlacementPolicy placementOf(const ExperimentOptions &options)
 {
-    switch (policy) {
+    switch (options.policy) {
     case Policy::RoundRobin:
         return roundRobinPlacement();
     case Policy::LeastOutstanding:
@@ -43,7 +43,7 @@
     case Policy::ExpectedMemory:
         break;
     }
-    return expectedMemoryPlacement();
+    return expectedMemoryPlacement(options.weights);
 }
 
 /// Drives dispatcher, steward and engines through one workload.
@@ -112,19 +112,15 @@
 DispatcherOptions dispatcherOptions(const ExperimentOptions &options)
 {
     DispatcherOptions chosen;
-    chosen.placement = placementOf(options.policy);
+    chosen.placement = placementOf(options);
     chosen.leasing = options.policy == Policy::ExpectedMemory;
     chosen.memoryDeviations = options.memoryDeviations;
     return chosen;
 }
 
 Run::Run(const ExperimentOptions &options)
-    : options(options)
-    , workload(options.workload, options.seed)
-    , upcoming(this->workload.next())
-    , dispatcher(dispatcherOptions(options))
-    , seenDeaths(options.engines, 0)
-    , random(options.seed)
+    : options(options), workload(options.workload, options.seed), upcoming(this->workload.next()),
+      dispatcher(dispatcherOptions(options)), seenDeaths(options.engines, 0), random(options.seed)
 {
     for (std::size_t index = 0; index < options.engines; ++index) {
         standins::EngineOptions engine = options.engine;
@@ -176,8 +172,10 @@
     std::visit(
         [this](const auto &each) {
             using Kind = std::decay_t<decltype(each)>;
-            constexpr bool ignored = std::is_same_v<Kind, Journal>
-                || std::is_same_v<Kind, TellCrash> || std::is_same_v<Kind, DeliverAnswer>;
+            constexpr bool ignored
+                = std::is_same_v<
+                      Kind,
+                      Journal> || std::is_same_v<Kind, TellCrash> || std::is_same_v<Kind, DeliverAnswer>;
             if constexpr (!ignored) {
                 this->perform(each);
             }
@@ -193,8 +191,8 @@
     const std::string generation = generationName(start.request, start.attempt);
     EngineModel &engine = this->engines[index];
     if (!engine.up(this->now)) {
-        this->post(AttemptFailed {start.request, start.attempt, FailureKind::ConnectionRefused,
-                                  "down"});
+        this->post(
+            AttemptFailed {start.request, start.attempt, FailureKind::ConnectionRefused, "down"});
         return;
     }
     this->attempts[generation] = {index, start.attempt};
@@ -209,11 +207,11 @@
     const std::size_t index = std::stoul(resume.upstream.substr(1));
     EngineModel &engine = this->engines[index];
     if (!engine.up(this->now)) {
-        this->post(AttemptFailed {resume.request, resume.attempt, FailureKind::ConnectionRefused,
-                                  "down"});
+        this->post(
+            AttemptFailed {resume.request, resume.attempt, FailureKind::ConnectionRefused, "down"});
     } else if (!engine.knows(resume.generation)) {
-        this->post(AttemptFailed {resume.request, resume.attempt, FailureKind::GenerationGone,
-                                  "gone"});
+        this->post(
+            AttemptFailed {resume.request, resume.attempt, FailureKind::GenerationGone, "gone"});
     } else {
         this->attempts[resume.generation].number = resume.attempt;
     }
--- a/bench/experiment.h
+++ b/bench/experiment.h
@@ -29,6 +29,7 @@
     seconds duration {240};
     seconds warmUp {40}; ///< Not measured.
     double memoryDeviations = 1.0;
+    decision::PlacementWeights weights;
     std::uint64_t seed = 1;
 };
 
@@ -40,7 +41,7 @@
     std::uint64_t collapses = 0;
     double gapP95 = 0.0; ///< Seconds.
     double gapP99 = 0.0;
-    double firstTokenP95 = 0.0; ///< Seconds, queue time included.
+    double firstTokenP95 = 0.0;   ///< Seconds, queue time included.
     double tokensPerSecond = 0.0; ///< Delivered, without those of answers that broke off.
     std::uint64_t finished = 0;
     std::uint64_t refused = 0;
--- a/bench/workload.cpp
+++ b/bench/workload.cpp
@@ -23,9 +23,7 @@
     return mix == Mix::Specs ? "specs" : "transcription";
 }
 
-Workload::Workload(WorkloadOptions options, std::uint64_t seed)
-    : options(options)
-    , generator(seed)
+Workload::Workload(WorkloadOptions options, std::uint64_t seed) : options(options), generator(seed)
 {
     for (std::size_t index = 0; index < this->options.workspaces; ++index) {
         this->weights.push_back(1.0 / static_cast<double>(index + 1));
@@ -85,8 +83,8 @@
     const bool shifted
         = this->options.lengthShiftAt > 0.0 && this->clock > this->options.lengthShiftAt;
     const bool tail = this->options.heavyTail && uniform(this->generator) < tailShare;
-    double output = this->logNormal(kind.outputMedian * (shifted ? shiftFactor : 1.0),
-                                    kind.outputSpread);
+    double output
+        = this->logNormal(kind.outputMedian * (shifted ? shiftFactor : 1.0), kind.outputSpread);
     output = std::min(output, maxOutput);
     if (tail) {
         output = std::min(this->logNormal(tailMedian, 0.3), maxTailOutput);
@@ -129,7 +127,12 @@
     open.resize(sittingsPerWorkspace);
     std::uniform_int_distribution<std::size_t> any(0, sittingsPerWorkspace - 1);
     Sitting &sitting = open[any(this->generator)];
-    if (sitting.id == 0 || sitting.context > maxSittingContext) {
+    if (sitting.id == 0) {
+        // The first ones are under way already, so that the load is the same from the start.
+        std::uniform_int_distribution<decision::Tokens> underWay(firstSittingContext,
+                                                                 maxSittingContext);
+        sitting = {request.id, underWay(this->generator)};
+    } else if (sitting.context > maxSittingContext) {
         sitting = {request.id, firstSittingContext};
     }
     sitting.context += static_cast<decision::Tokens>(this->logNormal(90.0, 0.4));
--- a/bench/workload.h
+++ b/bench/workload.h
@@ -23,7 +23,7 @@
     Mix mix = Mix::Specs;
     double requestsPerSecond = 10.0;
     std::size_t workspaces = 10;
-    double greedyFactor = 0.0; ///< Extra rate of workspace 0, as a multiple of its share.
+    double greedyFactor = 0.0;  ///< Extra rate of workspace 0, as a multiple of its share.
     double lengthShiftAt = 0.0; ///< Second at which outputs become four times as long; 0: never.
     bool heavyTail = false;     ///< A few outputs of tens of thousands of tokens.
 };
--- a/src/decision/dispatcher.cpp
+++ b/src/decision/dispatcher.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 /// Workspaces whose first request is tried before dispatch gives up for now.
-constexpr std::size_t headsTried = 4;
+constexpr std::size_t headsTried = 10;
 /// A request that waited so long is no longer overtaken by ones that fit more easily.
 constexpr milliseconds overtakingLimit {2'000};
 /// Candidates named in the journal as passed over.
@@ -211,7 +211,8 @@
         this->giveUp(waiting);
         return true;
     }
-    const auto chosen = this->options.placement(this->candidates, this->turns);
+    const bool patient = this->now - queued.arrived < this->options.placementPatience;
+    const auto chosen = this->options.placement(this->candidates, this->turns, patient);
     if (!chosen) {
         return false;
     }
--- a/src/decision/dispatcher.h
+++ b/src/decision/dispatcher.h
@@ -20,8 +20,9 @@
 struct DispatcherOptions
 {
     PlacementPolicy placement = expectedMemoryPlacement();
-    bool leasing = true;           ///< False: every upstream is this process's alone.
-    double memoryDeviations = 1.0; ///< Safety margin on memory, in standard deviations.
+    bool leasing = true;                  ///< False: every upstream is this process's alone.
+    double memoryDeviations = 1.0;        ///< Safety margin on memory, in standard deviations.
+    milliseconds placementPatience {250}; ///< Wait for an engine with the prompt cached.
     milliseconds firstTokenTimeout {30'000};
     milliseconds gapTimeout {3'000};
     milliseconds callTimeout {60'000};
--- a/src/decision/placement.cpp
+++ b/src/decision/placement.cpp
@@ -1,6 +1,7 @@
 #include "decision/placement.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace azurespindle::decision {
 namespace {
@@ -13,6 +14,11 @@
         + weights.prefill * candidate.uncachedTokens / thousand;
 }
 
+bool isFull(const Candidate &candidate)
+{
+    return candidate.obstacle == Obstacle::NoSlot || candidate.obstacle == Obstacle::NoMemory;
+}
+
 bool serves(const Candidate &candidate)
 {
     return candidate.obstacle != Obstacle::NotServing
@@ -23,30 +29,34 @@
 
 PlacementPolicy expectedMemoryPlacement(const PlacementWeights &weights)
 {
-    return [weights](const std::vector<Candidate> &candidates,
-              std::uint64_t turn) -> std::optional<std::size_t> {
+    return [weights](const std::vector<Candidate> &candidates, std::uint64_t turn,
+                     bool patient) -> std::optional<std::size_t> {
         std::optional<std::size_t> best;
-        double bestCost = 0.0;
+        double bestCost = std::numeric_limits<double>::max();
+        double bestFullCost = std::numeric_limits<double>::max();
         for (std::size_t step = 0; step < candidates.size(); ++step) {
             // Starting elsewhere each time spreads ties, as between engines that are all idle.
             const std::size_t index = (turn + step) % candidates.size();
-            if (candidates[index].obstacle != Obstacle::None) {
-                continue;
-            }
-            const double itsCost = cost(candidates[index], weights);
-            if (!best || itsCost < bestCost) {
+            const Candidate &candidate = candidates[index];
+            const double itsCost = cost(candidate, weights);
+            if (isFull(candidate)) {
+                bestFullCost = std::min(bestFullCost, itsCost);
+            } else if (candidate.obstacle == Obstacle::None && itsCost < bestCost) {
                 best = index;
                 bestCost = itsCost;
             }
         }
-        return best;
+        // An engine that has most of the prompt cached is worth a short wait: computing it again
+        // elsewhere costs everybody there, and most of all when all engines are full.
+        const bool worthWaiting = patient && bestFullCost + weights.waitingGain < bestCost;
+        return worthWaiting ? std::nullopt : best;
     };
 }
 
 PlacementPolicy roundRobinPlacement()
 {
-    return [](const std::vector<Candidate> &candidates,
-              std::uint64_t turn) -> std::optional<std::size_t> {
+    return [](const std::vector<Candidate> &candidates, std::uint64_t turn,
+              bool) -> std::optional<std::size_t> {
         for (std::size_t step = 0; step < candidates.size(); ++step) {
             const std::size_t index = (turn + step) % candidates.size();
             if (serves(candidates[index])) {
@@ -59,8 +69,8 @@
 
 PlacementPolicy leastOutstandingPlacement()
 {
-    return [](const std::vector<Candidate> &candidates,
-              std::uint64_t turn) -> std::optional<std::size_t> {
+    return [](const std::vector<Candidate> &candidates, std::uint64_t turn,
+              bool) -> std::optional<std::size_t> {
         std::optional<std::size_t> best;
         for (std::size_t step = 0; step < candidates.size(); ++step) {
             const std::size_t index = (turn + step) % candidates.size();
--- a/src/decision/prefix_index.cpp
+++ b/src/decision/prefix_index.cpp
@@ -4,8 +4,10 @@
 
 void PrefixIndex::add(const std::vector<std::uint64_t> &blocks)
 {
-    for (const std::uint64_t block : blocks) {
-        this->known.touch(block);
+    // Last block first, so that a prompt is forgotten from its end: without its leading blocks
+    // the others are of no use.
+    for (auto block = blocks.rbegin(); block != blocks.rend(); ++block) {
+        this->known.touch(*block);
     }
 }
 
--- a/src/decision/upstream_table.h
+++ b/src/decision/upstream_table.h
@@ -53,7 +53,7 @@
 {
     const Upstream *upstream = nullptr;
     Obstacle obstacle = Obstacle::None;
-    double peakFraction = 0.0;   ///< Expected peak memory over the engine's, with the request.
+    double peakFraction = 0.0; ///< Expected peak memory over the engine's, with the request.
     double loadFraction = 0.0; ///< Attempts over what a warm engine is given, with the request.
     Tokens uncachedTokens = 0; ///< Prompt tokens that the engine will probably compute.
 };
--- a/tests/standins/engine_model.cpp
+++ b/tests/standins/engine_model.cpp
@@ -78,7 +78,9 @@
 
 void EngineModel::rememberPrefix(const GenerationOrder &order)
 {
-    for (const std::uint64_t block : order.prefixBlocks) {
+    const std::vector<std::uint64_t> &blocks = order.prefixBlocks;
+    for (auto each = blocks.rbegin(); each != blocks.rend(); ++each) {
+        const std::uint64_t block = *each;
         if (this->cached.find(block) == nullptr) {
             this->cacheAdded.push_back(block);
             if (this->cached.size() >= this->cached.capacity()) {
--- a/tests/standins/engine_model.h
+++ b/tests/standins/engine_model.h
@@ -143,8 +143,7 @@
     std::uint32_t strainedAdmissions = 0;
     double bears;
     struct Mark
-    {
-    };
+    { };
     RecentMap<std::uint64_t, Mark> cached;
     std::vector<std::uint64_t> cacheAdded;
     std::vector<std::uint64_t> cacheDropped;
