Test the caller edge under hang-ups, slow readers and bad bytes; mend three faults

Cause: the new tests showed that (1) closing a connection twice threw, because the library's peer data cannot be replaced; (2) Transport::flush spins until the socket takes the bytes, so one caller who read nothing held up its whole thread; (3) a Content-Length that is no number was read as 0. Change: a flag marks a gone connection; writes leave it to the poller; the length is checked.

--- a/src/http/internal/connection.cpp
+++ b/src/http/internal/connection.cpp
@@ -31,6 +31,28 @@
     return size + bytes + "\r\n";
 }
 
+/// Returns false for a Content-Length that the library reads as 0 because it is no number.
+bool hasGoodLength(const ServerRequest &request)
+{
+    const std::string length = request.header("content-length");
+    return std::all_of(length.begin(), length.end(),
+                       [](unsigned char letter) { return std::isdigit(letter) != 0; });
+}
+
+/// Tells a connection's exchange, once, that the connection is gone.
+void noteGone(ServerState &state, const std::shared_ptr<Peer> &peer)
+{
+    const std::shared_ptr<Connection> connection = connectionOf(peer);
+    if (connection == nullptr || std::exchange(connection->gone, true)) {
+        return;
+    }
+    state.openConnections -= 1;
+    const std::shared_ptr<ConnectionExchange> exchange = std::move(connection->exchange);
+    if (exchange != nullptr) {
+        exchange->connectionGone();
+    }
+}
+
 ServerRequest toServerRequest(const Http::Request &request)
 {
     ServerRequest converted;
@@ -153,15 +175,7 @@
     if (!this->owns(peer)) {
         return;
     }
-    const std::shared_ptr<Connection> connection = connectionOf(peer);
-    if (connection != nullptr) {
-        const std::shared_ptr<ConnectionExchange> exchange = std::move(connection->exchange);
-        if (exchange != nullptr) {
-            exchange->connectionGone();
-        }
-        peer->putData(connectionData, nullptr);
-        this->state->openConnections -= 1;
-    }
+    noteGone(*this->state, peer);
     this->removePeer(peer);
 }
 
@@ -334,7 +348,8 @@
                 }
             },
             [](const std::exception_ptr &) {});
-    owner->flush();
+    // Not Transport::flush(): it spins until the socket takes the bytes, so that one caller who
+    // reads nothing would hold up every other caller of this thread.
 }
 
 void ConnectionExchange::noteSent(std::size_t bytes)
@@ -433,15 +448,7 @@
 
 void ConnectionHandler::onDisconnection(const std::shared_ptr<Peer> &peer)
 {
-    const std::shared_ptr<Connection> connection = connectionOf(peer);
-    if (connection == nullptr) {
-        return;
-    }
-    this->state->openConnections -= 1;
-    const std::shared_ptr<ConnectionExchange> exchange = std::move(connection->exchange);
-    if (exchange != nullptr) {
-        exchange->connectionGone();
-    }
+    noteGone(*this->state, peer);
 }
 
 void ConnectionHandler::onInput(const char *buffer, std::size_t length,
@@ -479,6 +486,10 @@
 void ConnectionHandler::dispatch(Connection &connection, const std::shared_ptr<Peer> &peer)
 {
     const ServerRequest request = toServerRequest(connection.parser.request);
+    if (!hasGoodLength(request)) {
+        this->refuse(connection, peer, statusBadRequest, "content-length is not a number");
+        return;
+    }
     connection.parser.reset();
     connection.requestBegun = false;
     const bool close = lowerCase(request.header("connection")) == "close" || this->state->draining;
--- a/src/http/internal/connection.h
+++ b/src/http/internal/connection.h
@@ -80,6 +80,7 @@
 
     Pistache::Http::RequestParser parser;
     bool requestBegun = false;                    ///< Bytes of a request arrived, but not all.
+    bool gone = false;                            ///< Closed; nothing more is done with it.
     bool closing = false;                         ///< Closed after the present answer.
     Instant lastProgress;                         ///< First byte of a request, or last answer.
     std::shared_ptr<ConnectionExchange> exchange; ///< The answer that is under way.
--- a/tests/main.cpp
+++ b/tests/main.cpp
@@ -1,5 +1,7 @@
 // Runs the tests of the named suites: azurespindle-tests SUITE...
 
+#include "journal/journal.h"
+
 #include <cppunit/BriefTestProgressListener.h>
 #include <cppunit/CompilerOutputter.h>
 #include <cppunit/TestResult.h>
@@ -13,6 +15,8 @@
 int main(int count, char **values)
 {
     std::signal(SIGPIPE, SIG_IGN);
+    azurespindle::journal::openLog(azurespindle::settings::LogFormat::Text, "/dev/null", "tests",
+                                   azurespindle::journal::Severity::Error);
     CppUnit::TestResult controller;
     CppUnit::TestResultCollector results;
     CppUnit::BriefTestProgressListener progress;
--- /dev/null
+++ b/tests/support/raw_connection.cpp
@@ -0,0 +1,78 @@
+#include "support/raw_connection.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace azurespindle::tests {
+
+RawConnection::RawConnection(std::uint16_t port) : socket(::socket(AF_INET, SOCK_STREAM, 0))
+{
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    if (::connect(this->socket, reinterpret_cast<sockaddr *>(&address), sizeof(address)) != 0) {
+        ::close(this->socket);
+        this->socket = -1;
+    }
+}
+
+RawConnection::~RawConnection()
+{
+    if (this->socket >= 0) {
+        ::close(this->socket);
+    }
+}
+
+void RawConnection::send(const std::string &bytes) const
+{
+    ::send(this->socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+}
+
+bool RawConnection::waitReadable(milliseconds patience) const
+{
+    pollfd waited {this->socket, POLLIN, 0};
+    return ::poll(&waited, 1, static_cast<int>(patience.count())) > 0;
+}
+
+std::string RawConnection::readUntil(const std::string &end, milliseconds patience) const
+{
+    std::string text;
+    char buffer[65'536];
+    while (this->waitReadable(patience)) {
+        const ssize_t count = ::recv(this->socket, buffer, sizeof(buffer), 0);
+        if (count <= 0) {
+            break;
+        }
+        text.append(buffer, static_cast<std::size_t>(count));
+        if (!end.empty() && text.find(end) != std::string::npos) {
+            break;
+        }
+    }
+    return text;
+}
+
+std::string RawConnection::readAll(milliseconds patience) const
+{
+    return this->readUntil("", patience);
+}
+
+bool RawConnection::closedWithin(milliseconds patience) const
+{
+    const Instant deadline = monotonicNow() + patience;
+    char buffer[65'536];
+    while (monotonicNow() < deadline) {
+        if (!this->waitReadable(milliseconds(50))) {
+            continue;
+        }
+        if (::recv(this->socket, buffer, sizeof(buffer), 0) <= 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace azurespindle::tests
--- /dev/null
+++ b/tests/support/raw_connection.h
@@ -0,0 +1,37 @@
+#ifndef AZURESPINDLE_TESTS_SUPPORT_RAW_CONNECTION_H
+#define AZURESPINDLE_TESTS_SUPPORT_RAW_CONNECTION_H
+
+#include "base/time_types.h"
+
+#include <cstdint>
+#include <string>
+
+namespace azurespindle::tests {
+
+/// A TCP connection to loopback that sends and reads exactly what a test says.
+class RawConnection
+{
+public:
+    explicit RawConnection(std::uint16_t port);
+    ~RawConnection();
+    RawConnection(const RawConnection &) = delete;
+    RawConnection &operator=(const RawConnection &) = delete;
+
+    bool connected() const { return this->socket >= 0; }
+    void send(const std::string &bytes) const;
+    /// Reads until the other side closes, or nothing came for \a patience.
+    std::string readAll(milliseconds patience) const;
+    /// Reads until \a end was read, or nothing came for \a patience.
+    std::string readUntil(const std::string &end, milliseconds patience) const;
+    /// Returns true if the other side closes within \a patience.
+    bool closedWithin(milliseconds patience) const;
+
+private:
+    bool waitReadable(milliseconds patience) const;
+
+    int socket;
+};
+
+} // namespace azurespindle::tests
+
+#endif
