--- a/src/decision/lease_steward.cpp
+++ b/src/decision/lease_steward.cpp
@@ -49,33 +49,27 @@
     }
 }
 
-std::uint32_t LeaseSteward::heldBy(const Holder &holder, Instant now)
+std::uint32_t LeaseSteward::heldBy(const Holder &holder)
 {
-    std::uint32_t held = holder.inUse;
-    if (now < holder.expires) {
-        held = std::max(held, holder.granted);
-    }
-    if (now < holder.standaloneExpires) {
-        held = std::max(held, holder.standalone);
-    }
-    return held;
+    // Also after the lease ran out: what a silent holder began under it may still run.
+    return std::max({holder.inUse, holder.granted, holder.standalone});
 }
 
-std::uint32_t LeaseSteward::total(const Stewarded &stewarded, Instant now)
+std::uint32_t LeaseSteward::total(const Stewarded &stewarded)
 {
     std::uint32_t sum = 0;
     for (const auto &[name, holder] : stewarded.holders) {
-        sum += heldBy(holder, now);
+        sum += heldBy(holder);
     }
     return sum;
 }
 
-std::uint32_t LeaseSteward::room(const Stewarded &stewarded, const std::string &holder, Instant now)
+std::uint32_t LeaseSteward::room(const Stewarded &stewarded, const std::string &holder)
 {
     std::uint32_t others = 0;
     for (const auto &[name, other] : stewarded.holders) {
         if (name != holder) {
-            others += heldBy(other, now);
+            others += heldBy(other);
         }
     }
     const std::uint32_t limit = stewarded.ramp.limit();
@@ -105,7 +99,7 @@
     if (needed == 0) {
         return 0;
     }
-    const std::uint32_t available = room(stewarded, request.holder, now);
+    const std::uint32_t available = room(stewarded, request.holder);
     std::uint32_t unmet = 0;
     for (const auto &[name, other] : stewarded.holders) {
         const bool recent = now - other.lastHeard < leaseDuration;
@@ -163,7 +157,7 @@
     holder.standalone = 0;
     if (stewarded.adoptUse && now >= stewarded.openFrom) {
         stewarded.adoptUse = false;
-        stewarded.ramp.adopt(total(stewarded, now), now);
+        stewarded.ramp.adopt(total(stewarded), now);
     }
     this->weigh(stewarded, request, now, entries);
     LeaseGrant grant;
@@ -171,15 +165,13 @@
     grant.concurrency = grantFor(stewarded, request, now);
     grant.duration = leaseDuration;
     holder.granted = grant.concurrency;
-    holder.expires = now + leaseDuration + margin;
     if (stewarded.ramp.warm() && grant.concurrency > 0) {
         const auto members = static_cast<std::uint32_t>(std::max<std::size_t>(memberCount, 1));
         grant.standalone = std::min(stewarded.ramp.limit() / members, grant.concurrency);
         grant.standaloneDuration = standaloneDuration;
     }
     holder.standalone = grant.standalone;
-    holder.standaloneExpires = now + grant.standaloneDuration + margin;
-    const std::uint32_t committed = std::max(total(stewarded, now), 1U);
+    const std::uint32_t committed = std::max(total(stewarded), 1U);
     grant.memoryShare = std::max(grant.concurrency, request.inUse) / static_cast<double>(committed);
     return grant;
 }
@@ -217,10 +209,10 @@
     return found == this->stewardedUpstreams.end() ? 0 : found->second.ramp.limit();
 }
 
-std::uint32_t LeaseSteward::committed(const std::string &upstream, Instant now) const
+std::uint32_t LeaseSteward::committed(const std::string &upstream) const
 {
     const auto found = this->stewardedUpstreams.find(upstream);
-    return found == this->stewardedUpstreams.end() ? 0 : total(found->second, now);
+    return found == this->stewardedUpstreams.end() ? 0 : total(found->second);
 }
 
 std::vector<std::string> LeaseSteward::upstreams() const
--- a/src/decision/lease_steward.h
+++ b/src/decision/lease_steward.h
@@ -36,17 +36,18 @@
 /// Hands out the capacity of upstreams as short leases, so that the fleet together never gives an
 /// upstream more than its ramp allows.
 ///
-/// The sum of what holders may have started is at most the ramp's limit: a grant counts until it
-/// expires at its holder, by the steward's clock plus a margin for the way; running attempts count
-/// for as long as they are reported. A new steward hands out nothing until every lease of its
-/// predecessor has run out, and then begins at what the upstream was seen to bear.
+/// The sum of what holders may have started is at most the ramp's limit. A grant counts until its
+/// holder asks again, or was silent for so long that nothing it began is taken to run any more. A
+/// new steward hands out nothing until every lease of its predecessor has run out, and then begins
+/// at what the upstream was seen to bear.
 class LeaseSteward
 {
 public:
     static constexpr milliseconds leaseDuration {2'000};
     /// Clock drift and time on the way that the steward allows for.
     static constexpr milliseconds margin {500};
-    /// How long a cut-off holder may use its standalone share of a warm upstream.
+    /// How long a cut-off holder may use its standalone share of a warm upstream. A holder that is
+    /// silent for longer is forgotten.
     static constexpr milliseconds standaloneDuration {60'000};
     static constexpr std::size_t maxHolders = 1'024; ///< For each upstream.
     /// Slots granted beyond the stated need while there is room.
@@ -76,8 +77,8 @@
     bool stewards(const std::string &upstream) const;
     /// Returns the fleet-wide limit of an upstream, 0 if it is not stewarded here.
     std::uint32_t limit(const std::string &upstream) const;
-    /// Returns the attempts that all holders may have running at \a now.
-    std::uint32_t committed(const std::string &upstream, Instant now) const;
+    /// Returns the attempts that all holders may have running.
+    std::uint32_t committed(const std::string &upstream) const;
     std::vector<std::string> upstreams() const;
 
 private:
@@ -87,8 +88,6 @@
         std::uint32_t inUse = 0;
         std::uint32_t wanted = 0;
         std::uint32_t standalone = 0;
-        Instant expires;           ///< Of the lease, margin included.
-        Instant standaloneExpires; ///< Of the standalone share, margin included.
         Instant lastHeard;
     };
     struct Stewarded
@@ -100,9 +99,9 @@
         std::map<std::string, Holder> holders;
     };
 
-    static std::uint32_t heldBy(const Holder &holder, Instant now);
-    static std::uint32_t total(const Stewarded &stewarded, Instant now);
-    static std::uint32_t room(const Stewarded &stewarded, const std::string &holder, Instant now);
+    static std::uint32_t heldBy(const Holder &holder);
+    static std::uint32_t total(const Stewarded &stewarded);
+    static std::uint32_t room(const Stewarded &stewarded, const std::string &holder);
     static std::uint32_t fairShare(const Stewarded &stewarded, const Holder &holder, Instant now);
     static void forgetSilent(Stewarded &stewarded, Instant now);
     void weigh(Stewarded &stewarded, const LeaseRequest &request, Instant now,
--- a/src/serving/lease_service.cpp
+++ b/src/serving/lease_service.cpp
@@ -254,8 +254,7 @@
     const std::lock_guard lock(this->mutex);
     std::vector<Stewarded> all;
     for (const std::string &name : this->steward.upstreams()) {
-        all.push_back(
-            {name, this->steward.limit(name), this->steward.committed(name, monotonicNow())});
+        all.push_back({name, this->steward.limit(name), this->steward.committed(name)});
     }
     return all;
 }
--- /dev/null
+++ b/tests/decision/lease_steward_test.cpp
@@ -0,0 +1,197 @@
+#include "decision/lease_steward.h"
+
+#include "support/suite.h"
+
+#include <random>
+
+namespace azurespindle::decision {
+namespace {
+
+configuration::UpstreamPolicy policy()
+{
+    configuration::UpstreamPolicy policy;
+    policy.coldConcurrency = 2;
+    policy.maxConcurrency = 40;
+    return policy;
+}
+
+LeaseRequest request(const std::string &holder, std::uint32_t inUse, std::uint32_t wanted)
+{
+    LeaseRequest asked {holder, "e1", inUse, wanted, {}};
+    asked.evidence.gapsInTime = inUse;
+    asked.evidence.peakOutstanding = inUse;
+    return asked;
+}
+
+/// One holder as it behaves: it starts what its lease allows while the lease lasts.
+struct Holder
+{
+    std::string name;
+    std::uint32_t running = 0;
+    LeaseGrant grant;
+    Instant granted;
+    bool cutOff = false;
+
+    std::uint32_t slots(Instant now) const
+    {
+        if (now < this->granted + this->grant.duration) {
+            return this->grant.concurrency;
+        }
+        const bool standalone = now < this->granted + this->grant.standaloneDuration;
+        return standalone ? this->grant.standalone : 0;
+    }
+};
+
+} // namespace
+
+class LeaseStewardTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(LeaseStewardTest);
+    CPPUNIT_TEST(nineHoldersOfAColdUpstreamShareWhatItBears);
+    CPPUNIT_TEST(runningAttemptsNeverExceedTheLimitWhateverFails);
+    CPPUNIT_TEST(aNewStewardWaitsOutItsPredecessorsLeases);
+    CPPUNIT_TEST(aNewStewardBeginsAtWhatIsSeenToRun);
+    CPPUNIT_TEST(anUpstreamMarkedOutGetsNoLease);
+    CPPUNIT_TEST(aGreedyHolderLeavesTheOthersTheirShare);
+    CPPUNIT_TEST(aColdUpstreamHasNoStandaloneShare);
+    CPPUNIT_TEST(holdersAreBounded);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void nineHoldersOfAColdUpstreamShareWhatItBears()
+    {
+        LeaseSteward steward;
+        steward.adopt("e1", policy(), Instant(), false);
+        std::uint32_t granted = 0;
+        for (int index = 0; index < 9; ++index) {
+            granted += ask(steward, request("h" + std::to_string(index), 0, 5), 10).concurrency;
+        }
+        CPPUNIT_ASSERT_EQUAL(2U, granted);
+    }
+
+    /// Nine holders ask, start, finish, pause and are cut off at random. Whatever they do, what
+    /// runs at the upstream is at most the highest limit it had within a lease's time.
+    void runningAttemptsNeverExceedTheLimitWhateverFails()
+    {
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+            this->runAtRandom(seed);
+        }
+    }
+
+    void aNewStewardWaitsOutItsPredecessorsLeases()
+    {
+        LeaseSteward steward;
+        steward.adopt("e1", policy(), Instant(), true);
+        CPPUNIT_ASSERT_EQUAL(0U, ask(steward, request("h", 0, 5), 1'900).concurrency);
+        CPPUNIT_ASSERT_EQUAL(0U, ask(steward, request("h", 0, 5), 2'400).concurrency);
+        CPPUNIT_ASSERT(ask(steward, request("h", 0, 5), 2'600).concurrency > 0);
+    }
+
+    void aNewStewardBeginsAtWhatIsSeenToRun()
+    {
+        LeaseSteward steward;
+        steward.adopt("e1", policy(), Instant(), true);
+        ask(steward, request("a", 9, 0), 1'000);
+        ask(steward, request("b", 8, 0), 2'600);
+        CPPUNIT_ASSERT_EQUAL(17U, steward.limit("e1"));
+    }
+
+    void anUpstreamMarkedOutGetsNoLease()
+    {
+        LeaseSteward steward;
+        steward.adopt("e1", policy(), Instant(), false);
+        steward.setCondition("e1", Condition::Out);
+        CPPUNIT_ASSERT_EQUAL(0U, ask(steward, request("h", 0, 5), 10).concurrency);
+    }
+
+    void aGreedyHolderLeavesTheOthersTheirShare()
+    {
+        LeaseSteward steward;
+        warm(steward);
+        CPPUNIT_ASSERT_EQUAL(40U, ask(steward, request("greedy", 40, 100), 30'000).concurrency);
+        CPPUNIT_ASSERT_EQUAL(0U, ask(steward, request("small", 0, 10), 30'100).concurrency);
+        // The next renewal takes the excess back as the greedy holder's attempts end.
+        CPPUNIT_ASSERT_EQUAL(25U, ask(steward, request("greedy", 25, 100), 30'200).concurrency);
+        CPPUNIT_ASSERT_EQUAL(10U, ask(steward, request("small", 0, 10), 30'300).concurrency);
+    }
+
+    void aColdUpstreamHasNoStandaloneShare()
+    {
+        LeaseSteward steward;
+        steward.adopt("e1", policy(), Instant(), false);
+        CPPUNIT_ASSERT_EQUAL(0U, ask(steward, request("h", 0, 5), 10).standalone);
+        LeaseSteward warmed;
+        warm(warmed);
+        const std::uint32_t share = ask(warmed, request("h", 30, 5), 30'000).standalone;
+        CPPUNIT_ASSERT_EQUAL(40U / 9U, share);
+    }
+
+    void holdersAreBounded()
+    {
+        LeaseSteward steward;
+        steward.adopt("e1", policy(), Instant(), false);
+        for (std::size_t index = 0; index < LeaseSteward::maxHolders; ++index) {
+            ask(steward, request("h" + std::to_string(index), 0, 0), 10);
+        }
+        CPPUNIT_ASSERT_EQUAL(0U, ask(steward, request("one too many", 0, 1), 20).concurrency);
+        CPPUNIT_ASSERT(ask(steward, request("later", 0, 1), 70'000).concurrency > 0);
+    }
+
+private:
+    static LeaseGrant ask(LeaseSteward &steward, const LeaseRequest &request, int ms)
+    {
+        std::vector<journal::Entry> entries;
+        return steward.handle(request, 9, Instant(milliseconds(ms)), entries);
+    }
+
+    static void warm(LeaseSteward &steward)
+    {
+        steward.adopt("e1", policy(), Instant(), false);
+        for (int window = 1; window <= 20; ++window) {
+            ask(steward, request("warmer", steward.limit("e1"), 5), window * 500);
+        }
+        CPPUNIT_ASSERT_EQUAL(40U, steward.limit("e1"));
+        ask(steward, request("warmer", 0, 0), 11'000);
+    }
+
+    void runAtRandom(std::uint64_t seed)
+    {
+        std::mt19937_64 random(seed);
+        std::uniform_real_distribution<double> chance(0.0, 1.0);
+        LeaseSteward steward;
+        steward.adopt("e1", policy(), Instant(), false);
+        std::vector<Holder> holders(9);
+        std::uint32_t highest = 2;
+        for (int step = 0; step < 4'000; ++step) {
+            const int ms = step * 25;
+            const Instant now {milliseconds(ms)};
+            Holder &holder = holders[random() % holders.size()];
+            holder.name = "h" + std::to_string(&holder - holders.data());
+            if (chance(random) < 0.02) {
+                holder.cutOff = !holder.cutOff;
+            }
+            if (!holder.cutOff && chance(random) < 0.5) {
+                holder.grant = ask(steward, request(holder.name, holder.running, 4), ms);
+                holder.granted = now;
+            }
+            if (chance(random) < 0.6 && holder.running < holder.slots(now)) {
+                holder.running += 1;
+            } else if (holder.running > 0 && chance(random) < 0.5) {
+                holder.running -= 1;
+            }
+            highest = std::max(highest, steward.limit("e1"));
+            std::uint32_t running = 0;
+            for (const Holder &each : holders) {
+                running += each.running;
+            }
+            const std::string context = "seed " + std::to_string(seed) + " step "
+                + std::to_string(step) + ": running " + std::to_string(running) + ", highest limit "
+                + std::to_string(highest);
+            CPPUNIT_ASSERT_MESSAGE(context, running <= highest);
+        }
+    }
+};
+
+REGISTER_SUITE(LeaseStewardTest, "lease_steward");
+
+} // namespace azurespindle::decision
