Test one entry process end to end under engine, link and caller faults

Change: a small in-process fleet of entry processes and stand-ins; 13 tests, of which 31 malformed requests each name their fault. Measured: a stream of 20,000 tokens whole; 500 streams of 60 tokens at once none mixed; five cuts of a stream without hole or repeat; a poisonous request sent four times kills two of four engines; a stop with 20 open streams cuts none.

--- /dev/null
+++ b/tests/serving/entry_process_test.cpp
@@ -0,0 +1,300 @@
+#include "serving/entry_process.h"
+
+#include "support/fleet.h"
+#include "support/suite.h"
+
+#include <condition_variable>
+#include <future>
+#include <thread>
+
+namespace azurespindle::serving {
+
+using tests::Answer;
+using tests::completionBody;
+using tests::Fleet;
+using tests::streamFault;
+
+/// One entry process from end to end, with engines and a service that fail.
+class EntryProcessTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(EntryProcessTest);
+    CPPUNIT_TEST(aStreamOfTwentyThousandTokensArrivesWhole);
+    CPPUNIT_TEST(fiveHundredStreamsAtOnceAreNotMixed);
+    CPPUNIT_TEST(aWholeAnswerHasAllTokens);
+    CPPUNIT_TEST(aCutConnectionIsResumedWithoutHoleOrRepeat);
+    CPPUNIT_TEST(aSilentConnectionIsReplaced);
+    CPPUNIT_TEST(engineDeathAfterTheFirstTokenEndsWithAnExplicitError);
+    CPPUNIT_TEST(aCallerWhoHangsUpHasItsGenerationCancelled);
+    CPPUNIT_TEST(aLostUnrepeatableCallRanOnceAndIsCalledUnknown);
+    CPPUNIT_TEST(aReusedConnectionThatDiesDoesNotRunTheCallAgain);
+    CPPUNIT_TEST(aPoisonousRequestKillsTwoEnginesAtMost);
+    CPPUNIT_TEST(aGracefulStopCutsNothing);
+    CPPUNIT_TEST(malformedRequestsAreRefusedWithTheirFaults);
+    CPPUNIT_TEST(operatorsSeeStatusExplanationAndMetrics);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Tests that leave the fleet as it was share one: a start takes seconds of lease time.
+    void setUp() override
+    {
+        if (shared == nullptr) {
+            shared = std::make_unique<Fleet>(18'000, 1, 2);
+        }
+    }
+
+    void tearDown() override
+    {
+        started += 1;
+        if (started == testCount) {
+            shared.reset();
+        }
+    }
+
+    void aStreamOfTwentyThousandTokensArrivesWhole()
+    {
+        Fleet &fleet = *shared;
+        const std::string wrong = streamFault(fleet.generate(0, 20'000).body, 20'000);
+        CPPUNIT_ASSERT_MESSAGE(wrong, wrong.empty());
+    }
+
+    void fiveHundredStreamsAtOnceAreNotMixed()
+    {
+        constexpr std::size_t streams = 500;
+        constexpr std::size_t tokens = 60;
+        Fleet &fleet = *shared;
+        http::Client client;
+        std::mutex mutex;
+        std::condition_variable changed;
+        std::vector<std::string> bodies(streams);
+        std::size_t ended = 0;
+        for (std::size_t index = 0; index < streams; ++index) {
+            http::TransferCallbacks callbacks;
+            callbacks.onData = [&, index](std::string_view bytes) {
+                const std::lock_guard lock(mutex);
+                bodies[index] += bytes;
+                return true;
+            };
+            callbacks.onDone = [&](const http::TransferResult &) {
+                const std::lock_guard lock(mutex);
+                ended += 1;
+                changed.notify_all();
+            };
+            client.start({"POST", fleet.url(0) + "/v1/completions", {}, completionBody(tokens)},
+                         callbacks);
+        }
+        std::unique_lock lock(mutex);
+        changed.wait_for(lock, seconds(30), [&] { return ended == streams; });
+        for (const std::string &body : bodies) {
+            const std::string wrong = streamFault(body, tokens);
+            CPPUNIT_ASSERT_MESSAGE(wrong, wrong.empty());
+        }
+    }
+
+    void aWholeAnswerHasAllTokens()
+    {
+        Fleet &fleet = *shared;
+        const Answer answer = fleet.call(0, "/v1/chat/completions",
+                                         R"({"model":"m","max_tokens":9,"messages":[
+                                         {"role":"user","content":"[tokens=3]"}]})");
+        CPPUNIT_ASSERT_EQUAL(200, answer.status);
+        CPPUNIT_ASSERT_MESSAGE(answer.body, answer.body.find("t0 t1 t2 ") != std::string::npos);
+        CPPUNIT_ASSERT_MESSAGE(answer.body,
+                               answer.body.find("\"completion_tokens\":3") != std::string::npos);
+    }
+
+    void aCutConnectionIsResumedWithoutHoleOrRepeat()
+    {
+        Fleet &fleet = *shared;
+        const double before = metric(fleet, "azurespindle_resumes_total");
+        tests::Streaming streaming(fleet, 0, 3'000);
+        for (int cut = 0; cut < 5; ++cut) {
+            std::this_thread::sleep_for(milliseconds(100));
+            fleet.fault(0, "cut");
+            fleet.fault(1, "cut");
+        }
+        const std::string wrong = streamFault(streaming.wait(), 3'000);
+        CPPUNIT_ASSERT_MESSAGE(wrong, wrong.empty());
+        CPPUNIT_ASSERT(metric(fleet, "azurespindle_resumes_total") >= before + 3);
+    }
+
+    void aSilentConnectionIsReplaced()
+    {
+        Fleet &fleet = *shared;
+        const double before = metric(fleet, "azurespindle_resumes_total");
+        tests::Streaming streaming(fleet, 0, 1'000);
+        fleet.fault(0, "stall", 1'500);
+        fleet.fault(1, "stall", 1'500);
+        const std::string wrong = streamFault(streaming.wait(), 1'000);
+        CPPUNIT_ASSERT_MESSAGE(wrong, wrong.empty());
+        CPPUNIT_ASSERT(metric(fleet, "azurespindle_resumes_total") >= before + 1);
+    }
+
+    void engineDeathAfterTheFirstTokenEndsWithAnExplicitError()
+    {
+        Fleet &fleet = *shared;
+        tests::Streaming streaming(fleet, 0, 20'000);
+        fleet.fault(0, "crash", 400);
+        fleet.fault(1, "crash", 400);
+        const std::string body = streaming.wait();
+        CPPUNIT_ASSERT_MESSAGE(body.substr(body.size() - std::min<std::size_t>(400, body.size())),
+                               body.find("event: error") != std::string::npos);
+        CPPUNIT_ASSERT(body.find("\"outcome\":\"ran\"") != std::string::npos);
+        CPPUNIT_ASSERT(body.find("[DONE]") == std::string::npos);
+        const std::string wrong = streamFault(body, 20'000);
+        CPPUNIT_ASSERT_MESSAGE(wrong, wrong.find("expected 20000 tokens") == 0);
+    }
+
+    void aCallerWhoHangsUpHasItsGenerationCancelled()
+    {
+        Fleet &fleet = *shared;
+        tests::Streaming streaming(fleet, 0, 90'000);
+        CPPUNIT_ASSERT(fleet.get(0, "/status").body.find("\"outstanding\": 1")
+                       != std::string::npos);
+        streaming.hangUp();
+        CPPUNIT_ASSERT(Fleet::eventually([&] {
+            return fleet.get(0, "/status").body.find("\"outstanding\": 1") == std::string::npos;
+        }));
+    }
+
+    void aLostUnrepeatableCallRanOnceAndIsCalledUnknown()
+    {
+        Fleet &fleet = *shared;
+        const Answer answer
+            = fleet.call(0, "/services/orders/new", "lost order", {{"x-standin", "lose"}});
+        CPPUNIT_ASSERT_EQUAL(502, answer.status);
+        CPPUNIT_ASSERT_MESSAGE(answer.body,
+                               answer.body.find("\"outcome\":\"unknown\"") != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), fleet.serviceRuns("lost order"));
+    }
+
+    /// The HTTP library sends a request again by itself when a reused connection turns out dead.
+    void aReusedConnectionThatDiesDoesNotRunTheCallAgain()
+    {
+        Fleet &fleet = *shared;
+        CPPUNIT_ASSERT_EQUAL(200, fleet.call(0, "/services/orders/new", "first").status);
+        fleet.call(0, "/services/orders/new", "second", {{"x-standin", "lose"}});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), fleet.serviceRuns("second"));
+    }
+
+    void aPoisonousRequestKillsTwoEnginesAtMost()
+    {
+        Fleet fleet(18'100, 1, 4);
+        const std::string poison = completionBody(50, false, "[poison]");
+        for (int attempt = 0; attempt < 4; ++attempt) {
+            fleet.call(0, "/v1/completions", poison);
+        }
+        std::size_t deaths = 0;
+        for (std::size_t engine = 0; engine < 4; ++engine) {
+            const std::string counts = fleet.engineCounts(engine);
+            deaths += counts.find("\"deaths\":0") == std::string::npos ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), deaths);
+        const Answer last = fleet.call(0, "/v1/completions", poison);
+        CPPUNIT_ASSERT_EQUAL(422, last.status);
+        CPPUNIT_ASSERT(last.body.find("crash-suspect") != std::string::npos);
+    }
+
+    void aGracefulStopCutsNothing()
+    {
+        Fleet fleet(18'100, 1, 1);
+        std::vector<std::unique_ptr<tests::Streaming>> open;
+        for (int index = 0; index < 20; ++index) {
+            open.push_back(std::make_unique<tests::Streaming>(fleet, 0, 4'000));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), fleet.entry(0).stopGracefully());
+        for (const auto &streaming : open) {
+            const std::string wrong = streamFault(streaming->wait(), 4'000);
+            CPPUNIT_ASSERT_MESSAGE(wrong, wrong.empty());
+        }
+    }
+
+    void malformedRequestsAreRefusedWithTheirFaults()
+    {
+        Fleet &fleet = *shared;
+        const std::vector<std::pair<std::string, std::string>> cases {
+            {"", "$: found"},
+            {"{", "$: found"},
+            {"[]", "an object"},
+            {"7", "an object"},
+            {"{}", "$.model: found nothing"},
+            {R"({"model":"m"})", "$.prompt: found nothing"},
+            {R"({"model":"","prompt":"x"})", "$.model"},
+            {R"({"model":7,"prompt":"x"})", "$.model: found 7"},
+            {R"({"model":"m","prompt":7})", "$.prompt: found 7"},
+            {R"({"model":"m","prompt":""})", "$.prompt"},
+            {R"({"model":"m","prompt":"x","stream":"yes"})", "true or false"},
+            {R"({"model":"m","prompt":"x","max_tokens":0})", "$.max_tokens: found 0"},
+            {R"({"model":"m","prompt":"x","max_tokens":-1})", "$.max_tokens"},
+            {R"({"model":"m","prompt":"x","max_tokens":1.5})", "a whole number"},
+            {R"({"model":"m","prompt":"x","max_tokens":999999999})", "131072"},
+            {R"({"model":"m","prompt":"x","n":2})", "$.n: found 2"},
+            {R"({"model":"m","prompt":"x","promt":"y"})", "$.promt"},
+            {R"({"model":"nobody","prompt":"x"})", "unknown-model"},
+        };
+        for (const auto &[body, expected] : cases) {
+            const Answer answer = fleet.call(0, "/v1/completions", body);
+            const bool found = answer.status >= 400 && answer.status < 500
+                && answer.body.find(expected) != std::string::npos
+                && answer.body.find("\"outcome\":\"not-run\"") != std::string::npos;
+            CPPUNIT_ASSERT_MESSAGE(body + " -> expected " + expected + ", got " + answer.body,
+                                   found);
+        }
+        checkHeadersAndPaths(fleet);
+    }
+
+    void operatorsSeeStatusExplanationAndMetrics()
+    {
+        Fleet &fleet = *shared;
+        fleet.generate(0, 5, {{"x-workspace", "gates"}, {"x-class", "spec"}});
+        const std::string explained = fleet.get(0, "/explain?id=gates").body;
+        CPPUNIT_ASSERT_MESSAGE(explained, explained.find("request-placed") != std::string::npos);
+        CPPUNIT_ASSERT_MESSAGE(explained, explained.find("passedOver") != std::string::npos);
+        const std::string metrics = fleet.get(0, "/metrics").body;
+        const std::string series
+            = "azurespindle_output_tokens_count{workspace=\"gates\",class=\"spec\"} 1";
+        CPPUNIT_ASSERT_MESSAGE(metrics, metrics.find(series) != std::string::npos);
+        const std::string policy = fleet.get(0, "/configuration?workspace=gates").body;
+        CPPUNIT_ASSERT_MESSAGE(policy, policy.find("\"defaults\"") != std::string::npos);
+    }
+
+private:
+    static constexpr int testCount = 13;
+    static inline int started = 0;
+    static inline std::unique_ptr<Fleet> shared;
+
+    static double metric(Fleet &fleet, const std::string &name)
+    {
+        const std::string text = fleet.get(0, "/metrics").body;
+        const std::size_t at = text.find("\n" + name + " ");
+        return at == std::string::npos ? -1.0 : std::stod(text.substr(at + name.size() + 2));
+    }
+
+    static void checkHeadersAndPaths(Fleet &fleet)
+    {
+        const std::string good = completionBody(1);
+        const std::vector<std::tuple<std::string, http::Headers, int>> cases {
+            {"/v1/completions", {{"x-workspace", "a b"}}, 400},
+            {"/v1/completions", {{"x-class", "\"quoted\""}}, 400},
+            {"/v1/completions", {{"x-priority", "urgent"}}, 400},
+            {"/v1/completions", {{"last-event-id", "nonsense"}}, 400},
+            {"/v1/completions", {{"last-event-id", "e0/g/x"}}, 400},
+            {"/v1/completions", {{"last-event-id", "e0//3"}}, 400},
+            {"/v1/completions", {{"last-event-id", "e0/foreign-generation/3"}}, 404},
+            {"/v1/chat/completions", {}, 400},
+            {"/services/nobody/x", {}, 404},
+            {"/services/orders/x", {{"idempotency-key", "my own key"}}, 400},
+            {"/services/orders/x", {{"idempotency-key", "gone.1.2.3"}}, 410},
+            {"/services/orders/x", {{"x-workspace", "a/b"}}, 400},
+            {"/nothing/here", {}, 404},
+        };
+        for (const auto &[path, headers, status] : cases) {
+            const Answer answer = fleet.call(0, path, good, headers);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(path + ": " + answer.body, status, answer.status);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), fleet.serviceRuns(good));
+    }
+};
+
+REGISTER_SUITE(EntryProcessTest, "entry_process");
+
+} // namespace azurespindle::serving
