--- a/src/members/membership.cpp
+++ b/src/members/membership.cpp
@@ -247,13 +247,20 @@
         }
     }
     std::vector<MemberRecord> chosen = successors(zone, hashOf(this->own.name), zoneNeighbours);
+    // Far ones by rendezvous rather than on the ring: a member that stands behind a wide gap of
+    // the ring would be chosen by very many.
+    std::vector<std::string> names;
+    for (const MemberRecord &each : all) {
+        names.push_back(each.name);
+    }
     for (std::size_t number = 1; number <= farNeighbours; ++number) {
-        const std::uint64_t point = hashOf(this->own.name, number);
-        for (MemberRecord &far : successors(all, point, 1)) {
-            const bool known = std::find(chosen.begin(), chosen.end(), far) != chosen.end();
-            if (!known) {
-                chosen.push_back(std::move(far));
-            }
+        const auto far = rendezvous(names, this->own.name + "#" + std::to_string(number));
+        if (!far) {
+            break;
+        }
+        const bool known = std::find(chosen.begin(), chosen.end(), all[*far]) != chosen.end();
+        if (!known) {
+            chosen.push_back(all[*far]);
         }
     }
     return chosen;
--- a/src/members/membership.h
+++ b/src/members/membership.h
@@ -27,10 +27,10 @@
 class Membership
 {
 public:
-    static constexpr milliseconds heartbeatInterval {500};
+    static constexpr milliseconds heartbeatInterval {1'000};
     /// A link silent for so long is dialled anew: the connection itself may be the fault.
-    static constexpr milliseconds redialAfter {1'500};
-    static constexpr milliseconds suspectAfter {3'000};
+    static constexpr milliseconds redialAfter {2'500};
+    static constexpr milliseconds suspectAfter {4'000};
     static constexpr milliseconds deadAfter {3'000}; ///< From suspicion to removal.
     /// A dead member's record is kept so long, to tell its old words from new ones.
     static constexpr seconds forgetAfter {600};
