--- a/src/decision/dispatcher.cpp
+++ b/src/decision/dispatcher.cpp
@@ -12,7 +12,7 @@
 /// A request that waited so long is no longer overtaken by ones that fit more easily.
 constexpr milliseconds overtakingLimit {2'000};
 /// Candidates named in the journal as passed over.
-constexpr std::size_t passedOverShown = 4;
+constexpr std::size_t passedOverShown = 2;
 /// A prompt token costs so much less than an output token.
 constexpr double promptCost = 0.25;
 constexpr milliseconds overloadRetry {1'000};
@@ -104,8 +104,9 @@
 MemoryProfile Dispatcher::profileOf(const Open &open) const
 {
     const Request &request = open.request;
-    return MemoryProfile::ofGeneration(this->forecast, request.workspace, request.trafficClass,
-                                       request.promptTokens, open.received, request.maxTokens);
+    return MemoryProfile::ofGeneration(
+        this->forecast.outlook(request.workspace, request.trafficClass), request.promptTokens,
+        open.received, request.maxTokens);
 }
 
 void Dispatcher::on(const RequestArrived &event)
@@ -248,8 +249,8 @@
     placed.started = this->now;
     placed.lastToken = this->now;
     const double expected = promptCost * request.promptTokens
-        + this->forecast.expectedRemaining(request.workspace, request.trafficClass, 0,
-                                           request.maxTokens);
+        + this->forecast.outlook(request.workspace, request.trafficClass)
+              .expectedRemaining(0, request.maxTokens);
     this->queue.charge(request.workspace, expected - placed.charged);
     placed.charged = expected;
     const Instant leaseExpires = this->options.leasing
--- a/src/decision/length_forecast.cpp
+++ b/src/decision/length_forecast.cpp
@@ -12,6 +12,10 @@
 /// Outputs at which a class weighs as much as the model's whole history.
 constexpr double classEqualWeight = 8.0;
 constexpr double minSurvival = 1e-9;
+/// The integral of the survival ends where this little of it is left…
+constexpr double negligible = 1e-3;
+/// …and its steps grow by this factor.
+constexpr double stepGrowth = 1.5;
 
 /// Returns the upper bound of a bucket in tokens: 1, 1.41, 2, 2.83, 4 …
 double upperBound(std::size_t bucket)
@@ -75,68 +79,67 @@
     return low + (high - low) * part;
 }
 
-std::string LengthForecast::key(const std::string &workspace, const std::string &trafficClass)
-{
-    return workspace + '\n' + trafficClass;
-}
+LengthOutlook::LengthOutlook(const LengthHistogram &all, const LengthHistogram *own)
+    : all(all), own(own),
+      voice(own == nullptr ? 0.0 : own->weight() / (own->weight() + classEqualWeight))
+{ }
 
-void LengthForecast::observe(const std::string &workspace, const std::string &trafficClass,
-                             Tokens length)
-{
-    this->all.observe(length);
-    this->classes.touch(key(workspace, trafficClass)).observe(length);
-}
-
-const LengthHistogram *LengthForecast::find(const std::string &workspace,
-                                            const std::string &trafficClass) const
-{
-    return this->classes.find(key(workspace, trafficClass));
-}
-
-double LengthForecast::survival(const LengthHistogram *own, double length) const
+double LengthOutlook::survival(double length) const
 {
     const double common = this->all.survival(length);
-    if (own == nullptr) {
+    if (this->own == nullptr) {
         return common;
     }
-    const double voice = own->weight() / (own->weight() + classEqualWeight);
-    return voice * own->survival(length) + (1.0 - voice) * common;
+    return this->voice * this->own->survival(length) + (1.0 - this->voice) * common;
 }
 
-double LengthForecast::continues(const std::string &workspace, const std::string &trafficClass,
-                                 Tokens produced, Tokens further, Tokens maxTokens) const
+double LengthOutlook::continues(Tokens produced, Tokens further, Tokens maxTokens) const
 {
     if (static_cast<double>(produced) + further >= maxTokens) {
         return 0.0;
     }
-    const LengthHistogram *own = this->find(workspace, trafficClass);
-    const double now = std::max(this->survival(own, produced), minSurvival);
-    const double later = this->survival(own, static_cast<double>(produced) + further);
+    const double now = std::max(this->survival(produced), minSurvival);
+    const double later = this->survival(static_cast<double>(produced) + further);
     return std::clamp(later / now, 0.0, 1.0);
 }
 
-double LengthForecast::expectedRemaining(const std::string &workspace,
-                                         const std::string &trafficClass, Tokens produced,
-                                         Tokens maxTokens) const
+double LengthOutlook::expectedRemaining(Tokens produced, Tokens maxTokens) const
 {
     if (produced >= maxTokens) {
         return 0.0;
     }
-    const LengthHistogram *own = this->find(workspace, trafficClass);
-    const double now = std::max(this->survival(own, produced), minSurvival);
+    const double now = std::max(this->survival(produced), minSurvival);
     double sum = 0.0;
     double from = produced;
     double survivalFrom = 1.0;
-    double step = std::max(1.0, from / 8.0);
-    while (from < maxTokens && survivalFrom > 1e-4) {
+    double step = std::max(8.0, from / 8.0);
+    while (from < maxTokens && survivalFrom > negligible) {
         const double to = std::min<double>(from + step, maxTokens);
-        const double survivalTo = std::clamp(this->survival(own, to) / now, 0.0, 1.0);
+        const double survivalTo = std::clamp(this->survival(to) / now, 0.0, 1.0);
         sum += (to - from) * (survivalFrom + survivalTo) / 2.0;
         from = to;
         survivalFrom = survivalTo;
-        step *= 1.4;
+        step *= stepGrowth;
     }
     return sum;
 }
 
+std::string LengthForecast::key(const std::string &workspace, const std::string &trafficClass)
+{
+    return workspace + '\n' + trafficClass;
+}
+
+void LengthForecast::observe(const std::string &workspace, const std::string &trafficClass,
+                             Tokens length)
+{
+    this->all.observe(length);
+    this->classes.touch(key(workspace, trafficClass)).observe(length);
+}
+
+LengthOutlook LengthForecast::outlook(const std::string &workspace,
+                                      const std::string &trafficClass) const
+{
+    return {this->all, this->classes.find(key(workspace, trafficClass))};
+}
+
 } // namespace azurespindle::decision
--- a/src/decision/length_forecast.h
+++ b/src/decision/length_forecast.h
@@ -44,10 +44,33 @@
     double total = 0.0;
 };
 
+/// What is to be expected of the outputs of one class. Valid until its forecast changes.
+class LengthOutlook
+{
+public:
+    LengthOutlook(const LengthHistogram &all, const LengthHistogram *own);
+
+    /// Returns the probability that an output that has \a produced tokens grows by more than
+    /// \a further ones; 0 at and beyond \a maxTokens.
+    double continues(Tokens produced, Tokens further, Tokens maxTokens) const;
+    /// Returns the expected number of tokens still to come.
+    double expectedRemaining(Tokens produced, Tokens maxTokens) const;
+
+private:
+    double survival(double length) const;
+
+    const LengthHistogram &all;
+    const LengthHistogram *own;
+    double voice; ///< Weight of the class beside the model, 0 to 1.
+};
+
 /// Output lengths of one model, by workspace and traffic class.
 ///
 /// A class with little history leans on the model's history, and gains its own voice with each
 /// output. Classes are bounded in number: the least recently used one is forgotten.
+///
+///     forecast.observe("gates", "spec", 812);
+///     double more = forecast.outlook("gates", "spec").expectedRemaining(4'000, 65'536);
 class LengthForecast
 {
 public:
@@ -59,21 +82,12 @@
 
     // Queries
 
-    /// Returns the probability that an output of the class that has \a produced tokens grows by
-    /// more than \a further ones; 0 at and beyond \a maxTokens.
-    double continues(const std::string &workspace, const std::string &trafficClass, Tokens produced,
-                     Tokens further, Tokens maxTokens) const;
-    /// Returns the expected number of tokens still to come.
-    double expectedRemaining(const std::string &workspace, const std::string &trafficClass,
-                             Tokens produced, Tokens maxTokens) const;
+    LengthOutlook outlook(const std::string &workspace, const std::string &trafficClass) const;
     /// Returns the number of classes with a history of their own.
     std::size_t classCount() const { return this->classes.size(); }
 
 private:
     static std::string key(const std::string &workspace, const std::string &trafficClass);
-    const LengthHistogram *find(const std::string &workspace,
-                                const std::string &trafficClass) const;
-    double survival(const LengthHistogram *own, double length) const;
 
     LengthHistogram all;
     RecentMap<std::string, LengthHistogram> classes {maxClasses};
--- a/src/decision/memory_profile.h
+++ b/src/decision/memory_profile.h
@@ -33,8 +33,7 @@
     double current() const { return this->means[0]; }
 
     /// Returns the profile of one generation. \a maxTokens bounds its output.
-    static MemoryProfile ofGeneration(const LengthForecast &forecast, const std::string &workspace,
-                                      const std::string &trafficClass, Tokens promptTokens,
+    static MemoryProfile ofGeneration(const LengthOutlook &outlook, Tokens promptTokens,
                                       Tokens produced, Tokens maxTokens);
 
     bool operator==(const MemoryProfile &other) const = default;
--- a/tests/standins/engine_server.cpp
+++ b/tests/standins/engine_server.cpp
@@ -40,10 +40,13 @@
     return text;
 }
 
-std::string tokenEvent(const std::string &generation, Tokens offset, bool finished)
+/// A stamped token carries the time it left, in microseconds, so that delays can be measured.
+std::string tokenEvent(const std::string &generation, Tokens offset, bool finished, bool stamped)
 {
+    const std::string stamp
+        = stamped ? "@" + std::to_string(monotonicNow().time_since_epoch().count()) : "";
     std::string event = "id: " + generation + ":" + std::to_string(offset) + "\ndata: {\"text\":\"t"
-        + std::to_string(offset) + " \"}\n\n";
+        + std::to_string(offset) + stamp + " \"}\n\n";
     if (finished) {
         event += "data: [DONE]\n\n";
     }
@@ -179,6 +182,7 @@
         exchange->abort();
         return;
     }
+    this->streams[id].stamped = prompt.find("[stamp]") != std::string::npos;
     this->attach(this->streams[id], id, 0, exchange);
     this->wake.notify_all();
 }
@@ -204,7 +208,8 @@
     exchange->beginStream(200, sseHeaders);
     std::string past;
     for (Tokens token = offset; token < stream.produced; ++token) {
-        past += tokenEvent(id, token, stream.finished && token + 1 == stream.produced);
+        past += tokenEvent(id, token, stream.finished && token + 1 == stream.produced,
+                           stream.stamped);
     }
     exchange->send(past);
     if (stream.finished) {
@@ -324,7 +329,7 @@
         stream.produced = emission.offset + 1;
         stream.finished = emission.finished;
         const std::string event
-            = tokenEvent(emission.generation, emission.offset, emission.finished);
+            = tokenEvent(emission.generation, emission.offset, emission.finished, stream.stamped);
         for (const http::ExchangePtr &reader : stream.readers) {
             reader->send(event);
             if (emission.finished) {
--- a/tests/standins/engine_server.h
+++ b/tests/standins/engine_server.h
@@ -42,6 +42,7 @@
     {
         Tokens produced = 0;
         bool finished = false;
+        bool stamped = false;
         std::vector<http::ExchangePtr> readers;
         Instant unreadSince;
     };
--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -9,6 +9,8 @@
 
 #include <csignal>
 #include <iostream>
+#include <memory>
+#include <vector>
 
 namespace {
 
@@ -57,6 +59,19 @@
     engine.seed = options["seed"].as<std::uint64_t>();
     standins::EngineFaults faults;
     faults.honoursFencing = !options["ignores-fencing"].as<bool>();
+    const auto count = options["count"].as<std::uint16_t>();
+    std::vector<std::unique_ptr<standins::EngineServer>> further;
+    for (std::uint16_t index = 1; index < count; ++index) {
+        const settings::Address next {address.host,
+                                      static_cast<std::uint16_t>(address.port + index)};
+        engine.seed += 1;
+        further.push_back(
+            std::make_unique<standins::EngineServer>(next, engine, faults, next.text()));
+        if (further.back()->start()) {
+            return 1;
+        }
+    }
+    engine.seed += 1;
     standins::EngineServer server(address, engine, faults, address.text());
     return serve(server, "engine");
 }
@@ -91,6 +106,8 @@
     add("generation-step-us", "time of a step for each generation",
         cxxopts::value<std::int64_t>()->default_value("300"));
     add("seed", "seed", cxxopts::value<std::uint64_t>()->default_value("1"));
+    add("count", "engines on so many ports from the first one on",
+        cxxopts::value<std::uint16_t>()->default_value("1"));
     add("warm", "start warm", cxxopts::value<bool>()->default_value("false"));
     add("ignores-fencing", "take old orders", cxxopts::value<bool>()->default_value("false"));
     add("configuration", "file to publish", cxxopts::value<std::string>());
