--- /dev/null
+++ b/tests/decision/fair_queue_test.cpp
@@ -0,0 +1,116 @@
+#include "decision/fair_queue.h"
+
+#include "support/suite.h"
+
+namespace azurespindle::decision {
+namespace {
+
+QueuedRequest queued(RequestId id, int expiresMs = 10'000, Priority priority = Priority::Standard)
+{
+    return {id, priority, Instant(), Instant(milliseconds(expiresMs))};
+}
+
+configuration::WorkspacePolicy weighing(double weight)
+{
+    configuration::WorkspacePolicy policy;
+    policy.weight = weight;
+    return policy;
+}
+
+} // namespace
+
+class FairQueueTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(FairQueueTest);
+    CPPUNIT_TEST(servesWorkspacesInProportionToTheirWeights);
+    CPPUNIT_TEST(anIdleTimeIsNoCredit);
+    CPPUNIT_TEST(prioritiesOrderInsideAWorkspaceOnly);
+    CPPUNIT_TEST(aFullQueueRefuses);
+    CPPUNIT_TEST(expiredRequestsAreTakenOut);
+    CPPUNIT_TEST(workspacesAreBoundedWhateverCallersSend);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void servesWorkspacesInProportionToTheirWeights()
+    {
+        FairQueue queue;
+        queue.setPolicies(weighing(1.0), {{"heavy", weighing(3.0)}});
+        RequestId id = 0;
+        std::map<std::string, int> served;
+        for (int turn = 0; turn < 400; ++turn) {
+            for (const char *workspace : {"heavy", "light"}) {
+                queue.push(workspace, queued(++id));
+            }
+            const RequestId first = queue.heads(1).front().id;
+            const std::string workspace = first % 2 == 1 ? "heavy" : "light";
+            queue.remove(workspace, first);
+            queue.charge(workspace, 100.0);
+            served[workspace] += 1;
+        }
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(300.0, served["heavy"], 5.0);
+    }
+
+    void anIdleTimeIsNoCredit()
+    {
+        FairQueue queue;
+        for (RequestId id = 1; id <= 10; ++id) {
+            queue.push("busy", queued(id));
+            queue.remove("busy", id);
+            queue.charge("busy", 1'000.0);
+        }
+        queue.push("busy", queued(20));
+        queue.push("back", queued(21));
+        queue.remove("back", 21);
+        queue.charge("back", 500.0);
+        queue.push("back", queued(22));
+        CPPUNIT_ASSERT(queue.counter("back") >= queue.counter("busy"));
+    }
+
+    void prioritiesOrderInsideAWorkspaceOnly()
+    {
+        FairQueue queue;
+        queue.push("a", queued(1));
+        queue.charge("b", 10.0);
+        queue.push("b", queued(2, 10'000, Priority::Interactive));
+        queue.push("a", queued(3, 10'000, Priority::Interactive));
+        const auto heads = queue.heads(2);
+        CPPUNIT_ASSERT_EQUAL(RequestId(3), heads[0].id);
+        CPPUNIT_ASSERT_EQUAL(RequestId(2), heads[1].id);
+    }
+
+    void aFullQueueRefuses()
+    {
+        FairQueue queue;
+        for (RequestId id = 1; id <= 256; ++id) {
+            CPPUNIT_ASSERT(queue.push("a", queued(id)));
+        }
+        CPPUNIT_ASSERT(!queue.push("a", queued(257)));
+        CPPUNIT_ASSERT(queue.push("b", queued(258)));
+    }
+
+    void expiredRequestsAreTakenOut()
+    {
+        FairQueue queue;
+        queue.push("a", queued(1, 100));
+        queue.push("a", queued(2, 200));
+        const auto expired = queue.takeExpired(Instant(milliseconds(150)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), expired.size());
+        CPPUNIT_ASSERT_EQUAL(RequestId(1), expired.front());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), queue.size());
+    }
+
+    void workspacesAreBoundedWhateverCallersSend()
+    {
+        FairQueue queue;
+        for (RequestId id = 1; id <= 3 * FairQueue::maxWorkspaces; ++id) {
+            const std::string workspace = "w" + std::to_string(id);
+            queue.push(workspace, queued(id));
+            queue.remove(workspace, id);
+        }
+        CPPUNIT_ASSERT(queue.workspaceCount() <= FairQueue::maxWorkspaces);
+    }
+};
+
+REGISTER_SUITE(FairQueueTest, "fair_queue");
+
+} // namespace azurespindle::decision
--- /dev/null
+++ b/tests/members/messages_test.cpp
@@ -0,0 +1,160 @@
+#include "members/messages.h"
+
+#include "callers/completion_request.h"
+#include "configuration/document.h"
+#include "support/suite.h"
+#include "upstreams/sse_reader.h"
+
+#include <random>
+
+namespace azurespindle::members {
+namespace {
+
+constexpr int inputs = 20'000;
+
+std::vector<Message> samples()
+{
+    const MemberRecord record {"m", "z", "1.2.3.4:5", "1.2.3.4:6", 7, MemberState::Suspect};
+    Heartbeat heartbeat;
+    heartbeat.name = "m";
+    heartbeat.configuration = {3, 4};
+    GrantWithReport grant;
+    grant.grant = {"e", 3, 0.5, milliseconds(7), 1, milliseconds(9)};
+    grant.report.boot = 11;
+    return {Hello {protocolVersion, record},
+            heartbeat,
+            MemberNews {{record, record}, true},
+            DocumentWanted {DocumentKind::VmList},
+            DocumentBody {DocumentKind::Configuration, "{}"},
+            LeaseRequests {{{"h", "e", 1, 2, {1, 2, 3, 4, 5, 6}}}},
+            LeaseGrants {{grant}},
+            CrashNote {"p", 1, "e", 2}};
+}
+
+/// Changes, drops and inserts a few bytes.
+std::string mutate(std::string bytes, std::mt19937 &random)
+{
+    const int changes = 1 + static_cast<int>(random() % 4);
+    for (int change = 0; change < changes && !bytes.empty(); ++change) {
+        const std::size_t at = random() % bytes.size();
+        switch (random() % 3) {
+        case 0:
+            bytes[at] = static_cast<char>(random());
+            break;
+        case 1:
+            bytes.erase(at, 1 + random() % 3);
+            break;
+        default:
+            bytes.insert(at, 1, static_cast<char>(random()));
+        }
+    }
+    return bytes;
+}
+
+} // namespace
+
+class MessagesTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(MessagesTest);
+    CPPUNIT_TEST(everyMessageSurvivesTheWay);
+    CPPUNIT_TEST(mutatedFramesAreDecodedOrRefusedButNeverHarm);
+    CPPUNIT_TEST(aFrameWithBytesBehindItsBodyIsRefused);
+    CPPUNIT_TEST(anotherProtocolVersionIsRefused);
+    CPPUNIT_TEST(mutatedDocumentsAndBodiesNeverHarm);
+    CPPUNIT_TEST(engineStreamsAreReadInAnyPieces);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void everyMessageSurvivesTheWay()
+    {
+        for (const Message &message : samples()) {
+            const auto decoded = decode(encode(message));
+            CPPUNIT_ASSERT(decoded.ok());
+            CPPUNIT_ASSERT(decoded.value() == message);
+        }
+    }
+
+    void mutatedFramesAreDecodedOrRefusedButNeverHarm()
+    {
+        std::mt19937 random(1);
+        const std::vector<Message> messages = samples();
+        int refused = 0;
+        for (int input = 0; input < inputs; ++input) {
+            const std::string bytes = mutate(encode(messages[random() % messages.size()]), random);
+            const auto decoded = decode(bytes);
+            refused += decoded.ok() ? 0 : 1;
+            if (decoded.ok()) {
+                CPPUNIT_ASSERT(decode(encode(decoded.value())).ok());
+            }
+        }
+        CPPUNIT_ASSERT(refused > inputs / 10);
+    }
+
+    void aFrameWithBytesBehindItsBodyIsRefused()
+    {
+        CPPUNIT_ASSERT(!decode(encode(samples().front()) + "x").ok());
+        CPPUNIT_ASSERT(!decode("").ok());
+    }
+
+    void anotherProtocolVersionIsRefused()
+    {
+        std::string bytes = encode(DocumentWanted {});
+        CPPUNIT_ASSERT_EQUAL(char(protocolVersion), bytes[1]);
+        bytes[1] = 9;
+        CPPUNIT_ASSERT(decode(bytes).error().message().find("version 9") != std::string::npos);
+    }
+
+    void mutatedDocumentsAndBodiesNeverHarm()
+    {
+        std::mt19937 random(2);
+        const std::string document = R"({"revision":1,"models":[{"name":"m"}],"exceptions":[
+            {"workspace":"w","reason":"r","set":{"weight":2}}],"out":[{"zone":"z","reason":"r"}]})";
+        const std::string body = R"({"model":"m","prompt":"x","stream":true,"max_tokens":5})";
+        int faulty = 0;
+        for (int input = 0; input < inputs; ++input) {
+            json::Faults faults;
+            const auto json = json::parseText(mutate(document, random), faults);
+            if (json) {
+                configuration::parseDocument(*json, faults);
+            }
+            http::ServerRequest request;
+            request.body = mutate(body, random);
+            callers::parseCompletion(callers::CompletionKind::Text, request, faults);
+            faulty += faults.empty() ? 0 : 1;
+        }
+        CPPUNIT_ASSERT(faulty > inputs / 10);
+    }
+
+    void engineStreamsAreReadInAnyPieces()
+    {
+        std::string stream;
+        for (int token = 0; token < 50; ++token) {
+            stream += "id: g:" + std::to_string(token) + "\ndata: {\"text\":\"t"
+                + std::to_string(token) + "\"}\n\n";
+        }
+        stream += "data: [DONE]\n\n";
+        std::mt19937 random(3);
+        for (int round = 0; round < 200; ++round) {
+            upstreams::SseReader reader;
+            std::size_t tokens = 0;
+            bool finished = false;
+            for (std::size_t at = 0; at < stream.size();) {
+                const std::size_t size = 1 + random() % 40;
+                const upstreams::SseBatch batch = reader.read(stream.substr(at, size));
+                for (const upstreams::TokenEvent &token : batch.tokens) {
+                    CPPUNIT_ASSERT_EQUAL(decision::Tokens(tokens), token.offset);
+                    tokens += 1;
+                }
+                CPPUNIT_ASSERT(!batch.malformed);
+                finished = finished || batch.finished;
+                at += size;
+            }
+            CPPUNIT_ASSERT_EQUAL(std::size_t(50), tokens);
+            CPPUNIT_ASSERT(finished);
+        }
+    }
+};
+
+REGISTER_SUITE(MessagesTest, "messages");
+
+} // namespace azurespindle::members
--- /dev/null
+++ b/tests/serving/directory_test.cpp
@@ -0,0 +1,104 @@
+#include "serving/directory.h"
+
+#include "metrics/registry.h"
+#include "support/suite.h"
+
+#include <map>
+
+namespace azurespindle::serving {
+namespace {
+
+decision::UpstreamsListed listing(std::size_t count)
+{
+    decision::UpstreamsListed listed;
+    for (std::size_t index = 0; index < count; ++index) {
+        listed.upstreams.push_back({"e" + std::to_string(index), "z", {}, {}});
+    }
+    return listed;
+}
+
+} // namespace
+
+class DirectoryTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(DirectoryTest);
+    CPPUNIT_TEST(aProcessUsesAFewUpstreamsAndEachIsUsedBySome);
+    CPPUNIT_TEST(aNewUpstreamMovesFewProcesses);
+    CPPUNIT_TEST(leavingUpstreamsAreAlwaysListed);
+    CPPUNIT_TEST(marksDecideWhoTakesNewWork);
+    CPPUNIT_TEST(metricSeriesAreBounded);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void aProcessUsesAFewUpstreamsAndEachIsUsedBySome()
+    {
+        const decision::UpstreamsListed all = listing(135);
+        std::map<std::string, int> users;
+        for (int process = 0; process < 227; ++process) {
+            const auto used = subset(all, "entry-" + std::to_string(process), 4);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(4), used.upstreams.size());
+            for (const auto &each : used.upstreams) {
+                users[each.name] += 1;
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(135), users.size());
+    }
+
+    void aNewUpstreamMovesFewProcesses()
+    {
+        int moved = 0;
+        for (int process = 0; process < 227; ++process) {
+            const std::string name = "entry-" + std::to_string(process);
+            moved += subset(listing(135), name, 4) == subset(listing(136), name, 4) ? 0 : 1;
+        }
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(moved), moved < 20);
+    }
+
+    void leavingUpstreamsAreAlwaysListed()
+    {
+        decision::UpstreamsListed all = listing(10);
+        all.upstreams[3].condition = decision::Condition::Leaving;
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), subset(all, "p", 2).upstreams.size());
+    }
+
+    void marksDecideWhoTakesNewWork()
+    {
+        configuration::Document document;
+        document.revision = 1;
+        document.models = {{"m", ""}};
+        document.outMarks = {{configuration::SubjectKind::Zone, "north", "power"}};
+        configuration::VmList vms;
+        vms.vms = {{"e0", "north", configuration::VmRole::Engine, {}, {}, "m"},
+                   {"e1",
+                    "south",
+                    configuration::VmRole::Engine,
+                    configuration::VmState::Leaving,
+                    {},
+                    "m"},
+                   {"e2", "south", configuration::VmRole::Engine, {}, {}, "m"},
+                   {"e3", "south", configuration::VmRole::Engine, {}, {}, "unknown model"}};
+        const Directory directory = buildDirectory(document, vms);
+        const auto listed = directory.listing("m").upstreams;
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), listed.size());
+        CPPUNIT_ASSERT(listed[0].condition == decision::Condition::Out);
+        CPPUNIT_ASSERT(listed[1].condition == decision::Condition::Leaving);
+        CPPUNIT_ASSERT(listed[2].condition == decision::Condition::Serving);
+        CPPUNIT_ASSERT_EQUAL(std::string("zone north is marked out: power"),
+                             directory.outReason("entry-0", "north"));
+        CPPUNIT_ASSERT(directory.outReason("entry-1", "south").empty());
+    }
+
+    void metricSeriesAreBounded()
+    {
+        metrics::Registry registry;
+        for (std::size_t index = 0; index < 3 * metrics::Registry::maxSeries; ++index) {
+            registry.observe(metrics::Measure::Gap, "w" + std::to_string(index), "c", 0.1);
+        }
+        const std::size_t others = metrics::Registry::shardCount;
+        CPPUNIT_ASSERT(registry.seriesCount() <= metrics::Registry::maxSeries + others);
+    }
+};
+
+REGISTER_SUITE(DirectoryTest, "directory");
+
+} // namespace azurespindle::serving
