Bring control at the target within its bytes: compact beats, rarer renewals, zlib

Change: a heartbeat carries revisions only (68 to 38 bytes); a warm lease lasts 6 s and is renewed each 2.5 s, a cold one stays at 2.5 s and 250 ms; loads are read each 2 s; documents travel compressed between members (9,006 to 1,245 bytes for 100 exceptions).

--- a/src/callers/operator_api.cpp
+++ b/src/callers/operator_api.cpp
@@ -120,7 +120,7 @@
         json["state"] = name(status.record.state);
         json["incarnation"] = status.record.incarnation;
         json["silentMs"] = inMilliseconds(status.silence);
-        json["configurationRevision"] = status.heartbeat.configuration.revision;
+        json["configurationRevision"] = status.heartbeat.configurationRevision;
         json["refusedRevision"] = status.heartbeat.refusedRevision;
         list.push_back(json);
     }
--- a/src/decision/dispatcher.cpp
+++ b/src/decision/dispatcher.cpp
@@ -56,7 +56,9 @@
 {
     const bool warm = upstream.lease.standalone > 0;
     const bool room = upstream.outstanding < upstream.lease.concurrency;
-    const bool trouble = upstream.evidence.failures > 0;
+    const Evidence &seen = upstream.evidence;
+    const std::uint32_t late = seen.gapsLate + seen.firstTokensLate;
+    const bool trouble = seen.failures > 0 || late > seen.gapsInTime / 10;
     const bool steady = warm && room && !trouble;
     return steady ? Dispatcher::leaseInterval : Dispatcher::rampingLeaseInterval;
 }
--- a/src/decision/dispatcher.h
+++ b/src/decision/dispatcher.h
@@ -64,7 +64,7 @@
     const LengthForecast &lengthForecast() const { return this->forecast; }
 
     static constexpr milliseconds tickInterval {50};
-    static constexpr milliseconds leaseInterval {1'000}; ///< Between renewals that change nothing.
+    static constexpr milliseconds leaseInterval {2'500}; ///< Between renewals that change nothing.
     static constexpr milliseconds rampingLeaseInterval {
         250};                                               ///< While a lease is to grow, or cold.
     static constexpr milliseconds urgentLeaseInterval {20}; ///< When a request is waiting.
--- a/src/decision/lease_steward.cpp
+++ b/src/decision/lease_steward.cpp
@@ -30,7 +30,7 @@
     }
     Stewarded stewarded {Ramp(policy), Condition::Serving, now, false, {}};
     if (mayHavePredecessor) {
-        stewarded.openFrom = now + leaseDuration + margin;
+        stewarded.openFrom = now + warmLeaseDuration + margin;
         stewarded.adoptUse = true;
     }
     this->stewardedUpstreams.emplace(upstream, std::move(stewarded));
@@ -80,7 +80,7 @@
 {
     std::uint32_t asking = 0;
     for (const auto &[name, other] : stewarded.holders) {
-        const bool recent = now - other.lastHeard < leaseDuration;
+        const bool recent = now - other.lastHeard < warmLeaseDuration;
         if (recent && other.inUse + other.wanted > 0) {
             asking += 1;
         }
@@ -102,7 +102,7 @@
     const std::uint32_t available = room(stewarded, request.holder);
     std::uint32_t unmet = 0;
     for (const auto &[name, other] : stewarded.holders) {
-        const bool recent = now - other.lastHeard < leaseDuration;
+        const bool recent = now - other.lastHeard < warmLeaseDuration;
         if (name != request.holder && recent && other.inUse + other.wanted > other.granted) {
             unmet += 1;
         }
@@ -163,7 +163,7 @@
     LeaseGrant grant;
     grant.upstream = request.upstream;
     grant.concurrency = grantFor(stewarded, request, now);
-    grant.duration = leaseDuration;
+    grant.duration = stewarded.ramp.warm() ? warmLeaseDuration : coldLeaseDuration;
     holder.granted = grant.concurrency;
     if (stewarded.ramp.warm() && grant.concurrency > 0) {
         const auto members = static_cast<std::uint32_t>(std::max<std::size_t>(memberCount, 1));
--- a/src/decision/lease_steward.h
+++ b/src/decision/lease_steward.h
@@ -43,7 +43,9 @@
 class LeaseSteward
 {
 public:
-    static constexpr milliseconds leaseDuration {2'500};
+    static constexpr milliseconds coldLeaseDuration {2'500};
+    /// A warm upstream's leases are renewed rarely, so that they cost little at any fleet size.
+    static constexpr milliseconds warmLeaseDuration {6'000};
     /// Clock drift and time on the way that the steward allows for.
     static constexpr milliseconds margin {500};
     /// How long a cut-off holder may use its standalone share of a warm upstream. A holder that is
--- a/src/members/coordinator.cpp
+++ b/src/members/coordinator.cpp
@@ -167,11 +167,9 @@
 {
     const MemberRecord &own = this->membership.self();
     Heartbeat heartbeat;
-    heartbeat.name = own.name;
     heartbeat.incarnation = own.incarnation;
-    heartbeat.configuration
-        = {this->configurationKeeper.revision(), this->configurationKeeper.digest()};
-    heartbeat.vmList = {this->vmListKeeper.revision(), this->vmListKeeper.digest()};
+    heartbeat.configurationRevision = this->configurationKeeper.revision();
+    heartbeat.vmListRevision = this->vmListKeeper.revision();
     heartbeat.refusedRevision = this->configurationKeeper.refusedRevision();
     heartbeat.membershipDigest = this->membership.digest();
     return heartbeat;
@@ -338,7 +336,7 @@
     bool differs = false;
     {
         const std::lock_guard lock(this->mutex);
-        news = this->membership.hear(heartbeat.name, heartbeat.incarnation, monotonicNow());
+        news = this->membership.hear(from, heartbeat.incarnation, monotonicNow());
         sender = this->membership.find(from);
         this->heartbeats.touch(from) = heartbeat;
         if (heartbeat.chosen) {
@@ -346,9 +344,8 @@
         } else {
             this->chosenBy.erase(from);
         }
-        wantsConfiguration
-            = heartbeat.configuration.revision > this->configurationKeeper.revision();
-        wantsVmList = heartbeat.vmList.revision > this->vmListKeeper.revision();
+        wantsConfiguration = heartbeat.configurationRevision > this->configurationKeeper.revision();
+        wantsVmList = heartbeat.vmListRevision > this->vmListKeeper.revision();
         differs = heartbeat.membershipDigest != this->membership.digest();
         whole = {this->membership.records(), true};
     }
--- a/src/members/messages.cpp
+++ b/src/members/messages.cpp
@@ -2,7 +2,7 @@
 
 #include <msgpack.hpp>
 
-#include <limits>
+#include <zlib.h>
 
 namespace azurespindle::members {
 namespace {
@@ -12,6 +12,8 @@
 
 constexpr std::size_t maxArrayElements = 100'000;
 constexpr std::size_t maxDepth = 16;
+/// Largest document, uncompressed: a larger one is refused before it is unpacked whole.
+constexpr std::size_t maxDocumentBytes = 1'048'576;
 
 /// Reads the elements of a msgpack array one after the other; any misfit throws type_error.
 class ArrayReader
@@ -75,20 +77,6 @@
     record.state = static_cast<MemberState>(state);
 }
 
-void write(Packer &out, const DocumentMark &mark)
-{
-    out.pack_array(2);
-    out.pack(mark.revision);
-    out.pack(mark.digest);
-}
-
-void read(const Object &from, DocumentMark &mark)
-{
-    ArrayReader in(from);
-    mark.revision = in.as<std::uint64_t>();
-    mark.digest = in.as<std::uint64_t>();
-}
-
 void write(Packer &out, const Hello &hello)
 {
     out.pack_array(2);
@@ -105,11 +93,10 @@
 
 void write(Packer &out, const Heartbeat &heartbeat)
 {
-    out.pack_array(7);
-    out.pack(heartbeat.name);
+    out.pack_array(6);
     out.pack(heartbeat.incarnation);
-    write(out, heartbeat.configuration);
-    write(out, heartbeat.vmList);
+    out.pack(heartbeat.configurationRevision);
+    out.pack(heartbeat.vmListRevision);
     out.pack(heartbeat.refusedRevision);
     out.pack(heartbeat.membershipDigest);
     out.pack(heartbeat.chosen);
@@ -118,10 +105,9 @@
 void read(const Object &from, Heartbeat &heartbeat)
 {
     ArrayReader in(from);
-    heartbeat.name = in.as<std::string>();
     heartbeat.incarnation = in.as<std::uint64_t>();
-    read(in.next(), heartbeat.configuration);
-    read(in.next(), heartbeat.vmList);
+    heartbeat.configurationRevision = in.as<std::uint64_t>();
+    heartbeat.vmListRevision = in.as<std::uint64_t>();
     heartbeat.refusedRevision = in.as<std::uint64_t>();
     heartbeat.membershipDigest = in.as<std::uint64_t>();
     heartbeat.chosen = in.as<bool>();
@@ -159,6 +145,29 @@
     unpackList(in.next(), news.records);
 }
 
+std::string compressed(const std::string &text)
+{
+    uLongf size = compressBound(text.size());
+    std::string bytes(size, '\0');
+    compress(reinterpret_cast<Bytef *>(bytes.data()), &size,
+             reinterpret_cast<const Bytef *>(text.data()), text.size());
+    bytes.resize(size);
+    return bytes;
+}
+
+std::string uncompressed(const std::string &bytes)
+{
+    uLongf size = maxDocumentBytes;
+    std::string text(size, '\0');
+    const int result = uncompress(reinterpret_cast<Bytef *>(text.data()), &size,
+                                  reinterpret_cast<const Bytef *>(bytes.data()), bytes.size());
+    if (result != Z_OK) {
+        throw msgpack::type_error();
+    }
+    text.resize(size);
+    return text;
+}
+
 DocumentKind kindOf(std::uint8_t number)
 {
     if (number > static_cast<std::uint8_t>(DocumentKind::VmList)) {
@@ -183,14 +192,14 @@
 {
     out.pack_array(2);
     out.pack(static_cast<std::uint8_t>(body.kind));
-    out.pack(body.text);
+    out.pack(compressed(body.text));
 }
 
 void read(const Object &from, DocumentBody &body)
 {
     ArrayReader in(from);
     body.kind = kindOf(in.as<std::uint8_t>());
-    body.text = in.as<std::string>();
+    body.text = uncompressed(in.as<std::string>());
 }
 
 void write(Packer &out, const decision::Evidence &evidence)
--- a/src/members/messages.h
+++ b/src/members/messages.h
@@ -49,21 +49,12 @@
     bool operator==(const Hello &other) const = default;
 };
 
-/// What a member last knew of a document that all share.
-struct DocumentMark
-{
-    std::uint64_t revision = 0;
-    std::uint64_t digest = 0;
-    bool operator==(const DocumentMark &other) const = default;
-};
-
 /// Sent to every neighbour each heartbeatInterval, and at once when a document changes.
 struct Heartbeat
 {
-    std::string name;
     std::uint64_t incarnation = 0;
-    DocumentMark configuration;
-    DocumentMark vmList;
+    std::uint64_t configurationRevision = 0;
+    std::uint64_t vmListRevision = 0;
     std::uint64_t refusedRevision = 0; ///< Last configuration that failed its check here.
     std::uint64_t membershipDigest = 0;
     bool chosen = false; ///< The sender counts the receiver among its neighbours.
--- a/src/serving/lease_service.h
+++ b/src/serving/lease_service.h
@@ -25,7 +25,7 @@
 {
 public:
     /// Between two readings of an engine's load.
-    static constexpr milliseconds loadInterval {1'000};
+    static constexpr milliseconds loadInterval {2'000};
 
     using PostToPool = std::function<void(const std::string &pool, decision::Event event)>;
 
