Cut the connection code and the shared documents into modules of their own

Change: server state, transport, connection, exchange and handler each have a header and a source; SharedDocuments keeps both documents for the coordinator; ObjectReader reads durations; the share of a prompt token has one constant.

--- a/bench/faults_suite.cpp
+++ b/bench/faults_suite.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr std::size_t entries = 9;
+/// Fresh stewards wait out the leases of predecessors that they cannot rule out.
+constexpr int stewardsOpenMs = 8'000;
 constexpr double requestsPerSecond = 30.0;
 
 /// A caller of the order service who mints a key and sends its call to several members.
@@ -253,6 +255,7 @@
         report.atMost("faults", "unready", 1.0, "count", 0.0);
         return;
     }
+    wait(stewardsOpenMs);
     OrderCaller orders(fleet);
     std::uint64_t seed = 0;
     for (const Disturbance &disturbance : disturbances()) {
--- a/src/configuration/document.cpp
+++ b/src/configuration/document.cpp
@@ -9,17 +9,10 @@
 
 constexpr json::Range<double> weightRange {0.01, 1'000.0};
 constexpr json::Range<std::int64_t> countRange {1, 1'000'000};
-constexpr json::Range<std::int64_t> millisecondRange {1, 86'400'000};
 constexpr json::Range<double> memoryTargetRange {0.1, 1.0};
 constexpr std::size_t maxExceptions = 1'000;
 constexpr std::size_t maxNamed = 10'000;
 
-milliseconds readMilliseconds(json::ObjectReader &reader, const std::string &name,
-                              milliseconds fallback)
-{
-    return milliseconds(reader.integer(name, millisecondRange, fallback.count()));
-}
-
 std::size_t readCount(json::ObjectReader &reader, const std::string &name, std::size_t fallback)
 {
     const auto number = reader.integer(name, countRange, static_cast<std::int64_t>(fallback));
@@ -30,7 +23,7 @@
 {
     policy.weight = reader.number("weight", weightRange, policy.weight);
     policy.maxQueued = readCount(reader, "maxQueued", policy.maxQueued);
-    policy.queueTimeout = readMilliseconds(reader, "queueTimeoutMs", policy.queueTimeout);
+    policy.queueTimeout = reader.duration("queueTimeoutMs", policy.queueTimeout);
 }
 
 void readUpstreamPolicy(json::ObjectReader &reader, UpstreamPolicy &policy)
@@ -38,8 +31,8 @@
     policy.coldConcurrency = readCount(reader, "coldConcurrency", policy.coldConcurrency);
     policy.maxConcurrency = readCount(reader, "maxConcurrency", policy.maxConcurrency);
     policy.memoryTarget = reader.number("memoryTarget", memoryTargetRange, policy.memoryTarget);
-    policy.slowGap = readMilliseconds(reader, "slowGapMs", policy.slowGap);
-    policy.slowFirstToken = readMilliseconds(reader, "slowFirstTokenMs", policy.slowFirstToken);
+    policy.slowGap = reader.duration("slowGapMs", policy.slowGap);
+    policy.slowFirstToken = reader.duration("slowFirstTokenMs", policy.slowFirstToken);
     policy.honoursFencing = reader.boolean("honoursFencing", policy.honoursFencing);
     if (policy.coldConcurrency > policy.maxConcurrency) {
         reader.addFault("coldConcurrency", "at most maxConcurrency");
--- a/src/decision/dispatcher.cpp
+++ b/src/decision/dispatcher.cpp
@@ -1,5 +1,7 @@
 #include "decision/dispatcher.h"
 
+#include "base/text.h"
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -13,8 +15,6 @@
 constexpr milliseconds overtakingLimit {2'000};
 /// Candidates named in the journal as passed over.
 constexpr std::size_t passedOverShown = 2;
-/// A prompt token costs so much less than an output token.
-constexpr double promptCost = 0.25;
 constexpr milliseconds overloadRetry {1'000};
 constexpr milliseconds stoppingRetry {100};
 
@@ -63,11 +63,6 @@
     return steady ? Dispatcher::leaseInterval : Dispatcher::rampingLeaseInterval;
 }
 
-std::string millisecondsText(microseconds duration)
-{
-    return std::to_string(std::chrono::duration_cast<milliseconds>(duration).count());
-}
-
 } // namespace
 
 Dispatcher::Dispatcher(DispatcherOptions options) : options(std::move(options))
--- a/src/decision/dispatcher.h
+++ b/src/decision/dispatcher.h
@@ -63,6 +63,8 @@
     std::size_t openRequests() const { return this->open.size(); }
     const LengthForecast &lengthForecast() const { return this->forecast; }
 
+    /// What a prompt token counts in a workspace's share, beside 1 for an output token.
+    static constexpr double promptCost = 0.25;
     static constexpr milliseconds tickInterval {50};
     static constexpr milliseconds leaseInterval {2'500}; ///< Between renewals that change nothing.
     static constexpr milliseconds rampingLeaseInterval {
--- a/src/decision/dispatcher_streams.cpp
+++ b/src/decision/dispatcher_streams.cpp
@@ -2,6 +2,8 @@
 
 #include "decision/dispatcher.h"
 
+#include "base/text.h"
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -31,11 +33,6 @@
     return std::min(maxResumeDelay, firstResumeDelay * (1U << doublings));
 }
 
-std::string millisecondsText(microseconds duration)
-{
-    return std::to_string(std::chrono::duration_cast<milliseconds>(duration).count());
-}
-
 } // namespace
 
 void Dispatcher::on(const TokensArrived &event)
@@ -124,7 +121,7 @@
         this->journal(journal::EventId::CrashCleared, {requestField(finished)});
     }
     this->forecast.observe(request.workspace, request.trafficClass, finished.received);
-    const double served = 0.25 * request.promptTokens + finished.received;
+    const double served = promptCost * request.promptTokens + finished.received;
     this->queue.charge(request.workspace, served - finished.charged);
     this->journal(journal::EventId::RequestFinished,
                   {requestField(finished),
--- /dev/null
+++ b/src/http/internal/connection_exchange.cpp
@@ -0,0 +1,237 @@
+#include "http/internal/connection_exchange.h"
+
+#include "http/internal/connection.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+namespace azurespindle::http::internal {
+namespace {
+
+using Pistache::Tcp::Peer;
+
+std::string chunk(const std::string &bytes)
+{
+    char size[20];
+    std::snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
+    return size + bytes + "\r\n";
+}
+
+} // namespace
+
+ConnectionExchange::ConnectionExchange(std::shared_ptr<ServerState> state,
+                                       std::weak_ptr<PostingTransport> transport,
+                                       std::shared_ptr<Peer> peer, bool closeAfter)
+    : state(std::move(state)), transport(std::move(transport)), peer(std::move(peer)),
+      closeAfter(closeAfter), lastMoved(monotonicNow())
+{
+    this->state->openExchanges += 1;
+}
+
+ConnectionExchange::~ConnectionExchange()
+{
+    this->end();
+}
+
+void ConnectionExchange::end()
+{
+    if (!std::exchange(this->ended, true)) {
+        this->state->openExchanges -= 1;
+    }
+}
+
+std::string ConnectionExchange::head(int status, const Headers &headers,
+                                     const std::string &framing) const
+{
+    std::string text = "HTTP/1.1 " + std::to_string(status) + " " + reasonPhrase(status) + "\r\n";
+    for (const auto &[name, value] : headers) {
+        text.append(name).append(": ").append(value).append("\r\n");
+    }
+    text += framing + "\r\n";
+    text += this->closeAfter ? "connection: close\r\n\r\n" : "\r\n";
+    return text;
+}
+
+void ConnectionExchange::respond(int status, const Headers &headers, const std::string &body)
+{
+    const std::string framing = "content-length: " + std::to_string(body.size());
+    this->append(this->head(status, headers, framing) + body, true);
+}
+
+void ConnectionExchange::beginStream(int status, const Headers &headers)
+{
+    this->append(this->head(status, headers, "transfer-encoding: chunked"), false);
+}
+
+void ConnectionExchange::send(const std::string &part)
+{
+    if (!part.empty()) {
+        this->append(chunk(part), false);
+    }
+}
+
+void ConnectionExchange::finish()
+{
+    this->append("0\r\n\r\n", true);
+}
+
+void ConnectionExchange::abort()
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        this->aborted = true;
+    }
+    this->append({}, true);
+}
+
+void ConnectionExchange::append(const std::string &bytes, bool last)
+{
+    const std::lock_guard lock(this->mutex);
+    if (this->gone || this->complete) {
+        return;
+    }
+    if (this->pending.empty() && this->inLibrary == 0) {
+        this->lastMoved = monotonicNow();
+    }
+    this->pending += bytes;
+    this->complete = last;
+    if (this->pending.size() + this->inLibrary >= this->state->limits.unsentBytes) {
+        this->wasCongested = true;
+    }
+    if (this->flushPosted) {
+        return;
+    }
+    const auto owner = this->transport.lock();
+    if (owner == nullptr) {
+        return;
+    }
+    this->flushPosted = true;
+    owner->post([self = this->shared_from_this()] { self->flush(); });
+}
+
+/// Runs on the owning thread.
+void ConnectionExchange::flush()
+{
+    const auto owner = this->transport.lock();
+    std::string bytes;
+    bool last = false;
+    bool abandon = false;
+    {
+        const std::lock_guard lock(this->mutex);
+        this->flushPosted = false;
+        if (owner == nullptr || this->gone) {
+            return;
+        }
+        bytes = std::exchange(this->pending, {});
+        this->inLibrary += bytes.size();
+        last = this->complete;
+        abandon = this->aborted;
+    }
+    if (!owner->owns(this->peer)) {
+        return;
+    }
+    if (abandon) {
+        owner->disconnect(this->peer);
+        return;
+    }
+    const std::shared_ptr<Connection> connection = connectionOf(this->peer);
+    if (last) {
+        connection->exchange.reset();
+        connection->lastProgress = monotonicNow();
+        connection->closing = connection->closing || this->closeAfter;
+    }
+    const std::size_t size = bytes.size();
+    auto self = this->shared_from_this();
+    this->peer->send(Pistache::RawBuffer(std::move(bytes), size))
+        .then(
+            [self, size, last](ssize_t) {
+                self->noteSent(size);
+                if (last) {
+                    const std::lock_guard lock(self->mutex);
+                    self->end();
+                }
+                const auto alive = self->transport.lock();
+                const bool close = last && self->closeAfter && alive != nullptr;
+                if (close) {
+                    alive->post([self, alive] { alive->disconnect(self->peer); });
+                }
+            },
+            [](const std::exception_ptr &) {});
+    // Not Transport::flush(): it spins until the socket takes the bytes, so that one caller who
+    // reads nothing would hold up every other caller of this thread.
+}
+
+void ConnectionExchange::noteSent(std::size_t bytes)
+{
+    std::function<void()> drained;
+    {
+        const std::lock_guard lock(this->mutex);
+        this->inLibrary -= std::min(bytes, this->inLibrary);
+        this->lastMoved = monotonicNow();
+        const std::size_t unsent = this->pending.size() + this->inLibrary;
+        if (this->wasCongested && unsent < this->state->limits.unsentBytes / 2) {
+            this->wasCongested = false;
+            drained = this->drainedCallback;
+        }
+    }
+    if (drained) {
+        drained();
+    }
+}
+
+void ConnectionExchange::onGone(std::function<void()> callback)
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        if (!this->gone) {
+            this->goneCallback = std::move(callback);
+            return;
+        }
+    }
+    if (const auto owner = this->transport.lock()) {
+        owner->post(std::move(callback));
+    }
+}
+
+void ConnectionExchange::onDrained(std::function<void()> callback)
+{
+    const std::lock_guard lock(this->mutex);
+    this->drainedCallback = std::move(callback);
+}
+
+std::size_t ConnectionExchange::unsentBytes() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->pending.size() + this->inLibrary;
+}
+
+bool ConnectionExchange::congested() const
+{
+    return this->unsentBytes() >= this->state->limits.unsentBytes;
+}
+
+void ConnectionExchange::connectionGone()
+{
+    std::function<void()> callback;
+    {
+        const std::lock_guard lock(this->mutex);
+        this->gone = true;
+        this->pending.clear();
+        this->drainedCallback = nullptr;
+        callback = std::exchange(this->goneCallback, nullptr);
+        this->end();
+    }
+    if (callback) {
+        callback();
+    }
+}
+
+microseconds ConnectionExchange::stalledFor(Instant now) const
+{
+    const std::lock_guard lock(this->mutex);
+    const bool waiting = this->pending.size() + this->inLibrary > 0;
+    return waiting ? now - this->lastMoved : microseconds(0);
+}
+
+} // namespace azurespindle::http::internal
--- /dev/null
+++ b/src/http/internal/server_state.cpp
@@ -0,0 +1,55 @@
+#include "http/internal/server_state.h"
+
+#include "http/internal/posting_transport.h"
+
+#include <utility>
+
+namespace azurespindle::http::internal {
+
+ServerState::ServerState(settings::CallerLimits limits, Handler handler)
+    : limits(limits), handler(std::move(handler))
+{ }
+
+void ServerState::addTransport(const std::weak_ptr<PostingTransport> &transport)
+{
+    const std::lock_guard lock(this->mutex);
+    this->all.push_back(transport);
+}
+
+std::vector<std::shared_ptr<PostingTransport>> ServerState::transports()
+{
+    const std::lock_guard lock(this->mutex);
+    std::vector<std::shared_ptr<PostingTransport>> alive;
+    for (const auto &each : this->all) {
+        if (auto transport = each.lock()) {
+            alive.push_back(std::move(transport));
+        }
+    }
+    return alive;
+}
+
+void ServerState::drain()
+{
+    this->draining = true;
+    this->sweep();
+}
+
+void ServerState::close()
+{
+    this->closed = true;
+}
+
+void ServerState::sweep()
+{
+    const bool now = this->draining;
+    for (const auto &transport : this->transports()) {
+        const std::weak_ptr<PostingTransport> weak = transport;
+        transport->post([weak, now] {
+            if (const auto alive = weak.lock()) {
+                alive->sweep(now);
+            }
+        });
+    }
+}
+
+} // namespace azurespindle::http::internal
--- /dev/null
+++ b/src/http/internal/server_state.h
@@ -0,0 +1,42 @@
+#ifndef AZURESPINDLE_HTTP_INTERNAL_SERVER_STATE_H
+#define AZURESPINDLE_HTTP_INTERNAL_SERVER_STATE_H
+
+#include "http/server.h"
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+namespace azurespindle::http::internal {
+
+class PostingTransport;
+
+/// What all worker threads of one server share.
+class ServerState
+{
+public:
+    ServerState(settings::CallerLimits limits, Handler handler);
+
+    void addTransport(const std::weak_ptr<PostingTransport> &transport);
+    void drain();
+    void sweep();
+    void close();
+
+    const settings::CallerLimits limits;
+    const Handler handler;
+    std::atomic<std::size_t> openExchanges {0};
+    std::atomic<std::size_t> openConnections {0};
+    std::atomic<bool> draining {false};
+    std::atomic<bool> closed {false};
+
+private:
+    std::vector<std::shared_ptr<PostingTransport>> transports();
+
+    std::mutex mutex;
+    std::vector<std::weak_ptr<PostingTransport>> all;
+};
+
+} // namespace azurespindle::http::internal
+
+#endif
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,6 +1,7 @@
 #include "http/server.h"
 
-#include "http/internal/connection.h"
+#include "http/internal/connection_handler.h"
+#include "http/internal/posting_transport.h"
 
 #include <pistache/listener.h>
 
--- a/src/json/object_reader.cpp
+++ b/src/json/object_reader.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr std::size_t maxShownCharacters = 60;
+constexpr std::int64_t millisecondsPerDay = 86'400'000;
 
 std::string shown(const nlohmann::json *value)
 {
@@ -162,6 +163,13 @@
     return fallback;
 }
 
+std::chrono::milliseconds ObjectReader::duration(const std::string &name,
+                                                 std::chrono::milliseconds fallback)
+{
+    return std::chrono::milliseconds(
+        this->integer(name, {1, millisecondsPerDay}, fallback.count()));
+}
+
 bool ObjectReader::boolean(const std::string &name, bool fallback)
 {
     const nlohmann::json *field = this->find(name);
--- a/src/json/object_reader.h
+++ b/src/json/object_reader.h
@@ -1,6 +1,7 @@
 #ifndef AZURESPINDLE_JSON_OBJECT_READER_H
 #define AZURESPINDLE_JSON_OBJECT_READER_H
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <nlohmann/json.hpp>
@@ -62,6 +63,9 @@
     std::int64_t requiredInteger(const std::string &name, Range<std::int64_t> range);
     /// Returns the number at \a name, or \a fallback when there is none.
     double number(const std::string &name, Range<double> range, double fallback);
+    /// Returns the milliseconds at \a name, at least 1 and at most a day; \a fallback if there is
+    /// none.
+    std::chrono::milliseconds duration(const std::string &name, std::chrono::milliseconds fallback);
     /// Returns the truth value at \a name, or \a fallback when there is none.
     bool boolean(const std::string &name, bool fallback);
     /// Returns the list of non-empty texts at \a name; no list reads as an empty one.
--- a/src/members/coordinator.cpp
+++ b/src/members/coordinator.cpp
@@ -1,6 +1,5 @@
 #include "members/coordinator.h"
 
-#include "configuration/document.h"
 #include "configuration/vm_list.h"
 
 #include <algorithm>
@@ -11,25 +10,6 @@
 
 constexpr std::uint64_t seedTurns = 4; ///< Heartbeats between two tries of the seeds.
 
-json::Faults checkConfiguration(const nlohmann::json &document)
-{
-    json::Faults faults;
-    configuration::parseDocument(document, faults);
-    return faults;
-}
-
-json::Faults checkVmList(const nlohmann::json &document)
-{
-    json::Faults faults;
-    configuration::parseVmList(document, faults);
-    return faults;
-}
-
-const char *name(DocumentKind kind)
-{
-    return kind == DocumentKind::Configuration ? "configuration" : "vm-list";
-}
-
 platform::WatchCallbacks watchCallbacks(Coordinator &owner, DocumentKind kind,
                                         journal::Journal &journal)
 {
@@ -44,6 +24,19 @@
             }};
 }
 
+/// Returns the member addresses of the entry VMs in a VM list.
+std::vector<std::string> entryAddresses(const nlohmann::json &vmList)
+{
+    std::vector<std::string> addresses;
+    json::Faults none;
+    for (const configuration::Vm &vm : configuration::parseVmList(vmList, none).vms) {
+        if (vm.role == configuration::VmRole::Entry) {
+            addresses.push_back(vm.address.text());
+        }
+    }
+    return addresses;
+}
+
 std::string watchUrl(const std::string &base, const char *path)
 {
     return base.empty() ? "" : base + path;
@@ -56,8 +49,7 @@
                          metrics::Registry &registry, journal::Journal &journal,
                          CoordinatorHooks hooks)
     : settings(settings), timers(timers), journal(journal), hooks(std::move(hooks)),
-      started(monotonicNow()), membership(std::move(self)), configurationKeeper(checkConfiguration),
-      vmListKeeper(checkVmList),
+      started(monotonicNow()), membership(std::move(self)),
       configurationWatch(watchUrl(settings.configurationService, "/configuration"), client, timers,
                          registry, watchCallbacks(*this, DocumentKind::Configuration, journal)),
       vmListWatch(watchUrl(settings.vmList, "/vms"), client, timers, registry,
@@ -168,9 +160,9 @@
     const MemberRecord &own = this->membership.self();
     Heartbeat heartbeat;
     heartbeat.incarnation = own.incarnation;
-    heartbeat.configurationRevision = this->configurationKeeper.revision();
-    heartbeat.vmListRevision = this->vmListKeeper.revision();
-    heartbeat.refusedRevision = this->configurationKeeper.refusedRevision();
+    heartbeat.configurationRevision = this->documents.revision(DocumentKind::Configuration);
+    heartbeat.vmListRevision = this->documents.revision(DocumentKind::VmList);
+    heartbeat.refusedRevision = this->documents.refusedRevision();
     heartbeat.membershipDigest = this->membership.digest();
     return heartbeat;
 }
@@ -344,8 +336,9 @@
         } else {
             this->chosenBy.erase(from);
         }
-        wantsConfiguration = heartbeat.configurationRevision > this->configurationKeeper.revision();
-        wantsVmList = heartbeat.vmListRevision > this->vmListKeeper.revision();
+        wantsConfiguration = heartbeat.configurationRevision
+            > this->documents.revision(DocumentKind::Configuration);
+        wantsVmList = heartbeat.vmListRevision > this->documents.revision(DocumentKind::VmList);
         differs = heartbeat.membershipDigest != this->membership.digest();
         whole = {this->membership.records(), true};
     }
@@ -380,7 +373,7 @@
     std::optional<MemberRecord> sender;
     {
         const std::lock_guard lock(this->mutex);
-        text = this->keeper(wanted.kind).text();
+        text = this->documents.text(wanted.kind);
         sender = this->membership.find(from);
     }
     if (sender && !text.empty()) {
@@ -422,16 +415,6 @@
 
 // Documents ------------------------------------------------------------------------------------
 
-configuration::DocumentKeeper &Coordinator::keeper(DocumentKind kind)
-{
-    return kind == DocumentKind::Configuration ? this->configurationKeeper : this->vmListKeeper;
-}
-
-const configuration::DocumentKeeper &Coordinator::keeper(DocumentKind kind) const
-{
-    return kind == DocumentKind::Configuration ? this->configurationKeeper : this->vmListKeeper;
-}
-
 platform::DocumentWatch &Coordinator::watch(DocumentKind kind)
 {
     return kind == DocumentKind::Configuration ? this->configurationWatch : this->vmListWatch;
@@ -439,52 +422,21 @@
 
 void Coordinator::offer(DocumentKind kind, const std::string &text, const std::string &source)
 {
-    configuration::Offer result = configuration::Offer::Known;
-    std::string faults;
-    std::uint64_t revision = 0;
-    std::uint64_t known = 0;
-    bool repeated = false;
-    nlohmann::json document;
+    OfferOutcome outcome;
     {
         const std::lock_guard lock(this->mutex);
-        configuration::DocumentKeeper &keeper = this->keeper(kind);
-        result = keeper.offer(text);
-        faults = json::listFaults(keeper.refusedFaults());
-        revision = result == configuration::Offer::Refused ? keeper.refusedRevision()
-                                                           : keeper.revision();
-        known = std::max(keeper.revision(), keeper.refusedRevision());
-        std::string &last = this->lastRejected[static_cast<std::size_t>(kind)];
-        const bool rejected
-            = result == configuration::Offer::Stale || result == configuration::Offer::Refused;
-        repeated = rejected && last == text;
-        last = rejected ? text : std::string();
-        document = keeper.document();
-        if (result == configuration::Offer::Accepted && kind == DocumentKind::VmList) {
-            this->vmListAddresses.clear();
-            json::Faults none;
-            for (const configuration::Vm &vm : configuration::parseVmList(document, none).vms) {
-                if (vm.role == configuration::VmRole::Entry) {
-                    this->vmListAddresses.push_back(vm.address.text());
-                }
-            }
+        outcome = this->documents.offer(kind, text, source);
+        if (outcome.accepted && kind == DocumentKind::VmList) {
+            this->vmListAddresses = entryAddresses(outcome.document);
         }
     }
-    this->watch(kind).setKnown(known);
-    if (repeated) {
-        return;
+    this->watch(kind).setKnown(outcome.known);
+    if (outcome.entry) {
+        this->journal.record(*outcome.entry);
     }
-    const std::vector<journal::Field> fields {
-        {"document", name(kind)}, {"revision", std::to_string(revision)}, {"source", source}};
-    if (result == configuration::Offer::Accepted) {
-        this->journal.record({journal::EventId::ConfigurationAccepted, fields});
+    if (outcome.accepted) {
         this->beat();
-        this->hooks.onDocument(kind, document);
-    } else if (result == configuration::Offer::Stale) {
-        this->journal.record({journal::EventId::ConfigurationStale, fields});
-    } else if (result == configuration::Offer::Refused) {
-        std::vector<journal::Field> withFaults = fields;
-        withFaults.push_back({"faults", faults});
-        this->journal.record({journal::EventId::ConfigurationRefused, withFaults});
+        this->hooks.onDocument(kind, outcome.document);
     }
 }
 
@@ -541,18 +493,13 @@
 std::uint64_t Coordinator::revision(DocumentKind kind) const
 {
     const std::lock_guard lock(this->mutex);
-    return this->keeper(kind).revision();
+    return this->documents.revision(kind);
 }
 
 std::string Coordinator::refusal() const
 {
     const std::lock_guard lock(this->mutex);
-    const std::uint64_t refused = this->configurationKeeper.refusedRevision();
-    if (refused == 0 && this->configurationKeeper.refusedFaults().empty()) {
-        return {};
-    }
-    return "revision " + std::to_string(refused)
-        + json::listFaults(this->configurationKeeper.refusedFaults());
+    return this->documents.refusal();
 }
 
 bool Coordinator::settled() const
--- a/src/members/coordinator.h
+++ b/src/members/coordinator.h
@@ -2,13 +2,12 @@
 #define AZURESPINDLE_MEMBERS_COORDINATOR_H
 
 #include "base/recent_map.h"
-#include "configuration/document_keeper.h"
 #include "journal/journal.h"
 #include "members/membership.h"
 #include "members/peer_network.h"
+#include "members/shared_documents.h"
 #include "platform/document_watch.h"
 
-#include <array>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -98,8 +97,6 @@
     void afterChange(const News &news);
     void chooseWatch();
     Heartbeat heartbeat() const;
-    configuration::DocumentKeeper &keeper(DocumentKind kind);
-    const configuration::DocumentKeeper &keeper(DocumentKind kind) const;
     platform::DocumentWatch &watch(DocumentKind kind);
     void record(std::vector<journal::Entry> entries);
 
@@ -111,13 +108,11 @@
 
     mutable std::mutex mutex; ///< Guards the members up to the network.
     Membership membership;
-    configuration::DocumentKeeper configurationKeeper;
-    configuration::DocumentKeeper vmListKeeper;
+    SharedDocuments documents;
     RecentMap<std::string, Heartbeat> heartbeats {Membership::maxMembers};
     std::map<std::string, Instant> chosenBy; ///< Known members that chose this one.
     std::vector<std::string> vmListAddresses;
     RecentMap<std::string, bool> crashNotes {maxCrashNotes};
-    std::array<std::string, 2> lastRejected; ///< By kind; so that it is journalled once.
     bool peerHeard = false;
     std::uint64_t turn = 0;
 
--- /dev/null
+++ b/src/members/shared_documents.cpp
@@ -0,0 +1,112 @@
+#include "members/shared_documents.h"
+
+#include "configuration/document.h"
+#include "configuration/vm_list.h"
+
+#include <algorithm>
+
+namespace azurespindle::members {
+namespace {
+
+using configuration::Offer;
+
+json::Faults checkConfiguration(const nlohmann::json &document)
+{
+    json::Faults faults;
+    configuration::parseDocument(document, faults);
+    return faults;
+}
+
+json::Faults checkVmList(const nlohmann::json &document)
+{
+    json::Faults faults;
+    configuration::parseVmList(document, faults);
+    return faults;
+}
+
+journal::EventId refusedEvent(DocumentKind kind)
+{
+    return kind == DocumentKind::Configuration ? journal::EventId::ConfigurationRefused
+                                               : journal::EventId::VmListRefused;
+}
+
+/// Returns the entry of an offer, or nothing for a document that was known.
+std::optional<journal::Entry> entryOf(Offer offer, DocumentKind kind, const std::string &source,
+                                      const configuration::DocumentKeeper &keeper)
+{
+    const bool refused = offer == Offer::Refused;
+    const std::uint64_t revision = refused ? keeper.refusedRevision() : keeper.revision();
+    std::vector<journal::Field> fields {
+        {"document", name(kind)}, {"revision", std::to_string(revision)}, {"source", source}};
+    switch (offer) {
+    case Offer::Accepted:
+        return journal::Entry {journal::EventId::ConfigurationAccepted, fields};
+    case Offer::Stale:
+        return journal::Entry {journal::EventId::ConfigurationStale, fields};
+    case Offer::Refused:
+        fields.push_back({"faults", json::listFaults(keeper.refusedFaults())});
+        return journal::Entry {refusedEvent(kind), fields};
+    case Offer::Known:
+        break;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+const char *name(DocumentKind kind)
+{
+    return kind == DocumentKind::Configuration ? "configuration" : "vm-list";
+}
+
+SharedDocuments::SharedDocuments()
+    : keepers {configuration::DocumentKeeper(checkConfiguration),
+               configuration::DocumentKeeper(checkVmList)}
+{ }
+
+configuration::DocumentKeeper &SharedDocuments::keeper(DocumentKind kind)
+{
+    return this->keepers[static_cast<std::size_t>(kind)];
+}
+
+const configuration::DocumentKeeper &SharedDocuments::keeper(DocumentKind kind) const
+{
+    return this->keepers[static_cast<std::size_t>(kind)];
+}
+
+OfferOutcome SharedDocuments::offer(DocumentKind kind, const std::string &text,
+                                    const std::string &source)
+{
+    configuration::DocumentKeeper &keeper = this->keeper(kind);
+    const Offer result = keeper.offer(text);
+    std::string &last = this->lastRejected[static_cast<std::size_t>(kind)];
+    const bool rejected = result == Offer::Stale || result == Offer::Refused;
+    const bool repeated = rejected && last == text;
+    last = rejected ? text : std::string();
+    OfferOutcome outcome;
+    outcome.accepted = result == Offer::Accepted;
+    outcome.known = std::max(keeper.revision(), keeper.refusedRevision());
+    if (!repeated) {
+        outcome.entry = entryOf(result, kind, source, keeper);
+    }
+    if (outcome.accepted) {
+        outcome.document = keeper.document();
+    }
+    return outcome;
+}
+
+std::uint64_t SharedDocuments::refusedRevision() const
+{
+    return this->keeper(DocumentKind::Configuration).refusedRevision();
+}
+
+std::string SharedDocuments::refusal() const
+{
+    const json::Faults &faults = this->keeper(DocumentKind::Configuration).refusedFaults();
+    if (faults.empty()) {
+        return {};
+    }
+    return "revision " + std::to_string(this->refusedRevision()) + json::listFaults(faults);
+}
+
+} // namespace azurespindle::members
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -10,7 +10,6 @@
 
 constexpr std::int64_t maxPort = 65'535;
 constexpr std::int64_t maxThreads = 64;
-constexpr std::int64_t maxMilliseconds = 86'400'000;
 
 Address readAddress(json::ObjectReader &reader, const std::string &name)
 {
@@ -48,12 +47,6 @@
     return seeds;
 }
 
-milliseconds readMilliseconds(json::ObjectReader &reader, const std::string &name,
-                              milliseconds fallback)
-{
-    return milliseconds(reader.integer(name, {1, maxMilliseconds}, fallback.count()));
-}
-
 std::size_t readSize(json::ObjectReader &reader, const std::string &name,
                      json::Range<std::int64_t> range, std::size_t fallback)
 {
@@ -68,19 +61,19 @@
         = readSize(reader, "headerAndBodyBytes", {1'024, 67'108'864}, limits.headerAndBodyBytes);
     limits.connections = readSize(reader, "connections", {1, 1'000'000}, limits.connections);
     limits.unsentBytes = readSize(reader, "unsentBytes", {4'096, 67'108'864}, limits.unsentBytes);
-    limits.requestTimeout = readMilliseconds(reader, "requestTimeoutMs", limits.requestTimeout);
-    limits.idleTimeout = readMilliseconds(reader, "idleTimeoutMs", limits.idleTimeout);
-    limits.writeTimeout = readMilliseconds(reader, "writeTimeoutMs", limits.writeTimeout);
+    limits.requestTimeout = reader.duration("requestTimeoutMs", limits.requestTimeout);
+    limits.idleTimeout = reader.duration("idleTimeoutMs", limits.idleTimeout);
+    limits.writeTimeout = reader.duration("writeTimeoutMs", limits.writeTimeout);
     return limits;
 }
 
 UpstreamTimeouts readUpstreamTimeouts(json::ObjectReader &reader)
 {
     UpstreamTimeouts timeouts;
-    timeouts.connect = readMilliseconds(reader, "connectMs", timeouts.connect);
-    timeouts.firstToken = readMilliseconds(reader, "firstTokenMs", timeouts.firstToken);
-    timeouts.gap = readMilliseconds(reader, "gapMs", timeouts.gap);
-    timeouts.call = readMilliseconds(reader, "callMs", timeouts.call);
+    timeouts.connect = reader.duration("connectMs", timeouts.connect);
+    timeouts.firstToken = reader.duration("firstTokenMs", timeouts.firstToken);
+    timeouts.gap = reader.duration("gapMs", timeouts.gap);
+    timeouts.call = reader.duration("callMs", timeouts.call);
     return timeouts;
 }
 
@@ -127,7 +120,7 @@
     settings.seeds = readSeeds(reader);
     settings.workerThreads = readSize(reader, "workerThreads", {1, maxThreads}, 2);
     settings.upstreamThreads = readSize(reader, "upstreamThreads", {1, maxThreads}, 1);
-    settings.stopTimeout = readMilliseconds(reader, "stopTimeoutMs", settings.stopTimeout);
+    settings.stopTimeout = reader.duration("stopTimeoutMs", settings.stopTimeout);
     const std::string format = reader.choice("logFormat", {"text", "json"}, "text");
     settings.logFormat = format == "json" ? LogFormat::Json : LogFormat::Text;
     settings.logFile = reader.text("logFile", "");
