Stop whoever calls back before what it calls

Cause: read while reviewing: at the end of a process the lease service and the coordinator went away before the HTTP clients whose callbacks use them. Change: clients can be stopped, and are, right after the timers; no callback runs once stop() has returned.

--- a/src/decision/placement.cpp
+++ b/src/decision/placement.cpp
@@ -27,7 +27,7 @@
 
 } // namespace
 
-PlacementPolicy expectedMemoryPlacement(const PlacementWeights &weights)
+PlacementPolicy expectedMemoryPlacement(PlacementWeights weights)
 {
     return [weights](const std::vector<Candidate> &candidates, std::uint64_t turn,
                      bool patient) -> std::optional<std::size_t> {
--- a/src/decision/placement.h
+++ b/src/decision/placement.h
@@ -28,7 +28,7 @@
 
 /// Returns the policy that weighs memory at the time it will be needed, load and the prompt that is
 /// still to be computed, and never chooses a candidate with an obstacle.
-PlacementPolicy expectedMemoryPlacement(const PlacementWeights &weights = {});
+PlacementPolicy expectedMemoryPlacement(PlacementWeights weights = {});
 
 /// Returns the baseline that takes serving upstreams in turn.
 PlacementPolicy roundRobinPlacement();
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -168,13 +168,22 @@
 
     ~Implementation()
     {
+        this->stop();
+        curl_multi_cleanup(this->multi);
+    }
+
+    void stop()
+    {
+        if (!this->thread.joinable()) {
+            return;
+        }
         this->post([this] { this->stopping = true; });
         this->thread.join();
         for (auto &[id, transfer] : this->transfers) {
             curl_multi_remove_handle(this->multi, transfer->handle);
             release(*transfer);
         }
-        curl_multi_cleanup(this->multi);
+        this->transfers.clear();
     }
 
     Implementation(const Implementation &) = delete;
@@ -313,6 +322,11 @@
     own->post([own, id] { own->resume(id); });
 }
 
+void Client::stop()
+{
+    this->implementation->stop();
+}
+
 TransferResult fetch(const ClientRequest &request, std::string &body)
 {
     initialiseLibrary();
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -72,6 +72,9 @@
     void cancel(TransferId id);
     /// Goes on with a transfer whose onData returned false.
     void resume(TransferId id);
+    /// Ends every transfer without a word and the thread with them: once this returns, no callback
+    /// runs any more. What is started later is never sent.
+    void stop();
 
 private:
     class Implementation;
--- a/src/serving/core.h
+++ b/src/serving/core.h
@@ -45,6 +45,8 @@
     /// Posts an event to one pool, or to all of them.
     void post(const std::string &pool, decision::Event event);
     void postToAll(const decision::Event &event);
+    /// Ends all work towards upstreams, so that the parts it calls back to may go away.
+    void stop() { this->attempts.stop(); }
 
     // Queries
 
--- a/src/serving/entry_process.cpp
+++ b/src/serving/entry_process.cpp
@@ -183,7 +183,10 @@
 
 void EntryProcess::stop()
 {
+    // Whoever calls back is stopped before what it calls.
     this->timers.stop();
+    this->client.stop();
+    this->core.stop();
     this->coordinator.stop();
     this->server.stop();
 }
--- a/src/upstreams/attempt_runner.cpp
+++ b/src/upstreams/attempt_runner.cpp
@@ -145,6 +145,13 @@
     }
 }
 
+void AttemptRunner::stop()
+{
+    for (const auto &client : this->clients) {
+        client->stop();
+    }
+}
+
 http::Client &AttemptRunner::clientFor(decision::RequestId id)
 {
     return *this->clients[id % this->clients.size()];
--- a/src/upstreams/attempt_runner.h
+++ b/src/upstreams/attempt_runner.h
@@ -30,6 +30,8 @@
     /// Asks for the rest of a generation, after the stated delay.
     void resume(serving::PoolRunner &pool, const serving::SessionPtr &session,
                 const decision::ResumeAttempt &resume, const settings::Address &address);
+    /// Ends all transfers; no event is posted any more once this returns.
+    void stop();
     /// Gives up the transfer of \a session, and the generation unless it is to be kept.
     void cancel(const serving::SessionPtr &session, const decision::CancelAttempt &cancel,
                 const settings::Address &address);
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -259,7 +259,8 @@
         std::condition_variable changed;
         std::vector<std::shared_ptr<Caller>> callers;
         int open = 0;
-        const ClientRequest request {"GET", "http://127.0.0.1:" + std::to_string(port) + "/"};
+        ClientRequest request;
+        request.url = "http://127.0.0.1:" + std::to_string(port) + "/";
         std::function<void(int)> call = [&](int hangUpAfter) {
             auto caller = std::make_shared<Caller>();
             caller->hangUpAfter = hangUpAfter;
--- a/tests/members/coordinator_test.cpp
+++ b/tests/members/coordinator_test.cpp
@@ -229,7 +229,9 @@
     static void platformFault(const std::string &kind)
     {
         std::string body;
-        http::fetch({"POST", "http://127.0.0.1:18200/faults?kind=" + kind}, body);
+        http::ClientRequest request;
+        request.url = "http://127.0.0.1:18200/faults?kind=" + kind;
+        http::fetch(request, body);
     }
 };
 
