--- a/bench/decision_suite.cpp
+++ b/bench/decision_suite.cpp
@@ -201,8 +201,9 @@
     const members::MemberNews one {{{"entry-123", "zone-12", "10.0.12.34:9080", "10.0.12.34:8080",
                                      1'790'000'000'000, members::MemberState::Alive}},
                                    false};
-    const auto size
-        = [](const members::Message &message) { return 4.0 + members::encode(message).size(); };
+    const auto size = [](const members::Message &message) {
+        return static_cast<double>(4 + members::encode(message).size());
+    };
     const std::string document = exceptionsDocument(100);
     report.add("decision", "document-of-100-exceptions", static_cast<double>(document.size()),
                "bytes");
--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -16,7 +16,8 @@
 {
     std::string prompt = "[tokens=" + std::to_string(tokens) + "] " + arrival.request.workspace
         + " " + std::to_string(arrival.request.id) + " ";
-    prompt.resize(std::max<std::size_t>(prompt.size(), arrival.request.promptTokens * 4), 'x');
+    prompt.resize(
+        std::max<std::size_t>(prompt.size(), std::size_t(4) * arrival.request.promptTokens), 'x');
     return prompt;
 }
 
--- a/bench/zone_suite.cpp
+++ b/bench/zone_suite.cpp
@@ -128,8 +128,8 @@
         double good = 0.0;
         double failed = 0.0;
         for (int offset = 0; offset < 3; ++offset) {
-            const SecondOfService &each
-                = load.seconds.at(static_cast<std::size_t>(second + offset));
+            const SecondOfService &each = load.seconds.at(static_cast<std::size_t>(second)
+                                                          + static_cast<std::size_t>(offset));
             good += static_cast<double>(each.finished);
             failed += static_cast<double>(each.failed);
         }
--- a/src/decision/prefix_index.cpp
+++ b/src/decision/prefix_index.cpp
@@ -1,14 +1,15 @@
 #include "decision/prefix_index.h"
 
+#include <algorithm>
+
 namespace azurespindle::decision {
 
 void PrefixIndex::add(const std::vector<std::uint64_t> &blocks)
 {
     // Last block first, so that a prompt is forgotten from its end: without its leading blocks
     // the others are of no use.
-    for (auto block = blocks.rbegin(); block != blocks.rend(); ++block) {
-        this->known.touch(*block);
-    }
+    std::for_each(blocks.rbegin(), blocks.rend(),
+                  [this](std::uint64_t block) { this->known.touch(block); });
 }
 
 void PrefixIndex::drop(const std::vector<std::uint64_t> &blocks)
--- a/src/members/membership.cpp
+++ b/src/members/membership.cpp
@@ -250,6 +250,7 @@
     // Far ones by rendezvous rather than on the ring: a member that stands behind a wide gap of
     // the ring would be chosen by very many.
     std::vector<std::string> names;
+    names.reserve(all.size());
     for (const MemberRecord &each : all) {
         names.push_back(each.name);
     }
--- a/tests/standins/engine_model.h
+++ b/tests/standins/engine_model.h
@@ -124,6 +124,7 @@
     Tokens memoryUsed() const;
     double stepSeconds(Tokens prefill) const;
     void rememberPrefix(const GenerationOrder &order);
+    void rememberBlock(std::uint64_t block);
     Tokens cachedPrefix(const GenerationOrder &order) const;
     void noteLoad(Instant now);
     void reset();
