--- a/src/serving/core.h
+++ b/src/serving/core.h
@@ -45,13 +45,14 @@
     /// Posts an event to one pool, or to all of them.
     void post(const std::string &pool, decision::Event event);
     void postToAll(const decision::Event &event);
+    /// Returns a request number that was not used before.
+    decision::RequestId nextRequestId() { return this->lastRequest += 1; }
     /// Ends all work towards upstreams, so that the parts it calls back to may go away.
     void stop() { this->attempts.stop(); }
 
     // Queries
 
     std::shared_ptr<const Directory> directory() const;
-    decision::RequestId nextRequestId() { return this->lastRequest += 1; }
     metrics::Registry &metricsRegistry() { return this->registry; }
     journal::Journal &eventJournal() { return this->journal; }
     std::map<std::string, decision::DispatcherStatus> status() const;
