--- a/bench/faults_suite.cpp
+++ b/bench/faults_suite.cpp
@@ -16,6 +16,8 @@
 constexpr std::size_t entries = 9;
 /// Fresh stewards wait out the leases of predecessors that they cannot rule out.
 constexpr int stewardsOpenMs = 8'000;
+/// Time in which enough streams open for a fault to meet some of them.
+constexpr int untilManyOpenMs = 4'000;
 constexpr double requestsPerSecond = 30.0;
 
 /// A caller of the order service who mints a key and sends its call to several members.
@@ -187,7 +189,7 @@
 {
     Load load(loadOptions(fleet, seed, 12));
     load.start();
-    wait(1'500);
+    wait(untilManyOpenMs);
     disturbance.disturb(fleet, load);
     LoadResult seen = load.finish();
     const std::string label = std::string(disturbance.name) + "/";
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -74,9 +74,13 @@
     this->answerCallback = std::move(callback);
 }
 
-void Session::beginAttempt(decision::AttemptNumber, const std::string &generation)
+void Session::beginAttempt(const std::string &generation)
 {
     const std::lock_guard lock(this->mutex);
+    if (!std::exchange(this->attempted, true)) {
+        this->registry.observe(metrics::Measure::Queue, this->asked.workspace,
+                               this->asked.trafficClass, inSeconds(monotonicNow() - this->arrived));
+    }
     this->generationName = generation;
     this->collected.clear();
 }
--- a/src/serving/session.h
+++ b/src/serving/session.h
@@ -55,8 +55,8 @@
     /// Sets what is called with the answer or refusal, just before the caller gets it.
     void onAnswer(std::function<void(const ServiceAnswer &)> callback);
 
-    /// Begins an attempt: forgets what an earlier one collected.
-    void beginAttempt(decision::AttemptNumber attempt, const std::string &generation);
+    /// Begins an attempt: forgets what an earlier one collected. \a generation is empty for a call.
+    void beginAttempt(const std::string &generation);
     /// Hands the caller tokens, the first of which has the number \a offset.
     void deliver(const decision::Deliver &deliver, const std::vector<std::string> &texts);
     /// Hands the caller the answer of a plain service.
@@ -102,6 +102,7 @@
     http::TransferId transferId = 0;
     ServiceAnswer serviceAnswer;
     std::string collected;
+    bool attempted = false;
     bool streamBegun = false;
     bool ended = false;
     Instant lastToken;
--- a/src/upstreams/attempt_runner.cpp
+++ b/src/upstreams/attempt_runner.cpp
@@ -179,7 +179,7 @@
     const decision::Request &request = session->request();
     const std::string generation
         = callers::makeGenerationName(request.workspace, this->random(), request.id, start.attempt);
-    session->beginAttempt(start.attempt, generation);
+    session->beginAttempt(generation);
     http::ClientRequest send;
     send.method = "POST";
     send.url = "http://" + address.text() + "/v1/completions";
@@ -230,6 +230,7 @@
                          const decision::StartAttempt &start, const settings::Address &address)
 {
     const serving::ServiceCall &call = session->call();
+    session->beginAttempt("");
     http::ClientRequest send;
     send.method = call.method;
     send.url = "http://" + address.text() + call.path;
--- a/tests/serving/entry_process_test.cpp
+++ b/tests/serving/entry_process_test.cpp
@@ -255,6 +255,14 @@
         const std::string series
             = "azurespindle_output_tokens_count{workspace=\"gates\",class=\"spec\"} 1";
         CPPUNIT_ASSERT_MESSAGE(metrics, metrics.find(series) != std::string::npos);
+        for (const char *measure : {"first_token_seconds", "gap_seconds", "stall_seconds",
+                                    "queue_seconds", "output_tokens"}) {
+            const std::string counted = std::string("azurespindle_") + measure
+                + "_count{workspace=\"gates\",class=\"spec\"}";
+            const std::size_t at = metrics.find(counted);
+            CPPUNIT_ASSERT_MESSAGE(counted, at != std::string::npos);
+            CPPUNIT_ASSERT_MESSAGE(counted, metrics[at + counted.size() + 1] != '0');
+        }
         const std::string policy = fleet.get(0, "/configuration?workspace=gates").body;
         CPPUNIT_ASSERT_MESSAGE(policy, policy.find("\"defaults\"") != std::string::npos);
     }
