--- a/src/configuration/vm_list.cpp
+++ b/src/configuration/vm_list.cpp
@@ -42,6 +42,17 @@
 
 } // namespace
 
+std::vector<std::string> entryAddresses(const VmList &list)
+{
+    std::vector<std::string> addresses;
+    for (const Vm &vm : list.vms) {
+        if (vm.role == VmRole::Entry) {
+            addresses.push_back(vm.address.text());
+        }
+    }
+    return addresses;
+}
+
 VmList parseVmList(const nlohmann::json &json, json::Faults &faults)
 {
     json::ObjectReader reader(json, "$", faults);
--- a/src/configuration/vm_list.h
+++ b/src/configuration/vm_list.h
@@ -34,6 +34,9 @@
     bool operator==(const VmList &other) const = default;
 };
 
+/// Returns the member addresses of the entry VMs, as IP:PORT.
+std::vector<std::string> entryAddresses(const VmList &list);
+
 /// Fills a VmList from JSON; adds every fault to \a faults.
 VmList parseVmList(const nlohmann::json &json, json::Faults &faults);
 
--- a/src/members/coordinator.cpp
+++ b/src/members/coordinator.cpp
@@ -24,19 +24,6 @@
             }};
 }
 
-/// Returns the member addresses of the entry VMs in a VM list.
-std::vector<std::string> entryAddresses(const nlohmann::json &vmList)
-{
-    std::vector<std::string> addresses;
-    json::Faults none;
-    for (const configuration::Vm &vm : configuration::parseVmList(vmList, none).vms) {
-        if (vm.role == configuration::VmRole::Entry) {
-            addresses.push_back(vm.address.text());
-        }
-    }
-    return addresses;
-}
-
 std::string watchUrl(const std::string &base, const char *path)
 {
     return base.empty() ? "" : base + path;
@@ -427,7 +414,9 @@
         const std::lock_guard lock(this->mutex);
         outcome = this->documents.offer(kind, text, source);
         if (outcome.accepted && kind == DocumentKind::VmList) {
-            this->vmListAddresses = entryAddresses(outcome.document);
+            json::Faults none;
+            this->vmListAddresses
+                = configuration::entryAddresses(configuration::parseVmList(outcome.document, none));
         }
     }
     this->watch(kind).setKnown(outcome.known);
