--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -122,8 +122,8 @@
     const double own = size.upstreams / size.nodes;
     const double used = std::min(usedUpstreams, size.upstreams);
     const double holders = used * size.nodes / size.upstreams;
-    const double leases
-        = own * holders * (measured["frame/lease-request"] + measured["frame/lease-grant"] + 8.0);
+    const double leases = renewalsPerSecond * own * holders
+        * (measured["frame/lease-request"] + measured["frame/lease-grant"] + 8.0);
     const double bytes = leases + own * loadsPerSecond * loadReportBytes;
     return {exchangesCpu(measured, bytes), bytes,
             own * holders * measured["bytes-per-holder/1000"]};
