--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -134,10 +134,10 @@
     return this->engines[engine]->countsJson();
 }
 
-Answer Fleet::call(std::size_t entry, const std::string &path, const std::string &body,
-                   const http::Headers &headers)
+Answer Fleet::send(const std::string &method, std::size_t entry, const std::string &path,
+                   const std::string &body, const http::Headers &headers) const
 {
-    http::ClientRequest request {"POST", this->url(entry) + path, headers, body};
+    http::ClientRequest request {method, this->url(entry) + path, headers, body};
     request.totalTimeout = callTimeout;
     Answer answer;
     const http::TransferResult result = http::fetch(request, answer.body);
@@ -146,15 +146,15 @@
     return answer;
 }
 
+Answer Fleet::call(std::size_t entry, const std::string &path, const std::string &body,
+                   const http::Headers &headers)
+{
+    return this->send("POST", entry, path, body, headers);
+}
+
 Answer Fleet::get(std::size_t entry, const std::string &path, const http::Headers &headers)
 {
-    http::ClientRequest request {"GET", this->url(entry) + path, headers, ""};
-    request.totalTimeout = callTimeout;
-    Answer answer;
-    const http::TransferResult result = http::fetch(request, answer.body);
-    answer.status = result.status;
-    answer.end = result.end;
-    return answer;
+    return this->send("GET", entry, path, "", headers);
 }
 
 Answer Fleet::generate(std::size_t entry, std::size_t tokens, const http::Headers &headers)
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -61,6 +61,8 @@
     static bool eventually(const std::function<bool()> &condition);
 
 private:
+    Answer send(const std::string &method, std::size_t entry, const std::string &path,
+                const std::string &body, const http::Headers &headers) const;
     std::string vmList() const;
     settings::Settings entrySettings(std::size_t index) const;
     settings::Address address(std::size_t offset) const;
