--- a/bench/experiment.cpp
+++ b/bench/experiment.cpp
@@ -13,7 +13,6 @@
 using standins::EngineModel;
 
 constexpr milliseconds reportInterval {250};
-constexpr seconds stopAfterEnd {0};
 constexpr double stallSeconds = 0.5;
 constexpr double lostCacheEvents = 0.2; ///< Part of the cache events that never arrive.
 
@@ -376,7 +375,7 @@
 
 ExperimentResult Run::result()
 {
-    const Instant end {this->options.duration + stopAfterEnd};
+    const Instant end {this->options.duration};
     while (this->now < end) {
         this->step();
     }
--- a/src/members/shared_documents.cpp
+++ b/src/members/shared_documents.cpp
@@ -52,6 +52,22 @@
     return std::nullopt;
 }
 
+/// Returns what a new configuration changes, in words, or an empty text.
+std::string changesText(const nlohmann::json &before, const nlohmann::json &after)
+{
+    if (before.is_null()) {
+        return {};
+    }
+    json::Faults none;
+    std::string text;
+    for (const std::string &line :
+         configuration::differences(configuration::parseDocument(before, none),
+                                    configuration::parseDocument(after, none))) {
+        text.append(text.empty() ? "" : "; ").append(line);
+    }
+    return text;
+}
+
 } // namespace
 
 const char *name(DocumentKind kind)
@@ -78,6 +94,7 @@
                                     const std::string &source)
 {
     configuration::DocumentKeeper &keeper = this->keeper(kind);
+    const nlohmann::json before = keeper.document();
     const Offer result = keeper.offer(text);
     std::string &last = this->lastRejected[static_cast<std::size_t>(kind)];
     const bool rejected = result == Offer::Stale || result == Offer::Refused;
@@ -91,6 +108,9 @@
     }
     if (outcome.accepted) {
         outcome.document = keeper.document();
+        if (kind == DocumentKind::Configuration) {
+            outcome.entry->fields.push_back({"changes", changesText(before, outcome.document)});
+        }
     }
     return outcome;
 }
--- a/tests/members/coordinator_test.cpp
+++ b/tests/members/coordinator_test.cpp
@@ -135,6 +135,9 @@
     {
         shared->configure(R"("out":[{"zone":"north","reason":"test"}])");
         CPPUNIT_ASSERT(Fleet::eventually([&] { return shared->get(0, "/readyz").status == 503; }));
+        const std::string explained = shared->get(0, "/explain?id=configuration").body;
+        const bool told = explained.find("zone north marked out: test") != std::string::npos;
+        CPPUNIT_ASSERT_MESSAGE(explained, told);
         std::this_thread::sleep_for(milliseconds(500));
         const std::string before = shared->engineCounts(0);
         for (int call = 0; call < 30; ++call) {
