Blame a crash whose caller gave up; time silence from the send of a resume

With delays of up to 1 s beside a gap time of 1 s, the last resumes were called silent before they were sent, and a death that is never seen as one blames nobody. Ruled out: the caller's time limit (30 s), the boot number (equal in both deaths), the retry budget (10 saved).

Change: silence counts from the send. Two further ways to hide a death, found beside it: resumes that ran out on closed connections blamed nobody; a caller that hung up while the connection was lost took the evidence along, so that one who gives up early and sends again killed one engine after the other. Its loss is kept until the next boot number tells what it was. A death is named by the boot number at the start of the attempt, so that two requests alike in one death count once. An acquittal is told to the peers; before, a suspect stayed one elsewhere for an hour.

--- a/bench/experiment.cpp
+++ b/bench/experiment.cpp
@@ -175,7 +175,7 @@
             constexpr bool ignored
                 = std::is_same_v<
                       Kind,
-                      Journal> || std::is_same_v<Kind, TellCrash> || std::is_same_v<Kind, DeliverAnswer>;
+                      Journal> || std::is_same_v<Kind, TellCrash> || std::is_same_v<Kind, TellAcquittal> || std::is_same_v<Kind, DeliverAnswer>;
             if constexpr (!ignored) {
                 this->perform(each);
             }
--- a/src/decision/dispatcher.cpp
+++ b/src/decision/dispatcher.cpp
@@ -251,6 +251,7 @@
     placed.deadResumes = 0;
     placed.upstream = upstream.listed.name;
     placed.generation.clear();
+    placed.boot = upstream.report.boot;
     placed.received = 0;
     placed.nextProfile = 0;
     placed.started = this->now;
@@ -358,6 +359,7 @@
     if (!entries.empty()) {
         Upstream *upstream = this->upstreams.find(event.upstream);
         upstream->evidence.failures += 1;
+        this->resolveLosses(*upstream);
     }
     this->dispatch();
 }
@@ -388,6 +390,11 @@
     this->crashes.blame(event.fingerprint, event.upstream, event.boot, this->now);
 }
 
+void Dispatcher::on(const CrashAcquitted &event)
+{
+    this->crashes.clear(event.fingerprint);
+}
+
 void Dispatcher::on(const Tick &)
 {
     this->refuseExpired();
--- a/src/decision/dispatcher.h
+++ b/src/decision/dispatcher.h
@@ -85,6 +85,7 @@
         std::uint32_t deadResumes = 0; ///< Connection failures in a row.
         std::string upstream;
         std::string generation;
+        std::uint64_t boot = 0; ///< Life of the upstream at the start; 0 if it never reported.
         Tokens received = 0;
         Tokens receivedAtDeath = 0; ///< Of the attempt whose upstream died.
         bool mayHaveRun = false;
@@ -112,6 +113,7 @@
     void on(const CacheChanged &event);
     void on(const LeaseGranted &event);
     void on(const CrashReported &event);
+    void on(const CrashAcquitted &event);
     void on(const Tick &event);
     void on(const StopRequested &event);
 
@@ -137,7 +139,11 @@
     void resume(Open &open, milliseconds delay);
     void loseGeneration(Open &open, const std::string &detail);
     void restart(Open &open, const std::string &detail);
-    void blame(Open &open);
+    void blame(const Open &open);
+    void blame(const std::string &upstream, const UnresolvedLoss &loss);
+    void resolveLosses(Upstream &upstream);
+    void acquit(const Open &open);
+    std::uint64_t bootOf(const Open &open) const;
     void checkSilence();
     void leaveUpstream(Open &open);
     void refuse(Open &open, Refusal refusal);
--- a/src/decision/dispatcher_streams.cpp
+++ b/src/decision/dispatcher_streams.cpp
@@ -20,6 +20,8 @@
 /// A generation's memory is forecast anew after so many tokens, or an eighth of its length.
 constexpr Tokens minProfileStep = 16;
 constexpr milliseconds retryLater {1'000};
+/// A restart that is reported later than this after a lost connection is not its cause.
+constexpr milliseconds unresolvedMemory {30'000};
 
 bool provesNotRun(FailureKind kind)
 {
@@ -117,9 +119,7 @@
 void Dispatcher::finish(Open &finished)
 {
     const Request &request = finished.request;
-    if (this->crashes.clear(request.fingerprint)) {
-        this->journal(journal::EventId::CrashCleared, {requestField(finished)});
-    }
+    this->acquit(finished);
     this->forecast.observe(request.workspace, request.trafficClass, finished.received);
     const double served = promptCost * request.promptTokens + finished.received;
     this->queue.charge(request.workspace, served - finished.charged);
@@ -147,7 +147,7 @@
                    {"workspace", current->request.workspace},
                    {"upstream", current->upstream},
                    {"tookMs", millisecondsText(this->now - current->arrived)}});
-    this->crashes.clear(current->request.fingerprint);
+    this->acquit(*current);
     this->close(event.request);
     this->dispatch();
 }
@@ -219,7 +219,7 @@
     failed.deadResumes = dead ? failed.deadResumes + 1 : 0;
     failed.resumes += 1;
     if (failed.deadResumes >= maxDeadResumes || failed.resumes >= maxResumes) {
-        if (kind == FailureKind::ConnectionRefused) {
+        if (kind == FailureKind::ConnectionRefused || kind == FailureKind::Lost) {
             this->blame(failed);
         }
         this->loseGeneration(failed, detail);
@@ -233,7 +233,8 @@
 void Dispatcher::resume(Open &resumed, milliseconds delay)
 {
     resumed.attempt += 1;
-    resumed.lastToken = this->now;
+    // Silence counts from the time of the send: a delayed resume is not an upstream that is silent.
+    resumed.lastToken = this->now + delay;
     this->journal(journal::EventId::GenerationResumed,
                   {requestField(resumed),
                    {"upstream", resumed.upstream},
@@ -286,19 +287,48 @@
                           {request.id, request.priority, failed.arrived, expires});
 }
 
-void Dispatcher::blame(Open &suspected)
+std::uint64_t Dispatcher::bootOf(const Open &open) const
 {
-    const Upstream *upstream = this->upstreams.find(suspected.upstream);
-    const std::uint64_t boot = upstream->report.boot;
-    const std::uint64_t fingerprint = suspected.request.fingerprint;
-    if (!this->crashes.blame(fingerprint, suspected.upstream, boot, this->now)) {
+    return open.boot != 0 ? open.boot : this->upstreams.find(open.upstream)->report.boot;
+}
+
+void Dispatcher::blame(const Open &suspected)
+{
+    this->blame(
+        suspected.upstream,
+        {suspected.request.id, suspected.request.fingerprint, this->bootOf(suspected), this->now});
+}
+
+void Dispatcher::blame(const std::string &upstream, const UnresolvedLoss &loss)
+{
+    if (!this->crashes.blame(loss.fingerprint, upstream, loss.boot, this->now)) {
         return;
     }
     this->journal(journal::EventId::CrashSuspected,
-                  {requestField(suspected),
-                   {"upstream", suspected.upstream},
-                   {"deaths", std::to_string(this->crashes.deaths(fingerprint, this->now))}});
-    this->emit(TellCrash {fingerprint, suspected.upstream, boot});
+                  {{"request", std::to_string(loss.request)},
+                   {"upstream", upstream},
+                   {"deaths", std::to_string(this->crashes.deaths(loss.fingerprint, this->now))}});
+    this->emit(TellCrash {loss.fingerprint, upstream, loss.boot});
+}
+
+void Dispatcher::resolveLosses(Upstream &upstream)
+{
+    for (const UnresolvedLoss &loss : std::exchange(upstream.unresolved, {})) {
+        const bool recent = this->now - loss.at <= unresolvedMemory;
+        if (recent && loss.boot != upstream.report.boot) {
+            this->blame(upstream.listed.name, loss);
+        }
+    }
+}
+
+void Dispatcher::acquit(const Open &finished)
+{
+    const std::uint64_t fingerprint = finished.request.fingerprint;
+    if (!this->crashes.clear(fingerprint)) {
+        return;
+    }
+    this->journal(journal::EventId::CrashCleared, {requestField(finished)});
+    this->emit(TellAcquittal {finished.request.id, fingerprint});
 }
 
 void Dispatcher::checkSilence()
@@ -337,6 +367,13 @@
         this->emit(CancelAttempt {left->request.id, left->attempt, left->upstream, left->generation,
                                   false});
     }
+    if (left->running && left->resumes > 0) {
+        // Its upstream may have died of it. Without this, a caller that gives up early and sends
+        // the same request again would kill one upstream after the other.
+        UpstreamTable::keepUnresolved(
+            *this->upstreams.find(left->upstream),
+            {left->request.id, left->request.fingerprint, this->bootOf(*left), this->now});
+    }
     const Outcome outcome = left->mayHaveRun || left->running ? Outcome::Unknown : Outcome::NotRun;
     this->emit(Refuse {event.request,
                        {RefusalCode::CallerGone, outcome, milliseconds(0), "the caller hung up"}});
--- a/src/decision/events.h
+++ b/src/decision/events.h
@@ -130,6 +130,13 @@
     bool operator==(const CrashReported &other) const = default;
 };
 
+/// A peer saw a crash suspect of this fingerprint run to its end.
+struct CrashAcquitted
+{
+    std::uint64_t fingerprint = 0;
+    bool operator==(const CrashAcquitted &other) const = default;
+};
+
 /// Time went on. Sent every tickInterval.
 struct Tick
 {
@@ -142,9 +149,10 @@
     bool operator==(const StopRequested &other) const = default;
 };
 
-using Event = std::variant<RequestArrived, TokensArrived, CallAnswered, AttemptFailed, CallerLeft,
-                           CallerBusy, UpstreamsListed, PoliciesChanged, UpstreamReported,
-                           CacheChanged, LeaseGranted, CrashReported, Tick, StopRequested>;
+using Event
+    = std::variant<RequestArrived, TokensArrived, CallAnswered, AttemptFailed, CallerLeft,
+                   CallerBusy, UpstreamsListed, PoliciesChanged, UpstreamReported, CacheChanged,
+                   LeaseGranted, CrashReported, CrashAcquitted, Tick, StopRequested>;
 
 // Effects: what is to be done. --------------------------------------------------------------
 
@@ -230,6 +238,14 @@
     bool operator==(const TellCrash &other) const = default;
 };
 
+/// Tell the peers that a crash suspect of this fingerprint ran to its end.
+struct TellAcquittal
+{
+    RequestId request = 0;
+    std::uint64_t fingerprint = 0;
+    bool operator==(const TellAcquittal &other) const = default;
+};
+
 /// Log an event.
 struct Journal
 {
@@ -238,7 +254,7 @@
 };
 
 using Effect = std::variant<StartAttempt, ResumeAttempt, CancelAttempt, Deliver, DeliverAnswer,
-                            Refuse, AskLease, TellCrash, Journal>;
+                            Refuse, AskLease, TellCrash, TellAcquittal, Journal>;
 using Effects = std::vector<Effect>;
 
 } // namespace azurespindle::decision
--- a/src/decision/upstream_table.cpp
+++ b/src/decision/upstream_table.cpp
@@ -155,6 +155,14 @@
     }
 }
 
+void UpstreamTable::keepUnresolved(Upstream &upstream, const UnresolvedLoss &loss)
+{
+    if (upstream.unresolved.size() >= Upstream::maxUnresolved) {
+        upstream.unresolved.erase(upstream.unresolved.begin());
+    }
+    upstream.unresolved.push_back(loss);
+}
+
 Obstacle UpstreamTable::obstacle(const Upstream &upstream, const PlacementQuery &query, double peak)
 {
     if (upstream.listed.condition != Condition::Serving) {
--- a/src/decision/upstream_table.h
+++ b/src/decision/upstream_table.h
@@ -17,6 +17,16 @@
 /// Returns a short text for logs.
 const char *name(Obstacle obstacle);
 
+/// A request whose caller left while its connection to the upstream was lost: whether the upstream
+/// died of it shows only when the upstream reports a new boot number.
+struct UnresolvedLoss
+{
+    RequestId request = 0;
+    std::uint64_t fingerprint = 0;
+    std::uint64_t boot = 0; ///< Life of the upstream that ran it.
+    Instant at;
+};
+
 /// One upstream as this process sees it.
 struct Upstream
 {
@@ -30,6 +40,9 @@
     Evidence evidence;             ///< Not yet told to the steward.
     Instant lastAsked;
     PrefixIndex prefixes;
+    std::vector<UnresolvedLoss> unresolved; ///< Oldest first, at most maxUnresolved.
+
+    static constexpr std::size_t maxUnresolved = 64;
 
     /// Returns how many attempts at once this process may have there at \a now.
     std::uint32_t slots(Instant now) const;
@@ -75,6 +88,8 @@
     /// Counts an attempt that holds \a profile.
     void begin(Upstream &upstream, const MemoryProfile &profile, bool suspect);
     void end(Upstream &upstream, const MemoryProfile &profile, bool suspect);
+    /// Keeps a loss until a new boot number tells what it was.
+    static void keepUnresolved(Upstream &upstream, const UnresolvedLoss &loss);
 
     // Queries
 
--- a/src/members/coordinator.cpp
+++ b/src/members/coordinator.cpp
@@ -375,8 +375,9 @@
 
 void Coordinator::handle(const CrashNote &note)
 {
-    const std::string key
-        = note.upstream + "/" + std::to_string(note.boot) + "/" + std::to_string(note.fingerprint);
+    const bool acquitted = note.verdict == CrashVerdict::Acquitted;
+    const std::string key = (acquitted ? "acquitted/" : "suspected/") + note.source + "/"
+        + std::to_string(note.number) + "/" + std::to_string(note.fingerprint);
     {
         const std::lock_guard lock(this->mutex);
         if (std::exchange(this->crashNotes.touch(key), true)) {
--- a/src/members/messages.cpp
+++ b/src/members/messages.cpp
@@ -315,11 +315,12 @@
 
 void write(Packer &out, const CrashNote &note)
 {
-    out.pack_array(4);
+    out.pack_array(5);
     out.pack(note.pool);
     out.pack(note.fingerprint);
-    out.pack(note.upstream);
-    out.pack(note.boot);
+    out.pack(note.source);
+    out.pack(note.number);
+    out.pack(static_cast<std::uint8_t>(note.verdict));
 }
 
 void read(const Object &from, CrashNote &note)
@@ -327,8 +328,13 @@
     ArrayReader in(from);
     note.pool = in.as<std::string>();
     note.fingerprint = in.as<std::uint64_t>();
-    note.upstream = in.as<std::string>();
-    note.boot = in.as<std::uint64_t>();
+    note.source = in.as<std::string>();
+    note.number = in.as<std::uint64_t>();
+    const auto verdict = in.as<std::uint8_t>();
+    if (verdict > static_cast<std::uint8_t>(CrashVerdict::Acquitted)) {
+        throw msgpack::type_error();
+    }
+    note.verdict = static_cast<CrashVerdict>(verdict);
 }
 
 /// Unpacks the alternative of Message whose position is \a type.
--- a/src/members/messages.h
+++ b/src/members/messages.h
@@ -15,7 +15,7 @@
 
 /// Version of the protocol between entry processes. A member that speaks another one is refused
 /// at its Hello, so that a rolling update sees two fleets of leases rather than a garbled one.
-constexpr std::uint32_t protocolVersion = 1;
+constexpr std::uint32_t protocolVersion = 2;
 
 /// Frames larger than this are refused: a document of one megabyte and its envelope fit.
 constexpr std::size_t maxFrameBytes = 1'500'000;
@@ -108,13 +108,20 @@
     bool operator==(const LeaseGrants &other) const = default;
 };
 
-/// An upstream died while it ran a request of this fingerprint. Passed on once by each member.
+/// What a CrashNote says of a request.
+enum class CrashVerdict : std::uint8_t {
+    Suspected = 0, ///< An upstream died while it ran it.
+    Acquitted = 1, ///< It ran to its end after all.
+};
+
+/// News about a request that may crash upstreams. Passed on once by each member.
 struct CrashNote
 {
     std::string pool;
     std::uint64_t fingerprint = 0;
-    std::string upstream;
-    std::uint64_t boot = 0;
+    std::string source;       ///< The upstream that died, or the member that saw the end.
+    std::uint64_t number = 0; ///< Boot number of that upstream, or the member's request number.
+    CrashVerdict verdict = CrashVerdict::Suspected;
     bool operator==(const CrashNote &other) const = default;
 };
 
--- a/src/serving/core.cpp
+++ b/src/serving/core.cpp
@@ -165,6 +165,8 @@
                 this->hooks.askLease(pool.name(), each);
             } else if constexpr (std::is_same_v<Kind, decision::TellCrash>) {
                 this->hooks.tellCrash(pool.name(), each);
+            } else if constexpr (std::is_same_v<Kind, decision::TellAcquittal>) {
+                this->hooks.tellAcquittal(pool.name(), each);
             } else if constexpr (std::is_same_v<Kind, decision::Journal>) {
                 this->journal.record(each.entry);
             } else {
--- a/src/serving/core.h
+++ b/src/serving/core.h
@@ -24,6 +24,8 @@
 {
     std::function<void(const std::string &pool, const decision::AskLease &ask)> askLease;
     std::function<void(const std::string &pool, const decision::TellCrash &crash)> tellCrash;
+    std::function<void(const std::string &pool, const decision::TellAcquittal &acquittal)>
+        tellAcquittal;
 };
 
 /// The pools of one process: takes requests in, carries out what the pools decide.
--- a/src/serving/entry_process.cpp
+++ b/src/serving/entry_process.cpp
@@ -30,6 +30,10 @@
             },
             [this](const std::string &pool, const decision::TellCrash &crash) {
                 this->coordinator.tellCrash({pool, crash.fingerprint, crash.upstream, crash.boot});
+            },
+            [this](const std::string &pool, const decision::TellAcquittal &acquittal) {
+                this->coordinator.tellCrash({pool, acquittal.fingerprint, this->settings.name,
+                                             acquittal.request, members::CrashVerdict::Acquitted});
             }}),
       coordinator(this->settings, this->makeSelf(), this->client, this->timers, this->registry,
                   this->journal,
@@ -44,9 +48,13 @@
                        this->leases.onGrants(grants);
                    },
                    [this](const members::CrashNote &note) {
+                       if (note.verdict == members::CrashVerdict::Acquitted) {
+                           this->core.post(note.pool, decision::CrashAcquitted {note.fingerprint});
+                           return;
+                       }
                        this->core.post(
                            note.pool,
-                           decision::CrashReported {note.fingerprint, note.upstream, note.boot});
+                           decision::CrashReported {note.fingerprint, note.source, note.number});
                    }}),
       leases(this->settings.name + "#" + std::to_string(this->life), this->coordinator,
              this->client, this->registry, this->journal,
--- a/src/session/codec.cpp
+++ b/src/session/codec.cpp
@@ -206,6 +206,8 @@
          }},
         {"LeaseGranted", leaseGranted},
         {"CrashReported", crashReported},
+        {"CrashAcquitted",
+         [](Reader &in) -> Event { return CrashAcquitted {wide(in, "fingerprint")}; }},
         {"Tick", [](Reader &) -> Event { return Tick {}; }},
         {"StopRequested", [](Reader &) -> Event { return StopRequested {}; }},
     };
@@ -284,6 +286,13 @@
             {"boot", effect.boot}};
 }
 
+Json toJson(const TellAcquittal &effect)
+{
+    return {{"type", "TellAcquittal"},
+            {"request", effect.request},
+            {"fingerprint", effect.fingerprint}};
+}
+
 Json toJson(const Journal &effect)
 {
     Json json {{"type", "Journal"}, {"event", journal::describe(effect.entry.id).name}};
--- a/tests/members/messages_test.cpp
+++ b/tests/members/messages_test.cpp
@@ -27,7 +27,7 @@
             DocumentBody {DocumentKind::Configuration, "{}"},
             LeaseRequests {{{"h", "e", 1, 2, {1, 2, 3, 4, 5, 6}}}},
             LeaseGrants {{grant}},
-            CrashNote {"p", 1, "e", 2}};
+            CrashNote {"p", 1, "e", 2, CrashVerdict::Acquitted}};
 }
 
 /// Changes, drops and inserts a few bytes.
