Share contended engines by workspace across processes; tell the fleet's story in one command

Cause: counters of one process know nothing of the others.

Change: under contention a lease request tells which workspaces wait and what was served; the steward divides the upstream by the workspaces that wait and tells each holder what others served of them. Renewals of a warm contended upstream are paced by the number of upstreams in use.

--- a/bench/serving_suite.cpp
+++ b/bench/serving_suite.cpp
@@ -3,6 +3,7 @@
 #include "suites.h"
 
 #include "experiment.h"
+#include "sharing_experiment.h"
 
 #include <algorithm>
 #include <cmath>
@@ -147,6 +148,20 @@
     report.atMost("serving", "greedy-workspace/others-gap-p95-ratio", worst, "ratio", 1.1);
 }
 
+/// A workspace gets the same share whichever entry processes its callers reach.
+void runSharingOfProcesses(Report &report)
+{
+    SharingOptions options;
+    options.engine.startsWarm = true;
+    const SharingResult result = runSharing(options);
+    const double ratio = std::min(result.concentratedTokens, result.spreadTokens)
+        / std::max(result.concentratedTokens, result.spreadTokens);
+    report.add("serving", "two-workspaces/tokens", result.concentratedTokens + result.spreadTokens,
+               "tokens/s");
+    report.atLeast("serving", "two-workspaces/one-process-beside-nine", ratio, "ratio", 0.9);
+    report.atMost("serving", "two-workspaces/lease-bytes", result.leaseBytes, "bytes/s", 4'096.0);
+}
+
 void runForecastErrors(Report &report)
 {
     double capacity = 0.0;
@@ -188,6 +203,7 @@
         }
     }
     runFairness(report);
+    runSharingOfProcesses(report);
     runForecastErrors(report);
 }
 
--- a/src/callers/operator_api.cpp
+++ b/src/callers/operator_api.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cstdio>
 #include <ctime>
 
 namespace azurespindle::callers {
@@ -27,8 +28,12 @@
     std::tm parts {};
     gmtime_r(&time, &parts);
     char text[32];
-    std::strftime(text, sizeof(text), "%Y-%m-%dT%H:%M:%SZ", &parts);
-    return text;
+    std::strftime(text, sizeof(text), "%Y-%m-%dT%H:%M:%S", &parts);
+    const auto sinceEpoch = std::chrono::duration_cast<milliseconds>(at.time_since_epoch());
+    char fraction[8];
+    std::snprintf(fraction, sizeof(fraction), ".%03dZ",
+                  static_cast<int>(sinceEpoch.count() % 1'000));
+    return std::string(text) + fraction;
 }
 
 Json upstreamJson(const decision::Upstream &upstream, const std::string &steward)
@@ -121,6 +126,7 @@
         Json json;
         json["name"] = status.record.name;
         json["zone"] = status.record.zone;
+        json["callerAddress"] = status.record.callerAddress;
         json["state"] = name(status.record.state);
         json["incarnation"] = status.record.incarnation;
         json["silentMs"] = inMilliseconds(status.silence);
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -1,6 +1,7 @@
 #include "cli/commands.h"
 
 #include "base/text_file.h"
+#include "cli/fleet_explain.h"
 #include "configuration/document.h"
 #include "configuration/vm_list.h"
 #include "http/client.h"
@@ -38,6 +39,7 @@
   --workspace NAME        with configuration
   --upstream NAME         with configuration
   --zone NAME             with configuration
+  --fleet                 with explain: ask every live member, and string their events together
   --verbose               with serve: log debug events too
   --help, --version
 
@@ -46,6 +48,7 @@
   azurespindle serve samples/1-first-steps/settings.json
   azurespindle status --address 127.0.0.1:8080
   azurespindle explain e3 --address 127.0.0.1:8080
+  azurespindle explain e3 --fleet
   azurespindle configuration --workspace acme
 
 Exit codes: 0 done, 1 a fault was found, 2 wrong usage, 3 no answer, 4 start failed.
@@ -161,6 +164,26 @@
     return result.status == statusOk ? ExitOk : ExitFault;
 }
 
+int explainFleet(const std::string &address, const std::string &id)
+{
+    const std::vector<MemberExplanation> members = explainEverywhere(address, id);
+    if (members.empty()) {
+        std::cerr << "azurespindle: no answer from " << address << "\n";
+        return ExitUnreachable;
+    }
+    std::cout << mergeExplanations(members);
+    return ExitOk;
+}
+
+int explain(const std::string &address, const std::vector<std::string> &arguments, bool fleet)
+{
+    if (arguments.size() != 1) {
+        return usageError("explain takes one ID");
+    }
+    return fleet ? explainFleet(address, arguments.front())
+                 : query(address, "/explain?id=" + arguments.front());
+}
+
 int configurationQuery(const std::string &address, const cxxopts::ParseResult &options)
 {
     std::string path = "/configuration";
@@ -198,8 +221,7 @@
         return check(arguments);
     }
     if (command == "explain") {
-        return arguments.size() == 1 ? query(address, "/explain?id=" + arguments.front())
-                                     : usageError("explain takes one ID");
+        return explain(address, arguments, options.count("fleet") > 0);
     }
     if (!arguments.empty()) {
         return usageError(command + " takes no \"" + arguments.front() + "\"");
@@ -225,6 +247,7 @@
     add("workspace", "", cxxopts::value<std::string>());
     add("upstream", "", cxxopts::value<std::string>());
     add("zone", "", cxxopts::value<std::string>());
+    add("fleet", "");
     add("verbose", "");
     add("help", "");
     add("version", "");
--- a/src/decision/dispatcher.cpp
+++ b/src/decision/dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "decision/dispatcher.h"
 
 #include "base/text.h"
+#include "decision/lease_steward.h"
 
 #include <algorithm>
 #include <cmath>
@@ -53,10 +54,18 @@
         && std::none_of(candidates.begin(), candidates.end(), open);
 }
 
-/// Returns the time between two renewals of a lease: long for a warm upstream with room.
-microseconds renewalInterval(const Upstream &upstream)
+/// Returns the time between two renewals of a lease: long for a warm upstream with room, and for a
+/// warm one that others wait for too, where asking more often brings nothing.
+microseconds renewalInterval(const Upstream &upstream, bool urgent, std::size_t used)
 {
     const bool warm = upstream.lease.standalone > 0;
+    if (warm && upstream.lease.contended) {
+        return std::max<microseconds>(Dispatcher::contendedLeaseInterval,
+                                      used * Dispatcher::contendedIntervalEach);
+    }
+    if (urgent) {
+        return Dispatcher::urgentLeaseInterval;
+    }
     const bool room = upstream.outstanding < upstream.lease.concurrency;
     const Evidence &seen = upstream.evidence;
     const std::uint32_t late = seen.gapsLate + seen.firstTokensLate;
@@ -322,7 +331,7 @@
         const auto wanted = static_cast<std::uint32_t>(serves ? perUpstream : 0);
         const bool needed = wanted > 0 || upstream.outstanding > 0 || upstream.lease.concurrency > 0
             || upstream.evidence != Evidence {};
-        const microseconds interval = urgent ? urgentLeaseInterval : renewalInterval(upstream);
+        const microseconds interval = renewalInterval(upstream, urgent, serving);
         if (needed && this->now - upstream.lastAsked >= interval) {
             this->askLease(upstream, wanted);
         }
@@ -332,7 +341,10 @@
 void Dispatcher::askLease(Upstream &upstream, std::uint32_t wanted)
 {
     upstream.lastAsked = this->now;
-    this->emit(AskLease {upstream.listed.name, upstream.outstanding, wanted, upstream.evidence});
+    constexpr std::size_t most = LeaseSteward::maxToldWorkspaces;
+    auto told = UpstreamTable::takeService(upstream, this->queue.waiting(most), most);
+    this->emit(AskLease {upstream.listed.name, upstream.outstanding, wanted, upstream.evidence,
+                         std::move(told)});
     upstream.evidence = {};
     upstream.evidence.peakOutstanding = 0;
 }
@@ -355,9 +367,11 @@
     }
     if (!this->options.leasing) {
         for (const ListedUpstream &listed : event.upstreams) {
-            this->upstreams.grant({listed.name,
-                                   static_cast<std::uint32_t>(listed.policy.maxConcurrency), 1.0,
-                                   Instant::max(), 0, Instant()});
+            LeaseGranted whole;
+            whole.upstream = listed.name;
+            whole.concurrency = static_cast<std::uint32_t>(listed.policy.maxConcurrency);
+            whole.expires = Instant::max();
+            this->upstreams.grant(whole);
         }
     }
     this->dispatch();
@@ -401,6 +415,7 @@
                        {"to", std::to_string(event.concurrency)}});
     }
     this->upstreams.grant(event);
+    this->queue.chargeForeign(event.foreign);
     this->dispatch();
 }
 
@@ -418,8 +433,14 @@
 {
     const std::string &workspace = open.request.workspace;
     const double added = served - open.charged;
+    const double weight = this->queue.policy(workspace).weight;
     this->queue.charge(workspace, added);
-    this->shares.note(workspace, added, this->queue.policy(workspace).weight, this->now);
+    Upstream *upstream = this->upstreams.find(open.upstream);
+    if (upstream != nullptr) {
+        UpstreamTable::noteService(*upstream, workspaceKey(workspace), weight,
+                                   static_cast<std::int32_t>(added));
+    }
+    this->shares.note(workspace, added, weight, this->now);
     open.charged = served;
 }
 
--- a/src/decision/dispatcher.h
+++ b/src/decision/dispatcher.h
@@ -69,7 +69,11 @@
     static constexpr milliseconds tickInterval {50};
     static constexpr milliseconds leaseInterval {2'500}; ///< Between renewals that change nothing.
     static constexpr milliseconds rampingLeaseInterval {
-        250};                                               ///< While a lease is to grow, or cold.
+        250}; ///< While a lease is to grow, or cold.
+    /// While others wait for a warm upstream too: at least so long, and so long for each upstream
+    /// in use, so that leases cost the same bytes however many there are.
+    static constexpr milliseconds contendedLeaseInterval {500};
+    static constexpr milliseconds contendedIntervalEach {200};
     static constexpr milliseconds urgentLeaseInterval {20}; ///< When a request is waiting.
     static constexpr std::uint32_t maxTries = 3;            ///< Upstreams tried for one request.
     static constexpr std::uint32_t maxResumes = 8;          ///< Without a token between them.
--- a/src/decision/events.h
+++ b/src/decision/events.h
@@ -118,6 +118,8 @@
     Instant expires;
     std::uint32_t standalone = 0; ///< Attempts at once if the steward cannot be reached.
     Instant standaloneExpires;
+    bool contended = false; ///< Holders want more than there is: tell what workspaces were served.
+    std::vector<ForeignService> foreign; ///< Of workspaces that wait here.
     bool operator==(const LeaseGranted &other) const = default;
 };
 
@@ -226,6 +228,7 @@
     std::uint32_t inUse = 0;
     std::uint32_t wanted = 0; ///< Attempts that would be started now if there were room.
     Evidence evidence;
+    std::vector<WorkspaceUse> workspaces; ///< At most maxToldWorkspaces; empty without contention.
     bool operator==(const AskLease &other) const = default;
 };
 
--- a/src/decision/fair_queue.cpp
+++ b/src/decision/fair_queue.cpp
@@ -143,6 +143,34 @@
     this->setCounter(workspace, entered, entered.counter + weighted);
 }
 
+void FairQueue::chargeForeign(const std::vector<ForeignService> &foreign)
+{
+    std::vector<std::pair<std::string, double>> charges;
+    for (const auto &[counter, name] : this->byCounter) {
+        for (const ForeignService &service : foreign) {
+            if (service.served != 0 && workspaceKey(name) == service.workspace) {
+                charges.emplace_back(name, service.served);
+            }
+        }
+    }
+    for (const auto &[name, tokens] : charges) {
+        this->charge(name, tokens);
+    }
+}
+
+std::vector<WorkspaceUse> FairQueue::waiting(std::size_t most) const
+{
+    std::vector<WorkspaceUse> least;
+    for (const auto &[counter, name] : this->byCounter) {
+        if (least.size() >= most) {
+            break;
+        }
+        const double weight = this->policy(name).weight;
+        least.push_back({workspaceKey(name), static_cast<float>(weight), true, 0});
+    }
+    return least;
+}
+
 std::vector<RequestId> FairQueue::takeExpired(Instant now)
 {
     std::vector<RequestId> expired;
--- a/src/decision/fair_queue.h
+++ b/src/decision/fair_queue.h
@@ -48,6 +48,8 @@
     bool remove(const std::string &workspace, RequestId id);
     /// Adds \a tokens of service to the workspace's counter; negative ones are given back.
     void charge(const std::string &workspace, double tokens);
+    /// Adds tokens that other processes served of the workspaces that are queued here.
+    void chargeForeign(const std::vector<ForeignService> &foreign);
     /// Removes and returns every request whose time has run out.
     std::vector<RequestId> takeExpired(Instant now);
 
@@ -57,6 +59,8 @@
     std::vector<QueuedRequest> heads(std::size_t most) const;
     /// Returns up to \a most requests of a workspace, in the order in which they would go.
     std::vector<QueuedRequest> firstOf(const std::string &workspace, std::size_t most) const;
+    /// Returns up to \a most workspaces with queued requests, the least served first.
+    std::vector<WorkspaceUse> waiting(std::size_t most) const;
     std::size_t size() const { return this->queued; }
     /// Returns the number of workspaces whose counters are kept.
     std::size_t workspaceCount() const { return this->workspaces.size(); }
--- a/src/decision/lease_steward.cpp
+++ b/src/decision/lease_steward.cpp
@@ -1,6 +1,8 @@
 #include "decision/lease_steward.h"
 
 #include <algorithm>
+#include <cmath>
+#include <utility>
 
 namespace azurespindle::decision {
 namespace {
@@ -18,8 +20,28 @@
                         {"reason", name(reason)}}});
 }
 
+LeaseGrant refused(const std::string &upstream)
+{
+    LeaseGrant grant;
+    grant.upstream = upstream;
+    grant.memoryShare = 0.0;
+    return grant;
+}
+
 } // namespace
 
+LeaseRequest requestOf(const std::string &holder, const AskLease &ask)
+{
+    return {holder, ask.upstream, ask.inUse, ask.wanted, ask.evidence, ask.workspaces};
+}
+
+LeaseGranted grantedAt(const LeaseGrant &grant, Instant now)
+{
+    return {grant.upstream,       grant.concurrency, grant.memoryShare,
+            now + grant.duration, grant.standalone,  now + grant.standaloneDuration,
+            grant.contended,      grant.foreign};
+}
+
 void LeaseSteward::adopt(const std::string &upstream, const configuration::UpstreamPolicy &policy,
                          Instant now, bool mayHavePredecessor)
 {
@@ -28,7 +50,7 @@
         found->second.ramp.setPolicy(policy);
         return;
     }
-    Stewarded stewarded {Ramp(policy), Condition::Serving, now, false, {}};
+    Stewarded stewarded {Ramp(policy), Condition::Serving, now, false, {}, {}};
     if (mayHavePredecessor) {
         stewarded.openFrom = now + warmLeaseDuration + margin;
         stewarded.adoptUse = true;
@@ -76,17 +98,49 @@
     return limit > others ? limit - others : 0;
 }
 
+bool LeaseSteward::wantsMore(const Holder &holder, Instant now)
+{
+    const bool recent = now - holder.lastHeard < warmLeaseDuration;
+    return recent && holder.inUse + holder.wanted > holder.granted;
+}
+
+double LeaseSteward::entitlement(const Stewarded &stewarded, const Holder &holder, Instant now)
+{
+    double sum = 0.0;
+    for (const WorkspaceUse &use : holder.workspaces) {
+        if (!use.queued) {
+            continue;
+        }
+        double places = 0.0;
+        for (const auto &[name, other] : stewarded.holders) {
+            const bool recent = now - other.lastHeard < warmLeaseDuration;
+            const bool waits = std::any_of(
+                other.workspaces.begin(), other.workspaces.end(), [&](const WorkspaceUse &each) {
+                    return each.queued && each.workspace == use.workspace;
+                });
+            places += recent && waits ? 1.0 : 0.0;
+        }
+        sum += use.weight / std::max(places, 1.0);
+    }
+    return sum;
+}
+
 std::uint32_t LeaseSteward::fairShare(const Stewarded &stewarded, const Holder &holder, Instant now)
 {
+    double all = 0.0;
     std::uint32_t asking = 0;
     for (const auto &[name, other] : stewarded.holders) {
         const bool recent = now - other.lastHeard < warmLeaseDuration;
         if (recent && other.inUse + other.wanted > 0) {
             asking += 1;
+            all += entitlement(stewarded, other, now);
         }
     }
-    const std::uint32_t even = stewarded.ramp.limit() / std::max(asking, 1U);
-    return std::max({even, holder.inUse, 1U});
+    const std::uint32_t limit = stewarded.ramp.limit();
+    const double own = entitlement(stewarded, holder, now);
+    // Who does not say which workspaces wait gets what an even split would give.
+    const double share = all > 0.0 && own > 0.0 ? own / all : 1.0 / std::max(asking, 1U);
+    return std::max(static_cast<std::uint32_t>(std::lround(share * limit)), 1U);
 }
 
 std::uint32_t LeaseSteward::grantFor(Stewarded &stewarded, const LeaseRequest &request, Instant now)
@@ -100,21 +154,47 @@
         return 0;
     }
     const std::uint32_t available = room(stewarded, request.holder);
-    std::uint32_t unmet = 0;
-    for (const auto &[name, other] : stewarded.holders) {
-        const bool recent = now - other.lastHeard < warmLeaseDuration;
-        if (name != request.holder && recent && other.inUse + other.wanted > other.granted) {
-            unmet += 1;
-        }
+    const bool othersWait
+        = std::any_of(stewarded.holders.begin(), stewarded.holders.end(), [&](const auto &each) {
+              return each.first != request.holder && wantsMore(each.second, now);
+          });
+    if (othersWait || available < needed) {
+        stewarded.contendedUntil = now + contentionMemory;
     }
-    if (unmet > 0) {
-        const std::uint32_t share = fairShare(stewarded, holder, now);
-        return std::min({available, needed, share});
+    if (othersWait) {
+        return std::min({available, needed, fairShare(stewarded, holder, now)});
     }
     const std::uint32_t spare = stewarded.ramp.warm() ? spareSlots + needed / 4 : 0;
     return std::min(available, needed + spare);
 }
 
+void LeaseSteward::takeService(Stewarded &stewarded, const LeaseRequest &request)
+{
+    for (auto &[name, other] : stewarded.holders) {
+        if (name == request.holder) {
+            continue;
+        }
+        for (ForeignService &service : other.foreign) {
+            for (const WorkspaceUse &use : request.workspaces) {
+                service.served += use.workspace == service.workspace ? use.served : 0;
+            }
+        }
+    }
+    Holder &holder = stewarded.holders.at(request.holder);
+    std::vector<ForeignService> foreign;
+    holder.workspaces.clear();
+    for (const WorkspaceUse &use : request.workspaces) {
+        if (holder.workspaces.size() >= maxToldWorkspaces) {
+            break;
+        }
+        holder.workspaces.push_back(use);
+        if (use.queued) {
+            foreign.push_back({use.workspace, 0});
+        }
+    }
+    holder.foreign = std::move(foreign);
+}
+
 void LeaseSteward::weigh(Stewarded &stewarded, const LeaseRequest &request, Instant now,
                          std::vector<journal::Entry> &entries)
 {
@@ -141,13 +221,13 @@
 {
     const auto found = this->stewardedUpstreams.find(request.upstream);
     if (found == this->stewardedUpstreams.end()) {
-        return {request.upstream, 0, 0.0, milliseconds(0), 0, milliseconds(0)};
+        return refused(request.upstream);
     }
     Stewarded &stewarded = found->second;
     if (stewarded.holders.count(request.holder) == 0 && stewarded.holders.size() >= maxHolders) {
         forgetSilent(stewarded, now);
         if (stewarded.holders.size() >= maxHolders) {
-            return {request.upstream, 0, 0.0, milliseconds(0), 0, milliseconds(0)};
+            return refused(request.upstream);
         }
     }
     Holder &holder = stewarded.holders[request.holder];
@@ -161,9 +241,12 @@
     }
     this->weigh(stewarded, request, now, entries);
     LeaseGrant grant;
+    grant.foreign = std::exchange(holder.foreign, {});
+    takeService(stewarded, request);
     grant.upstream = request.upstream;
     grant.concurrency = grantFor(stewarded, request, now);
     grant.duration = stewarded.ramp.warm() ? warmLeaseDuration : coldLeaseDuration;
+    grant.contended = now < stewarded.contendedUntil;
     holder.granted = grant.concurrency;
     if (stewarded.ramp.warm() && grant.concurrency > 0) {
         const auto members = static_cast<std::uint32_t>(std::max<std::size_t>(memberCount, 1));
--- a/src/decision/lease_steward.h
+++ b/src/decision/lease_steward.h
@@ -18,6 +18,7 @@
     std::uint32_t inUse = 0;
     std::uint32_t wanted = 0;
     Evidence evidence;
+    std::vector<WorkspaceUse> workspaces; ///< Empty without contention.
     bool operator==(const LeaseRequest &other) const = default;
 };
 
@@ -30,9 +31,17 @@
     milliseconds duration {0};
     std::uint32_t standalone = 0;
     milliseconds standaloneDuration {0};
+    bool contended = false;              ///< Some holder wants more than there is.
+    std::vector<ForeignService> foreign; ///< Since the holder's last grant.
     bool operator==(const LeaseGrant &other) const = default;
 };
 
+/// Returns the request that carries \a ask to the steward.
+LeaseRequest requestOf(const std::string &holder, const AskLease &ask);
+
+/// Returns the event that tells a pool of a grant that came at \a now.
+LeaseGranted grantedAt(const LeaseGrant &grant, Instant now);
+
 /// Hands out the capacity of upstreams as short leases, so that the fleet together never gives an
 /// upstream more than its ramp allows.
 ///
@@ -54,6 +63,9 @@
     static constexpr std::size_t maxHolders = 1'024; ///< For each upstream.
     /// Slots granted beyond the stated need while there is room.
     static constexpr std::uint32_t spareSlots = 2;
+    static constexpr std::size_t maxToldWorkspaces = 4; ///< In one request.
+    /// An upstream counts as contended for so long after a holder got less than it wanted.
+    static constexpr milliseconds contentionMemory {5'000};
 
     // Commands
 
@@ -94,6 +106,8 @@
         std::uint32_t wanted = 0;
         std::uint32_t standalone = 0;
         Instant lastHeard;
+        std::vector<WorkspaceUse> workspaces; ///< As last told.
+        std::vector<ForeignService> foreign;  ///< Not told yet; of the workspaces above.
     };
     struct Stewarded
     {
@@ -101,13 +115,19 @@
         Condition condition = Condition::Serving;
         Instant openFrom; ///< Nothing is handed out before.
         bool adoptUse = false;
-        std::map<std::string, Holder> holders;
+        Instant contendedUntil {};
+        std::map<std::string, Holder> holders {};
     };
 
     static std::uint32_t heldBy(const Holder &holder);
     static std::uint32_t total(const Stewarded &stewarded);
     static std::uint32_t room(const Stewarded &stewarded, const std::string &holder);
+    static bool wantsMore(const Holder &holder, Instant now);
+    /// Returns the weights of the workspaces that wait at the holder, each divided by the number
+    /// of holders where it waits.
+    static double entitlement(const Stewarded &stewarded, const Holder &holder, Instant now);
     static std::uint32_t fairShare(const Stewarded &stewarded, const Holder &holder, Instant now);
+    static void takeService(Stewarded &stewarded, const LeaseRequest &request);
     static void forgetSilent(Stewarded &stewarded, Instant now);
     void weigh(Stewarded &stewarded, const LeaseRequest &request, Instant now,
                std::vector<journal::Entry> &entries);
--- a/src/decision/types.cpp
+++ b/src/decision/types.cpp
@@ -1,7 +1,14 @@
 #include "decision/types.h"
 
+#include <xxhash.h>
+
 namespace azurespindle::decision {
 
+WorkspaceKey workspaceKey(const std::string &workspace)
+{
+    return XXH32(workspace.data(), workspace.size(), 0);
+}
+
 const char *name(Priority priority)
 {
     switch (priority) {
--- a/src/decision/types.h
+++ b/src/decision/types.h
@@ -114,6 +114,32 @@
     bool operator==(const Evidence &other) const = default;
 };
 
+/// Names a workspace between processes in few bytes. Two workspaces of one key count as one.
+using WorkspaceKey = std::uint32_t;
+
+/// Returns the key of a workspace.
+WorkspaceKey workspaceKey(const std::string &workspace);
+
+/// A workspace that waits for an upstream, or was served by it, at one holder of leases.
+struct WorkspaceUse
+{
+    WorkspaceKey workspace = 0;
+    float weight = 1.0F;
+    bool queued = false;     ///< The holder has a request of it that waits.
+    std::int32_t served = 0; ///< Tokens since this was last told; a forecast is corrected.
+
+    bool operator==(const WorkspaceUse &other) const = default;
+};
+
+/// What other holders served of a workspace.
+struct ForeignService
+{
+    WorkspaceKey workspace = 0;
+    std::int32_t served = 0; ///< Tokens.
+
+    bool operator==(const ForeignService &other) const = default;
+};
+
 enum class Condition { Serving, Leaving, Out };
 
 /// Returns the stable text of each value, as it stands in logs and problem documents.
--- a/src/decision/upstream_table.cpp
+++ b/src/decision/upstream_table.cpp
@@ -156,6 +156,50 @@
     }
 }
 
+void UpstreamTable::noteService(Upstream &upstream, WorkspaceKey workspace, double weight,
+                                std::int32_t tokens)
+{
+    if (!upstream.lease.contended) {
+        upstream.untold.clear();
+        return;
+    }
+    const auto same = [&](const WorkspaceUse &each) { return each.workspace == workspace; };
+    const auto found = std::find_if(upstream.untold.begin(), upstream.untold.end(), same);
+    if (found != upstream.untold.end()) {
+        found->served += tokens;
+    } else if (upstream.untold.size() < Upstream::maxUntold) {
+        upstream.untold.push_back({workspace, static_cast<float>(weight), false, tokens});
+    }
+}
+
+std::vector<WorkspaceUse> UpstreamTable::takeService(Upstream &upstream,
+                                                     const std::vector<WorkspaceUse> &waiting,
+                                                     std::size_t most)
+{
+    if (!upstream.lease.contended) {
+        return {};
+    }
+    std::vector<WorkspaceUse> told = waiting;
+    told.resize(std::min(told.size(), most));
+    for (WorkspaceUse &use : told) {
+        const auto same = [&](const WorkspaceUse &each) { return each.workspace == use.workspace; };
+        const auto found = std::find_if(upstream.untold.begin(), upstream.untold.end(), same);
+        if (found != upstream.untold.end()) {
+            use.served = found->served;
+            upstream.untold.erase(found);
+        }
+    }
+    const auto more = [](const WorkspaceUse &a, const WorkspaceUse &b) {
+        return a.served != b.served ? a.served > b.served : a.workspace < b.workspace;
+    };
+    std::sort(upstream.untold.begin(), upstream.untold.end(), more);
+    while (told.size() < most && !upstream.untold.empty()) {
+        told.push_back(upstream.untold.front());
+        upstream.untold.erase(upstream.untold.begin());
+    }
+    return told;
+}
+
 void UpstreamTable::noteDisplaced(const std::vector<Candidate> &candidates, std::size_t chosen)
 {
     const Tokens computed = candidates[chosen].uncachedTokens;
--- a/src/decision/upstream_table.h
+++ b/src/decision/upstream_table.h
@@ -38,6 +38,8 @@
     std::uint32_t suspects = 0;    ///< Of these, crash suspects.
     double foreignMemory = 0.0;    ///< KV tokens that others hold, from the last report.
     Evidence evidence;             ///< Not yet told to the steward.
+    /// Tokens by workspace, not yet told to the steward; kept while there is contention.
+    std::vector<WorkspaceUse> untold;
     Instant lastAsked;
     PrefixIndex prefixes;
     /// Part that workspaces above their share may fill; the rest is room for the others at the
@@ -47,6 +49,7 @@
     std::vector<UnresolvedLoss> unresolved; ///< Oldest first, at most maxUnresolved.
 
     static constexpr std::size_t maxUnresolved = 64;
+    static constexpr std::size_t maxUntold = 64;
     static constexpr double leastAboveSharePart = 0.6;
     static constexpr double partKeptByDisplaced = 0.9;
     static constexpr double partRegained = 0.004; ///< Each second.
@@ -98,6 +101,13 @@
     /// Counts an attempt that holds \a profile.
     void begin(Upstream &upstream, const MemoryProfile &profile, bool suspect);
     void end(Upstream &upstream, const MemoryProfile &profile, bool suspect);
+    /// Notes service of a workspace that is to be told to the steward.
+    static void noteService(Upstream &upstream, WorkspaceKey workspace, double weight,
+                            std::int32_t tokens);
+    /// Takes out what is to be told with the next lease request: the workspaces of \a waiting
+    /// first, then those that were served most.
+    static std::vector<WorkspaceUse>
+    takeService(Upstream &upstream, const std::vector<WorkspaceUse> &waiting, std::size_t most);
     /// Notes the engines that would have had the prompt cached, but were full.
     void noteDisplaced(const std::vector<Candidate> &candidates, std::size_t chosen);
     /// Gives back room that was kept for prompts; \a elapsed since the last call.
--- a/src/members/messages.cpp
+++ b/src/members/messages.cpp
@@ -2,6 +2,7 @@
 
 #include <msgpack.hpp>
 
+#include <cmath>
 #include <zlib.h>
 
 namespace azurespindle::members {
@@ -58,6 +59,10 @@
 void read(const Object &from, decision::LeaseRequest &request);
 void write(Packer &out, const GrantWithReport &granted);
 void read(const Object &from, GrantWithReport &granted);
+void write(Packer &out, const decision::WorkspaceUse &use);
+void read(const Object &from, decision::WorkspaceUse &use);
+void write(Packer &out, const decision::ForeignService &service);
+void read(const Object &from, decision::ForeignService &service);
 void write(Packer &out, const decision::PermitRequest &request);
 void read(const Object &from, decision::PermitRequest &request);
 void write(Packer &out, const decision::PermitAnswer &answer);
@@ -236,12 +241,13 @@
 
 void write(Packer &out, const decision::LeaseRequest &request)
 {
-    out.pack_array(5);
+    out.pack_array(6);
     out.pack(request.holder);
     out.pack(request.upstream);
     out.pack(request.inUse);
     out.pack(request.wanted);
     write(out, request.evidence);
+    packList(out, request.workspaces);
 }
 
 void read(const Object &from, decision::LeaseRequest &request)
@@ -252,6 +258,42 @@
     request.inUse = in.as<std::uint32_t>();
     request.wanted = in.as<std::uint32_t>();
     read(in.next(), request.evidence);
+    unpackList(in.next(), request.workspaces);
+}
+
+void write(Packer &out, const decision::WorkspaceUse &use)
+{
+    out.pack_array(4);
+    out.pack(use.workspace);
+    out.pack(use.weight);
+    out.pack(use.queued);
+    out.pack(use.served);
+}
+
+void read(const Object &from, decision::WorkspaceUse &use)
+{
+    ArrayReader in(from);
+    use.workspace = in.as<decision::WorkspaceKey>();
+    use.weight = in.as<float>();
+    use.queued = in.as<bool>();
+    use.served = in.as<std::int32_t>();
+    if (!std::isfinite(use.weight) || use.weight < 0.0F) {
+        throw msgpack::type_error();
+    }
+}
+
+void write(Packer &out, const decision::ForeignService &service)
+{
+    out.pack_array(2);
+    out.pack(service.workspace);
+    out.pack(service.served);
+}
+
+void read(const Object &from, decision::ForeignService &service)
+{
+    ArrayReader in(from);
+    service.workspace = in.as<decision::WorkspaceKey>();
+    service.served = in.as<std::int32_t>();
 }
 
 void write(Packer &out, const LeaseRequests &requests)
@@ -289,7 +331,7 @@
 void write(Packer &out, const GrantWithReport &granted)
 {
     const decision::LeaseGrant &grant = granted.grant;
-    out.pack_array(8);
+    out.pack_array(10);
     out.pack(grant.upstream);
     out.pack(grant.concurrency);
     out.pack(grant.memoryShare);
@@ -298,6 +340,8 @@
     out.pack(static_cast<std::uint32_t>(grant.standaloneDuration.count()));
     out.pack(granted.hasReport);
     write(out, granted.report);
+    out.pack(grant.contended);
+    packList(out, grant.foreign);
 }
 
 void read(const Object &from, GrantWithReport &granted)
@@ -311,6 +355,8 @@
     granted.grant.standaloneDuration = milliseconds(in.as<std::uint32_t>());
     granted.hasReport = in.as<bool>();
     read(in.next(), granted.report);
+    granted.grant.contended = in.as<bool>();
+    unpackList(in.next(), granted.grant.foreign);
 }
 
 void write(Packer &out, const LeaseGrants &grants)
--- a/src/serving/lease_service.cpp
+++ b/src/serving/lease_service.cpp
@@ -161,8 +161,7 @@
 
 void LeaseService::ask(const std::string &, const decision::AskLease &ask)
 {
-    const decision::LeaseRequest request {this->holder, ask.upstream, ask.inUse, ask.wanted,
-                                          ask.evidence};
+    const decision::LeaseRequest request = decision::requestOf(this->holder, ask);
     std::string stewardName;
     {
         const std::lock_guard lock(this->mutex);
@@ -215,10 +214,7 @@
         report.at = now;
         this->postToPool(pool, decision::UpstreamReported {grant.upstream, report});
     }
-    this->postToPool(pool,
-                     decision::LeaseGranted {grant.upstream, grant.concurrency, grant.memoryShare,
-                                             now + grant.duration, grant.standalone,
-                                             now + grant.standaloneDuration});
+    this->postToPool(pool, decision::grantedAt(grant, now));
 }
 
 void LeaseService::onRequests(const std::string &from, const members::LeaseRequests &requests)
--- a/src/session/codec.cpp
+++ b/src/session/codec.cpp
@@ -169,6 +169,11 @@
     event.expires = instant(in, "expires");
     event.standalone = count(in, "standalone");
     event.standaloneExpires = instant(in, "standaloneExpires");
+    event.contended = in.boolean("contended", false);
+    in.objectList("foreign", [&](Reader &each) {
+        event.foreign.push_back({workspaceKey(each.requiredText("workspace")),
+                                 static_cast<std::int32_t>(count(each, "served"))});
+    });
     return event;
 }
 
@@ -269,13 +274,18 @@
 Json toJson(const AskLease &effect)
 {
     const Evidence &evidence = effect.evidence;
-    return {{"type", "AskLease"},
-            {"upstream", effect.upstream},
-            {"inUse", effect.inUse},
-            {"wanted", effect.wanted},
-            {"firstTokens", {evidence.firstTokensInTime, evidence.firstTokensLate}},
-            {"gaps", {evidence.gapsInTime, evidence.gapsLate}},
-            {"failures", evidence.failures}};
+    Json json {{"type", "AskLease"},
+               {"upstream", effect.upstream},
+               {"inUse", effect.inUse},
+               {"wanted", effect.wanted},
+               {"firstTokens", {evidence.firstTokensInTime, evidence.firstTokensLate}},
+               {"gaps", {evidence.gapsInTime, evidence.gapsLate}},
+               {"failures", evidence.failures}};
+    for (const WorkspaceUse &use : effect.workspaces) {
+        json["workspaces"].push_back(
+            {{"key", use.workspace}, {"queued", use.queued}, {"served", use.served}});
+    }
+    return json;
 }
 
 Json toJson(const TellCrash &effect)
--- a/tests/decision/fair_queue_test.cpp
+++ b/tests/decision/fair_queue_test.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(aFullQueueRefuses);
     CPPUNIT_TEST(expiredRequestsAreTakenOut);
     CPPUNIT_TEST(workspacesAreBoundedWhateverCallersSend);
+    CPPUNIT_TEST(serviceOfOtherProcessesCounts);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -109,6 +110,19 @@
         }
         CPPUNIT_ASSERT(queue.workspaceCount() <= FairQueue::maxWorkspaces);
     }
+
+    void serviceOfOtherProcessesCounts()
+    {
+        FairQueue queue;
+        queue.push("spread", queued(1));
+        queue.push("concentrated", queued(2));
+        queue.charge("concentrated", 100.0);
+        CPPUNIT_ASSERT_EQUAL(RequestId(1), queue.heads(1).front().id);
+        queue.chargeForeign({{workspaceKey("spread"), 800}, {workspaceKey("unknown"), 9}});
+        CPPUNIT_ASSERT_EQUAL(RequestId(2), queue.heads(1).front().id);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(800.0, queue.counter("spread"), 0.1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), queue.workspaceCount());
+    }
 };
 
 REGISTER_SUITE(FairQueueTest, "fair_queue");
