--- a/src/decision/dispatcher.cpp
+++ b/src/decision/dispatcher.cpp
@@ -217,12 +217,15 @@
 
 bool Dispatcher::tryPlaceOneOf(const QueuedRequest &head)
 {
+    if (this->tryPlace(head, true)) {
+        return true;
+    }
     // When all engines are full, room appears on one at a time, and the head's prompt is seldom
     // the one that is cached there. A later request of the same workspace may be.
-    const std::string workspace = this->open.at(head.id).request.workspace;
-    const auto candidates = this->queue.firstOf(workspace, cacheSearchDepth);
-    for (const QueuedRequest &each : candidates) {
-        if (each.priority == head.priority && this->tryPlace(each, true)) {
+    const std::string &workspace = this->open.at(head.id).request.workspace;
+    for (const QueuedRequest &each : this->queue.firstOf(workspace, cacheSearchDepth)) {
+        const bool other = each.id != head.id && each.priority == head.priority;
+        if (other && this->tryPlace(each, true)) {
             return true;
         }
     }
@@ -436,7 +439,7 @@
     const double weight = this->queue.policy(workspace).weight;
     this->queue.charge(workspace, added);
     Upstream *upstream = this->upstreams.find(open.upstream);
-    if (upstream != nullptr) {
+    if (upstream != nullptr && upstream->lease.contended) {
         UpstreamTable::noteService(*upstream, workspaceKey(workspace), weight,
                                    static_cast<std::int32_t>(added));
     }
--- a/src/decision/upstream_table.cpp
+++ b/src/decision/upstream_table.cpp
@@ -122,6 +122,9 @@
     Upstream *upstream = this->find(lease.upstream);
     if (upstream != nullptr) {
         upstream->lease = lease;
+        if (!lease.contended) {
+            upstream->untold.clear();
+        }
     }
 }
 
@@ -159,10 +162,6 @@
 void UpstreamTable::noteService(Upstream &upstream, WorkspaceKey workspace, double weight,
                                 std::int32_t tokens)
 {
-    if (!upstream.lease.contended) {
-        upstream.untold.clear();
-        return;
-    }
     const auto same = [&](const WorkspaceUse &each) { return each.workspace == workspace; };
     const auto found = std::find_if(upstream.untold.begin(), upstream.untold.end(), same);
     if (found != upstream.untold.end()) {
--- a/src/decision/upstream_table.h
+++ b/src/decision/upstream_table.h
@@ -101,7 +101,7 @@
     /// Counts an attempt that holds \a profile.
     void begin(Upstream &upstream, const MemoryProfile &profile, bool suspect);
     void end(Upstream &upstream, const MemoryProfile &profile, bool suspect);
-    /// Notes service of a workspace that is to be told to the steward.
+    /// Notes service of a workspace at a contended upstream, to be told to its steward.
     static void noteService(Upstream &upstream, WorkspaceKey workspace, double weight,
                             std::int32_t tokens);
     /// Takes out what is to be told with the next lease request: the workspaces of \a waiting
