--- a/src/configuration/document.cpp
+++ b/src/configuration/document.cpp
@@ -168,6 +168,18 @@
     }
 }
 
+void checkRegions(json::ObjectReader &reader, const std::vector<Region> &regions)
+{
+    std::set<std::string> seen;
+    for (const Region &region : regions) {
+        for (const std::string &zone : region.zones) {
+            if (!seen.insert(zone).second) {
+                reader.addFault("regions", "each zone once (\"" + zone + "\" stands twice)");
+            }
+        }
+    }
+}
+
 /// An engine can only be ordered to load a model that callers may name.
 void checkWantedModels(json::ObjectReader &reader, const Document &document)
 {
@@ -264,6 +276,9 @@
         document.services.push_back(
             {service.requiredText("name"), service.boolean("repeatable", false)});
     });
+    reader.objectList("regions", [&](json::ObjectReader &region) {
+        document.regions.push_back({region.requiredText("name"), region.textList("zones")});
+    });
     reader.objectList("exceptions", [&](json::ObjectReader &exception) {
         document.exceptions.push_back(readException(exception, document.upstreamDefaults));
     });
@@ -273,6 +288,8 @@
         document.outMarks.push_back(out);
     });
     checkNames(reader, "models", document.models);
+    checkNames(reader, "regions", document.regions);
+    checkRegions(reader, document.regions);
     checkWantedModels(reader, document);
     checkNames(reader, "services", document.services);
     checkExceptions(reader, document.exceptions);
@@ -326,6 +343,16 @@
     return std::nullopt;
 }
 
+std::string regionOf(const Document &document, const std::string &zone)
+{
+    for (const Region &region : document.regions) {
+        if (contains(region.zones, zone)) {
+            return region.name;
+        }
+    }
+    return {};
+}
+
 std::vector<std::string> differences(const Document &before, const Document &after)
 {
     std::vector<std::string> lines;
@@ -365,6 +392,9 @@
     if (before.models != after.models || before.services != after.services) {
         lines.emplace_back("models or services changed");
     }
+    if (before.regions != after.regions) {
+        lines.emplace_back("regions changed");
+    }
     if (before.orders != after.orders) {
         lines.emplace_back("order limits changed");
     }
--- a/src/configuration/document.h
+++ b/src/configuration/document.h
@@ -105,6 +105,15 @@
     bool operator==(const OutMark &other) const = default;
 };
 
+/// Zones that are near one another.
+struct Region
+{
+    std::string name;
+    std::vector<std::string> zones;
+
+    bool operator==(const Region &other) const = default;
+};
+
 /// The whole published configuration. Two documents of one revision are the same document.
 struct Document
 {
@@ -115,6 +124,7 @@
     OrderPolicy orders;
     std::vector<Model> models;
     std::vector<Service> services;
+    std::vector<Region> regions; ///< Zones of no region are near one another.
     std::vector<Exception> exceptions;
     std::vector<OutMark> outMarks;
 
@@ -143,6 +153,9 @@
 std::optional<OutMark> outMark(const Document &document, const std::string &vm,
                                const std::string &zone);
 
+/// Returns the region of \a zone, or an empty text if it is in none.
+std::string regionOf(const Document &document, const std::string &zone);
+
 /// Returns one line for each difference, such as "zone north-1 marked out: maintenance".
 std::vector<std::string> differences(const Document &before, const Document &after);
 
--- a/src/decision/lease_steward.cpp
+++ b/src/decision/lease_steward.cpp
@@ -50,7 +50,7 @@
         found->second.ramp.setPolicy(policy);
         return;
     }
-    Stewarded stewarded {Ramp(policy), Condition::Serving, now, false, {}, {}};
+    Stewarded stewarded {Ramp(policy), Condition::Serving, now, false, {}, 0.0, {}};
     if (mayHavePredecessor) {
         stewarded.openFrom = now + warmLeaseDuration + margin;
         stewarded.adoptUse = true;
@@ -88,7 +88,7 @@
 
 std::uint32_t LeaseSteward::room(const Stewarded &stewarded, const std::string &holder)
 {
-    std::uint32_t others = 0;
+    auto others = static_cast<std::uint32_t>(std::lround(stewarded.foreign));
     for (const auto &[name, other] : stewarded.holders) {
         if (name != holder) {
             others += heldBy(other);
@@ -271,6 +271,19 @@
     noteRamp(upstream, reason, before, found->second.ramp.limit(), entries);
 }
 
+void LeaseSteward::noteBusy(const std::string &upstream, std::uint32_t busy)
+{
+    const auto found = this->stewardedUpstreams.find(upstream);
+    if (found == this->stewardedUpstreams.end()) {
+        return;
+    }
+    Stewarded &stewarded = found->second;
+    const std::uint32_t own = total(stewarded);
+    const double seen = busy > own ? busy - own : 0;
+    // Half way each time: two stewards that both gave way at once would both come back at once.
+    stewarded.foreign = (stewarded.foreign + seen) / 2.0;
+}
+
 void LeaseSteward::turnCold(const std::string &upstream, Instant now,
                             std::vector<journal::Entry> &entries)
 {
--- a/src/decision/lease_steward.h
+++ b/src/decision/lease_steward.h
@@ -83,6 +83,9 @@
     /// Takes in the boot number of a load report.
     void noteBoot(const std::string &upstream, std::uint64_t boot, Instant now,
                   std::vector<journal::Entry> &entries);
+    /// Takes in how many generations an engine reports. Those beyond what this steward has handed
+    /// out are of holders that it does not hear: another steward's, across a partition.
+    void noteBusy(const std::string &upstream, std::uint32_t busy);
     /// Takes an upstream that loaded something new for a cold one.
     void turnCold(const std::string &upstream, Instant now, std::vector<journal::Entry> &entries);
     /// Lets unused limits fall and forgets silent holders.
@@ -116,6 +119,7 @@
         Instant openFrom; ///< Nothing is handed out before.
         bool adoptUse = false;
         Instant contendedUntil {};
+        double foreign = 0.0; ///< Attempts of holders that are not heard, smoothed.
         std::map<std::string, Holder> holders {};
     };
 
--- a/src/members/coordinator.h
+++ b/src/members/coordinator.h
@@ -28,6 +28,8 @@
     std::function<void(const CrashNote &note)> onCrash;
     std::function<void(const std::string &from, const PermitRequests &requests)> onPermitRequests;
     std::function<void(const PermitAnswers &answers)> onPermitAnswers;
+    /// See PeerCallbacks::reachable.
+    std::function<bool(const std::string &member)> reachable {};
 };
 
 /// What one member last said of itself, for `azurespindle status`.
--- /dev/null
+++ b/src/members/coordinator_messages.cpp
@@ -0,0 +1,164 @@
+// The part of Coordinator that takes in what other members say.
+
+#include "members/coordinator.h"
+
+#include <utility>
+
+namespace azurespindle::members {
+
+void Coordinator::onHello(const MemberRecord &record)
+{
+    News news;
+    MemberNews whole;
+    {
+        const std::lock_guard lock(this->mutex);
+        const Instant now = monotonicNow();
+        this->peerHeard = true;
+        news = this->membership.learn({record}, now);
+        const News heard = this->membership.hear(record.name, record.incarnation, now);
+        news.insert(news.end(), heard.begin(), heard.end());
+        whole = {this->membership.records(), true};
+    }
+    if (!news.empty()) {
+        this->network.send(record, whole);
+    }
+    Heartbeat own;
+    {
+        const std::lock_guard lock(this->mutex);
+        own = this->heartbeat();
+    }
+    this->network.send(record, own);
+    this->afterChange(news);
+}
+
+void Coordinator::onMessage(const std::string &from, const Message &message)
+{
+    if (const auto *heartbeat = std::get_if<Heartbeat>(&message)) {
+        this->handle(from, *heartbeat);
+    } else if (const auto *news = std::get_if<MemberNews>(&message)) {
+        this->handle(from, *news);
+    } else if (const auto *wanted = std::get_if<DocumentWanted>(&message)) {
+        this->handle(from, *wanted);
+    } else if (const auto *body = std::get_if<DocumentBody>(&message)) {
+        this->handle(from, *body);
+    } else if (const auto *requests = std::get_if<LeaseRequests>(&message)) {
+        this->hooks.onLeaseRequests(from, *requests);
+    } else if (const auto *grants = std::get_if<LeaseGrants>(&message)) {
+        this->hooks.onLeaseGrants(from, *grants);
+    } else if (const auto *note = std::get_if<CrashNote>(&message)) {
+        this->handle(*note);
+    } else if (const auto *permits = std::get_if<PermitRequests>(&message)) {
+        this->hooks.onPermitRequests(from, *permits);
+    } else if (const auto *answers = std::get_if<PermitAnswers>(&message)) {
+        this->hooks.onPermitAnswers(*answers);
+    }
+}
+
+void Coordinator::handle(const std::string &from, const Heartbeat &heartbeat)
+{
+    News news;
+    std::optional<MemberRecord> sender;
+    MemberNews whole;
+    bool wantsConfiguration = false;
+    bool wantsVmList = false;
+    bool differs = false;
+    {
+        const std::lock_guard lock(this->mutex);
+        news = this->membership.hear(from, heartbeat.incarnation, monotonicNow());
+        sender = this->membership.find(from);
+        this->heartbeats.touch(from) = heartbeat;
+        if (heartbeat.chosen) {
+            this->chosenBy[from] = monotonicNow();
+        } else {
+            this->chosenBy.erase(from);
+        }
+        wantsConfiguration = heartbeat.configurationRevision
+            > this->documents.revision(DocumentKind::Configuration);
+        wantsVmList = heartbeat.vmListRevision > this->documents.revision(DocumentKind::VmList);
+        differs = heartbeat.membershipDigest != this->membership.digest();
+        whole = {this->membership.records(), true};
+    }
+    if (!sender) {
+        return;
+    }
+    if (wantsConfiguration) {
+        this->network.send(*sender, DocumentWanted {DocumentKind::Configuration});
+    }
+    if (wantsVmList) {
+        this->network.send(*sender, DocumentWanted {DocumentKind::VmList});
+    }
+    if (differs) {
+        this->network.send(*sender, whole);
+    }
+    this->afterChange(news);
+}
+
+void Coordinator::handle(const std::string &from, const MemberNews &received)
+{
+    News news;
+    std::optional<MemberRecord> accuser;
+    MemberRecord own;
+    {
+        const std::lock_guard lock(this->mutex);
+        const std::uint64_t before = this->membership.self().incarnation;
+        news = this->membership.learn(received.records, monotonicNow());
+        own = this->membership.self();
+        if (own.incarnation != before) {
+            accuser = this->membership.find(from);
+        }
+    }
+    this->afterChange(news);
+    if (accuser) {
+        // Who held this process for dead is not among its neighbours, which hear of it anyway.
+        this->network.send(*accuser, MemberNews {{own}, false});
+    }
+}
+
+void Coordinator::handle(const std::string &from, const DocumentWanted &wanted)
+{
+    std::string text;
+    std::optional<MemberRecord> sender;
+    {
+        const std::lock_guard lock(this->mutex);
+        text = this->documents.text(wanted.kind);
+        sender = this->membership.find(from);
+    }
+    if (sender && !text.empty()) {
+        this->network.send(*sender, DocumentBody {wanted.kind, text});
+    }
+}
+
+void Coordinator::handle(const std::string &from, const DocumentBody &body)
+{
+    this->offer(body.kind, body.text, "member " + from);
+}
+
+void Coordinator::handle(const CrashNote &note)
+{
+    const bool acquitted = note.verdict == CrashVerdict::Acquitted;
+    const std::string key = (acquitted ? "acquitted/" : "suspected/") + note.source + "/"
+        + std::to_string(note.number) + "/" + std::to_string(note.fingerprint);
+    {
+        const std::lock_guard lock(this->mutex);
+        if (std::exchange(this->crashNotes.touch(key), true)) {
+            return;
+        }
+    }
+    this->hooks.onCrash(note);
+    this->tellNeighbours(note);
+}
+
+void Coordinator::tellCrash(const CrashNote &note)
+{
+    this->handle(note);
+}
+
+void Coordinator::send(const std::string &member, const Message &message)
+{
+    const auto record = this->find(member);
+    if (record) {
+        this->network.send(*record, message);
+    }
+}
+
+} // namespace azurespindle::members
--- /dev/null
+++ b/src/members/internal/frame_codec.h
@@ -0,0 +1,101 @@
+#ifndef AZURESPINDLE_MEMBERS_INTERNAL_FRAME_CODEC_H
+#define AZURESPINDLE_MEMBERS_INTERNAL_FRAME_CODEC_H
+
+#include "members/messages.h"
+
+#include <msgpack.hpp>
+
+#include <utility>
+#include <vector>
+
+namespace azurespindle::members::internal {
+
+using Packer = msgpack::packer<msgpack::sbuffer>;
+using Object = msgpack::object;
+
+/// Reads the elements of a msgpack array one after the other; any misfit throws type_error.
+class ArrayReader
+{
+public:
+    explicit ArrayReader(const Object &object)
+    {
+        if (object.type != msgpack::type::ARRAY) {
+            throw msgpack::type_error();
+        }
+        this->array = object.via.array;
+    }
+
+    const Object &next()
+    {
+        if (this->position >= this->array.size) {
+            throw msgpack::type_error();
+        }
+        return this->array.ptr[this->position++];
+    }
+
+    template<typename Value> Value as() { return this->next().as<Value>(); }
+
+    /// Returns the next element as an enumeration whose last value is \a last.
+    template<typename Enumeration> Enumeration enumeration(Enumeration last)
+    {
+        const auto number = this->as<std::uint8_t>();
+        if (number > static_cast<std::uint8_t>(last)) {
+            throw msgpack::type_error();
+        }
+        return static_cast<Enumeration>(number);
+    }
+
+    std::uint32_t size() const { return this->array.size; }
+
+private:
+    msgpack::object_array array {};
+    std::uint32_t position = 0;
+};
+
+// Each type has write and read side by side, with its fields in the same order; read throws
+// type_error at any misfit.
+
+void write(Packer &out, const MemberRecord &record);
+void read(const Object &from, MemberRecord &record);
+void write(Packer &out, const decision::LeaseRequest &request);
+void read(const Object &from, decision::LeaseRequest &request);
+void write(Packer &out, const GrantWithReport &granted);
+void read(const Object &from, GrantWithReport &granted);
+void write(Packer &out, const decision::WorkspaceUse &use);
+void read(const Object &from, decision::WorkspaceUse &use);
+void write(Packer &out, const decision::ForeignService &service);
+void read(const Object &from, decision::ForeignService &service);
+void write(Packer &out, const decision::PermitRequest &request);
+void read(const Object &from, decision::PermitRequest &request);
+void write(Packer &out, const decision::PermitAnswer &answer);
+void read(const Object &from, decision::PermitAnswer &answer);
+void write(Packer &out, const LeaseRequests &requests);
+void read(const Object &from, LeaseRequests &requests);
+void write(Packer &out, const LeaseGrants &grants);
+void read(const Object &from, LeaseGrants &grants);
+void write(Packer &out, const PermitRequests &requests);
+void read(const Object &from, PermitRequests &requests);
+void write(Packer &out, const PermitAnswers &answers);
+void read(const Object &from, PermitAnswers &answers);
+
+template<typename Item> void packList(Packer &out, const std::vector<Item> &items)
+{
+    out.pack_array(static_cast<std::uint32_t>(items.size()));
+    for (const Item &item : items) {
+        write(out, item);
+    }
+}
+
+template<typename Item> void unpackList(const Object &from, std::vector<Item> &items)
+{
+    ArrayReader in(from);
+    for (std::uint32_t index = 0; index < in.size(); ++index) {
+        Item item;
+        read(in.next(), item);
+        items.push_back(std::move(item));
+    }
+}
+
+} // namespace azurespindle::members::internal
+
+#endif
--- a/src/members/peer_network.cpp
+++ b/src/members/peer_network.cpp
@@ -287,7 +287,12 @@
             this->refuse(link, message.error());
             return;
         }
-        if (const auto *hello = std::get_if<Hello>(&message.value())) {
+        const auto *hello = std::get_if<Hello>(&message.value());
+        if (this->isCut(hello != nullptr ? hello->self.name : link->member)) {
+            this->close(link);
+            return;
+        }
+        if (hello != nullptr) {
             link->member = hello->self.name;
             this->callbacks.onHello(hello->self);
         } else if (link->member.empty()) {
@@ -301,6 +306,11 @@
         }
     }
 
+    bool isCut(const std::string &member) const
+    {
+        return !member.empty() && this->callbacks.reachable && !this->callbacks.reachable(member);
+    }
+
     void refuse(const LinkPtr &link, const Error &error)
     {
         this->callbacks.onBadFrame(link->member.empty() ? "unknown" : link->member, error);
--- a/src/members/peer_network.h
+++ b/src/members/peer_network.h
@@ -21,6 +21,9 @@
     std::function<void(const std::string &from, const Message &message)> onMessage;
     /// A frame could not be decoded; its connection was closed.
     std::function<void(const std::string &from, const Error &error)> onBadFrame;
+    /// Tells whether a member can be reached; unset: it can. Tests cut links here: a connection
+    /// breaks with the first frame from a member that cannot be.
+    std::function<bool(const std::string &member)> reachable {};
 };
 
 /// Frames between entry processes: TCP, four bytes of length, then msgpack.
--- a/src/serving/core.cpp
+++ b/src/serving/core.cpp
@@ -42,8 +42,7 @@
     const decision::PoliciesChanged policies = directory->policies();
     for (const auto &[name, pool] : current) {
         pool->post(policies);
-        pool->post(
-            subset(directory->listing(name), this->settings.name, directory->upstreamsPerPool()));
+        pool->post(directory->listingFor(this->settings.name, this->settings.zone, name));
     }
 }
 
@@ -70,16 +69,11 @@
     return all;
 }
 
-decision::UpstreamsListed Core::listingFor(const Directory &directory,
-                                           const std::string &pool) const
-{
-    return subset(directory.listing(pool), this->settings.name, directory.upstreamsPerPool());
-}
-
 bool Core::submitResume(const DirectoryEntry &upstream, const SessionPtr &session)
 {
     const std::shared_ptr<const Directory> directory = this->directory();
-    decision::UpstreamsListed listing = this->listingFor(*directory, upstream.pool);
+    decision::UpstreamsListed listing
+        = directory->listingFor(this->settings.name, this->settings.zone, upstream.pool);
     const auto used
         = std::any_of(listing.upstreams.begin(), listing.upstreams.end(),
                       [&](const auto &each) { return each.name == upstream.listed.name; });
--- a/src/serving/core.h
+++ b/src/serving/core.h
@@ -63,7 +63,6 @@
 private:
     std::shared_ptr<PoolRunner> find(const std::string &pool) const;
     std::vector<std::shared_ptr<PoolRunner>> allPools() const;
-    decision::UpstreamsListed listingFor(const Directory &directory, const std::string &pool) const;
     std::shared_ptr<PoolRunner> makePool(const std::string &name);
     settings::Address addressOf(const std::string &upstream) const;
     void execute(PoolRunner &pool, const decision::Effect &effect, const TokenTexts &texts);
--- a/src/serving/directory.cpp
+++ b/src/serving/directory.cpp
@@ -7,8 +7,6 @@
 namespace azurespindle::serving {
 namespace {
 
-constexpr std::size_t minUpstreamsPerPool = 4;
-
 decision::Condition conditionOf(const configuration::Document &document,
                                 const configuration::Vm &vm)
 {
@@ -28,28 +26,43 @@
 }
 
 decision::UpstreamsListed subset(const decision::UpstreamsListed &listing,
-                                 const std::string &process, std::size_t most)
+                                 const std::string &process, std::size_t most, const IsNear &isNear)
 {
-    const auto serves = [](const decision::ListedUpstream &each) {
-        return each.condition == decision::Condition::Serving;
-    };
+    using Ranked = std::pair<std::uint64_t, const decision::ListedUpstream *>;
     decision::UpstreamsListed kept;
-    std::vector<std::pair<std::uint64_t, const decision::ListedUpstream *>> ranked;
+    std::vector<Ranked> near;
+    std::vector<Ranked> far;
     for (const decision::ListedUpstream &each : listing.upstreams) {
-        if (!serves(each)) {
+        if (each.condition != decision::Condition::Serving) {
             kept.upstreams.push_back(each);
             continue;
         }
         const std::string key = process + "\n" + each.name;
-        ranked.emplace_back(XXH3_64bits(key.data(), key.size()), &each);
+        (isNear(each.zone) ? near : far).emplace_back(XXH3_64bits(key.data(), key.size()), &each);
+    }
+    std::sort(near.begin(), near.end());
+    std::sort(far.begin(), far.end());
+    near.resize(std::min(most, near.size()));
+    const std::size_t least = std::min(most, minUpstreamsPerPool);
+    for (std::size_t rank = 0; rank < far.size() && near.size() < least; ++rank) {
+        near.push_back(far[rank]);
     }
-    std::sort(ranked.begin(), ranked.end());
-    for (std::size_t rank = 0; rank < std::min(most, ranked.size()); ++rank) {
-        kept.upstreams.push_back(*ranked[rank].second);
+    for (const auto &[hash, upstream] : near) {
+        kept.upstreams.push_back(*upstream);
     }
     return kept;
 }
 
+decision::UpstreamsListed Directory::listingFor(const std::string &process, const std::string &zone,
+                                                const std::string &pool) const
+{
+    const std::string region = configuration::regionOf(this->configuration, zone);
+    return subset(this->listing(pool), process, this->upstreamsPerPool(),
+                  [&](const std::string &other) {
+                      return configuration::regionOf(this->configuration, other) == region;
+                  });
+}
+
 std::string servicePool(const std::string &service)
 {
     return "service:" + service;
--- a/src/serving/entry_process.cpp
+++ b/src/serving/entry_process.cpp
@@ -22,7 +22,8 @@
 
 } // namespace
 
-EntryProcess::EntryProcess(settings::Settings given)
+EntryProcess::EntryProcess(settings::Settings given,
+                           std::function<bool(const std::string &member)> reachable)
     : settings(std::move(given)), life(wallClockMilliseconds()),
       core(this->settings, this->timers, this->registry, this->journal,
            {[this](const std::string &pool, const decision::AskLease &ask) {
@@ -59,7 +60,8 @@
            [this](const std::string &from, const members::PermitRequests &requests) {
                this->orders.onRequests(from, requests);
            },
-           [this](const members::PermitAnswers &answers) { this->orders.onAnswers(answers); }}),
+           [this](const members::PermitAnswers &answers) { this->orders.onAnswers(answers); },
+           std::move(reachable)}),
       leases(
           this->settings.name + "#" + std::to_string(this->life), this->coordinator, this->client,
           this->registry, this->journal,
--- a/src/serving/entry_process.h
+++ b/src/serving/entry_process.h
@@ -32,7 +32,9 @@
 class EntryProcess
 {
 public:
-    explicit EntryProcess(settings::Settings settings);
+    /// \a reachable tells which members' frames get through; see members::PeerCallbacks.
+    explicit EntryProcess(settings::Settings settings,
+                          std::function<bool(const std::string &member)> reachable = {});
     ~EntryProcess();
     EntryProcess(const EntryProcess &) = delete;
     EntryProcess &operator=(const EntryProcess &) = delete;
--- a/src/serving/lease_service.cpp
+++ b/src/serving/lease_service.cpp
@@ -298,6 +298,7 @@
         seen = parseSeen(json);
         seen.upstream = upstream;
         seen.busy = report->running + report->waiting;
+        this->steward.noteBusy(upstream, seen.busy);
         seen.committed = this->steward.committed(upstream);
         seen.warm = this->steward.warm(upstream);
     }
--- a/tests/configuration/document_test.cpp
+++ b/tests/configuration/document_test.cpp
@@ -95,6 +95,12 @@
                  "one exception for each subject"},
                 {R"({"revision":1,"out":[{"upstream":"e","reason":"r"}]})", "exactly one of zone"},
                 {R"({"revision":1,"out":[{"zone":"z"}]})", "$.out[0].reason"},
+                {R"({"revision":1,"regions":[{"name":"r","zones":["z"]},{"name":"q","zones":["z"]}]})",
+                 "each zone once"},
+                {R"({"revision":1,"models":[{"name":"m"}],"exceptions":[{"upstream":"e","reason":"r","set":{"model":"n"}}]})",
+                 "a model listed under models"},
+                {R"({"revision":1,"defaults":{"orders":{"loadsPerMinute":0}}})",
+                 "loadsPerMinute: found 0"},
             },
             [](const nlohmann::json &json, json::Faults &faults) { parseDocument(json, faults); });
     }
--- a/tests/decision/lease_steward_test.cpp
+++ b/tests/decision/lease_steward_test.cpp
@@ -58,6 +58,7 @@
     CPPUNIT_TEST(aContendedUpstreamIsDividedByTheWorkspacesThatWait);
     CPPUNIT_TEST(serviceElsewhereIsToldWhereTheWorkspaceWaits);
     CPPUNIT_TEST(moreWorkspacesThanTheBoundAreNotKept);
+    CPPUNIT_TEST(whatAnotherStewardHandedOutIsCountedByTheEnginesOwnReport);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -194,6 +195,24 @@
                              ask(steward, asked, 1'100).foreign.size());
     }
 
+    /// Two stewards in a partition, each with holders that want all: together they keep the limit.
+    void whatAnotherStewardHandedOutIsCountedByTheEnginesOwnReport()
+    {
+        LeaseSteward sides[] = {warmSteward(), warmSteward()};
+        std::uint32_t running[] = {0, 0};
+        for (int second = 1; second < 20; ++second) {
+            for (int side = 0; side < 2; ++side) {
+                const LeaseRequest asked = request("p" + std::to_string(side), running[side], 24);
+                running[side] = ask(sides[side], asked, second * 1'000 + side).concurrency;
+            }
+            // Attempts end each second; what was begun shows in the engine's report.
+            sides[0].noteBusy("e1", running[0] + running[1]);
+            sides[1].noteBusy("e1", running[0] + running[1]);
+        }
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(running[0]) + " and " + std::to_string(running[1]),
+                               running[0] + running[1] <= 24);
+    }
+
 private:
     /// Returns a steward whose upstream is given 24 attempts, the most of its policy.
     static LeaseSteward warmSteward()
--- a/tests/serving/directory_test.cpp
+++ b/tests/serving/directory_test.cpp
@@ -17,6 +17,11 @@
     return listed;
 }
 
+bool everywhere(const std::string &)
+{
+    return true;
+}
+
 } // namespace
 
 class DirectoryTest : public CppUnit::TestFixture
@@ -25,6 +30,7 @@
     CPPUNIT_TEST(aProcessUsesAFewUpstreamsAndEachIsUsedBySome);
     CPPUNIT_TEST(aNewUpstreamMovesFewProcesses);
     CPPUNIT_TEST(leavingUpstreamsAreAlwaysListed);
+    CPPUNIT_TEST(upstreamsOfTheOwnRegionAreUsedFirst);
     CPPUNIT_TEST(marksDecideWhoTakesNewWork);
     CPPUNIT_TEST(metricSeriesAreBounded);
     CPPUNIT_TEST_SUITE_END();
@@ -35,7 +41,7 @@
         const decision::UpstreamsListed all = listing(135);
         std::map<std::string, int> users;
         for (int process = 0; process < 227; ++process) {
-            const auto used = subset(all, "entry-" + std::to_string(process), 4);
+            const auto used = subset(all, "entry-" + std::to_string(process), 4, everywhere);
             CPPUNIT_ASSERT_EQUAL(std::size_t(4), used.upstreams.size());
             for (const auto &each : used.upstreams) {
                 users[each.name] += 1;
@@ -49,7 +55,10 @@
         int moved = 0;
         for (int process = 0; process < 227; ++process) {
             const std::string name = "entry-" + std::to_string(process);
-            moved += subset(listing(135), name, 4) == subset(listing(136), name, 4) ? 0 : 1;
+            moved += subset(listing(135), name, 4, everywhere)
+                    == subset(listing(136), name, 4, everywhere)
+                ? 0
+                : 1;
         }
         CPPUNIT_ASSERT_MESSAGE(std::to_string(moved), moved < 20);
     }
@@ -58,7 +67,28 @@
     {
         decision::UpstreamsListed all = listing(10);
         all.upstreams[3].condition = decision::Condition::Leaving;
-        CPPUNIT_ASSERT_EQUAL(std::size_t(3), subset(all, "p", 2).upstreams.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), subset(all, "p", 2, everywhere).upstreams.size());
+    }
+
+    void upstreamsOfTheOwnRegionAreUsedFirst()
+    {
+        decision::UpstreamsListed all = listing(30);
+        for (std::size_t index = 0; index < 10; ++index) {
+            all.upstreams[index].zone = "here";
+        }
+        const IsNear isNear = [](const std::string &zone) { return zone == "here"; };
+        for (const auto &each : subset(all, "p", 8, isNear).upstreams) {
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(each.name, std::string("here"), each.zone);
+        }
+        // With the region's upstreams out, those of others carry the load, but only a few.
+        for (std::size_t index = 0; index < 10; ++index) {
+            all.upstreams[index].condition = decision::Condition::Out;
+        }
+        std::size_t serving = 0;
+        for (const auto &each : subset(all, "p", 8, isNear).upstreams) {
+            serving += each.condition == decision::Condition::Serving ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(minUpstreamsPerPool), serving);
     }
 
     void marksDecideWhoTakesNewWork()
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -60,8 +60,9 @@
     this->platformServer
         = std::make_unique<standins::PlatformServer>(this->address(platformOffset));
     for (std::size_t index = 0; index < entryCount; ++index) {
-        this->entries.push_back(
-            std::make_unique<serving::EntryProcess>(this->entrySettings(index)));
+        this->entries.push_back(std::make_unique<serving::EntryProcess>(
+            this->entrySettings(index),
+            [this, index](const std::string &member) { return this->reachable(index, member); }));
     }
     this->configure("");
     this->platformServer->publish("/vms", this->vmList());
@@ -80,6 +81,16 @@
     this->entries.clear();
 }
 
+bool Fleet::reachable(std::size_t from, const std::string &member) const
+{
+    if (!this->partitioned) {
+        return true;
+    }
+    const std::size_t to = std::stoul(member.substr(member.rfind('-') + 1));
+    const std::size_t half = this->entries.size() / 2;
+    return (from < half) == (to < half);
+}
+
 settings::Address Fleet::address(std::size_t offset) const
 {
     return {"127.0.0.1", static_cast<std::uint16_t>(this->firstPort + offset)};
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -7,6 +7,7 @@
 #include "standins/platform_server.h"
 #include "standins/service_server.h"
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -45,6 +46,8 @@
     Answer generate(std::size_t entry, std::size_t tokens, const http::Headers &headers = {});
     /// Misbehaves: see EngineServer.
     void fault(std::size_t engine, const std::string &kind, int ms = 0);
+    /// Cuts every link between the first half of the entry processes and the rest, or mends them.
+    void cutInTwo(bool cut) { this->partitioned = cut; }
     void stopEntry(std::size_t entry) { this->entries[entry].reset(); }
     serving::EntryProcess &entry(std::size_t index) { return *this->entries[index]; }
     standins::PlatformServer &platform() { return *this->platformServer; }
@@ -63,12 +66,14 @@
 private:
     Answer send(const std::string &method, std::size_t entry, const std::string &path,
                 const std::string &body, const http::Headers &headers) const;
+    bool reachable(std::size_t from, const std::string &member) const;
     std::string vmList() const;
     settings::Settings entrySettings(std::size_t index) const;
     settings::Address address(std::size_t offset) const;
 
     const std::uint16_t firstPort;
     std::uint64_t revision = 0;
+    std::atomic<bool> partitioned {false};
     std::vector<std::unique_ptr<standins::EngineServer>> engines;
     std::unique_ptr<standins::ServiceServer> service;
     std::unique_ptr<standins::PlatformServer> platformServer;
