Keep control within its bytes at the target also where permits are given out

Change: standings of settled engines each 15 s (10), renewals of contended upstreams 0.25 s apart for each one in use (0.2).

--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -51,10 +51,10 @@
 constexpr double keySeconds = 3'600.0;
 constexpr double lengthClassBytes = 700.0;
 constexpr double prefixBlockBytes = 64.0;
-constexpr double standingsPerSecond = 0.1;
+constexpr double standingsPerSecond = 1.0 / 15.0;
 constexpr double fleetScopeEngines = 48.0;
-constexpr double seriesBytes = 4'096.0;      ///< Five histograms of some tens of buckets.
-constexpr double contendedSecondsEach = 0.2; ///< Between renewals, for each upstream in use.
+constexpr double seriesBytes = 4'096.0;       ///< Five histograms of some tens of buckets.
+constexpr double contendedSecondsEach = 0.25; ///< Between renewals, for each upstream in use.
 
 /// Measures of all suites by name.
 class Measures
@@ -194,7 +194,7 @@
      "2 watchers a zone; revision on heartbeats, fetched once, compressed", documents},
     {"fairness", "counters for each workspace and pool", fairness},
     {"length knowledge", "512 classes a pool", lengths},
-    {"ordering engines, giving out permits", "own engines and one pool told each 10 s", orders},
+    {"ordering engines, giving out permits", "own engines and one pool told each 15 s", orders},
     {"metrics", "256 series, scraped by the platform", metricSeries},
     {"homing idempotency keys", "65,536 keys, one hour; 5 % of calls keyed", keys},
 };
--- a/src/decision/dispatcher.h
+++ b/src/decision/dispatcher.h
@@ -73,7 +73,7 @@
     /// While others wait for a warm upstream too: at least so long, and so long for each upstream
     /// in use, so that leases cost the same bytes however many there are.
     static constexpr milliseconds contendedLeaseInterval {500};
-    static constexpr milliseconds contendedIntervalEach {200};
+    static constexpr milliseconds contendedIntervalEach {250};
     static constexpr milliseconds urgentLeaseInterval {20}; ///< When a request is waiting.
     static constexpr std::uint32_t maxTries = 3;            ///< Upstreams tried for one request.
     static constexpr std::uint32_t maxResumes = 8;          ///< Without a token between them.
--- a/src/decision/order_permits.h
+++ b/src/decision/order_permits.h
@@ -33,7 +33,7 @@
     /// Clock drift and time on the way that is allowed for.
     static constexpr milliseconds margin {1'000};
     /// An engine that was not heard of for so long counts neither as a copy nor as loading.
-    static constexpr milliseconds standingMemory {12'000};
+    static constexpr milliseconds standingMemory {18'000};
     /// A freshly loaded engine counts as away until it is warm, or for so long.
     static constexpr milliseconds recovery {20'000};
     static constexpr std::size_t maxEngines = 4'096;
--- a/src/decision/order_steward.h
+++ b/src/decision/order_steward.h
@@ -103,7 +103,7 @@
     static constexpr milliseconds askInterval {2'000};
     /// Between two standings of an engine that needs nothing: whoever gives out permits has to
     /// know which copies would remain.
-    static constexpr milliseconds standingInterval {10'000};
+    static constexpr milliseconds standingInterval {15'000};
     /// The same, while a rollout goes on.
     static constexpr milliseconds rolloutInterval {4'000};
     /// An engine not seen for so long is not waited for.
--- a/tests/decision/upstream_table_test.cpp
+++ b/tests/decision/upstream_table_test.cpp
@@ -10,6 +10,7 @@
     CPPUNIT_TEST(displacedPromptsKeepRoomFromWorkspacesAboveTheirShare);
     CPPUNIT_TEST(theRoomIsGivenBackWithTime);
     CPPUNIT_TEST(unresolvedLossesAreBounded);
+    CPPUNIT_TEST(untoldServiceIsBounded);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -45,6 +46,18 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(199), upstream.unresolved.back().request);
     }
 
+    void untoldServiceIsBounded()
+    {
+        Upstream upstream;
+        upstream.lease.contended = true;
+        for (WorkspaceKey key = 0; key < 500; ++key) {
+            UpstreamTable::noteService(upstream, key, 1.0, 10);
+        }
+        CPPUNIT_ASSERT_EQUAL(Upstream::maxUntold, upstream.untold.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), UpstreamTable::takeService(upstream, {}, 4).size());
+        CPPUNIT_ASSERT_EQUAL(Upstream::maxUntold - 4, upstream.untold.size());
+    }
+
 private:
     static UpstreamTable fullTable()
     {
