--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -7,10 +7,13 @@
 #include "http/client.h"
 #include "journal/journal.h"
 #include "serving/entry_process.h"
+#include "settings/routing_settings.h"
 #include "settings/settings.h"
 
 #include <cxxopts.hpp>
 
+#include <unistd.h>
+
 #include <csignal>
 #include <functional>
 #include <iostream>
@@ -60,20 +63,29 @@
     return ExitUsage;
 }
 
-void blockStopSignals(sigset_t &signals)
+void blockSignals(sigset_t &signals)
 {
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 }
 
-int serve(const std::vector<std::string> &files, bool verbose)
+void waitForStop(const sigset_t &signals, const std::function<void()> &onReload)
 {
-    if (files.size() != 1) {
-        return usageError("serve takes one settings file");
-    }
-    auto loaded = settings::loadSettings(files.front());
+    int received = 0;
+    do {
+        sigwait(&signals, &received);
+        if (received == SIGHUP) {
+            onReload();
+        }
+    } while (received == SIGHUP);
+}
+
+int serveCompletions(const std::string &file, bool verbose)
+{
+    auto loaded = settings::loadSettings(file);
     if (!loaded.ok()) {
         std::cerr << "azurespindle: " << loaded.error().message() << "\n";
         return ExitFault;
@@ -82,18 +94,71 @@
     const auto lowest = verbose ? journal::Severity::Debug : journal::Severity::Info;
     journal::openLog(settings.logFormat, settings.logFile, settings.name, lowest);
     sigset_t signals;
-    blockStopSignals(signals);
+    blockSignals(signals);
     serving::EntryProcess process(settings);
     if (const std::error_code error = process.start()) {
         std::cerr << "azurespindle: " << error.message() << ": " << settings.callerAddress.text()
                   << " or " << settings.memberAddress.text() << "\n";
         return ExitStartFailed;
     }
-    int received = 0;
-    sigwait(&signals, &received);
+    // These settings never change while the process runs.
+    waitForStop(signals, [] {});
     return process.stopGracefully() == 0 ? ExitOk : ExitFault;
 }
 
+void reload(serving::RoutingProcess &process, const std::string &file)
+{
+    const auto loaded = settings::loadRoutingSettings(file);
+    if (loaded.ok()) {
+        process.reload(loaded.value());
+        return;
+    }
+    std::cerr << "azurespindle: the old settings stay: " << loaded.error().message() << "\n";
+}
+
+int serveRoutes(const std::string &file, bool verbose, const serving::PortFactory &makePort)
+{
+    auto loaded = settings::loadRoutingSettings(file);
+    if (!loaded.ok()) {
+        std::cerr << "azurespindle: " << loaded.error().message() << "\n";
+        return ExitFault;
+    }
+    const settings::RoutingSettings settings = loaded.takeValue();
+    const auto lowest = verbose ? journal::Severity::Debug : journal::Severity::Info;
+    sigset_t signals;
+    blockSignals(signals);
+    journal::openBoundedLog(settings.logFormat, settings.name, lowest);
+    serving::RoutingProcess process(settings, makePort);
+    if (const std::error_code error = process.start()) {
+        std::cerr << "azurespindle: " << error.message() << ": one of the addresses of " << file
+                  << "\n";
+        return ExitStartFailed;
+    }
+    waitForStop(signals, [&] { reload(process, file); });
+    const std::size_t cut = process.stopGracefully();
+    journal::closeBoundedLog();
+    // The log's thread may wait for a reader that never comes, so nothing more is torn down.
+    _exit(cut == 0 ? ExitOk : ExitFault);
+}
+
+bool holdsRoutingSettings(const std::string &file)
+{
+    const auto text = readTextFile(file);
+    json::Faults faults;
+    const auto document = text.ok() ? json::parseText(text.value(), faults) : std::nullopt;
+    return document && settings::isRoutingSettings(*document);
+}
+
+int serve(const std::vector<std::string> &files, bool verbose, const serving::PortFactory &makePort)
+{
+    if (files.size() != 1) {
+        return usageError("serve takes one settings file");
+    }
+    const std::string &file = files.front();
+    return holdsRoutingSettings(file) ? serveRoutes(file, verbose, makePort)
+                                      : serveCompletions(file, verbose);
+}
+
 /// Checks a document as what its fields say it is.
 json::Faults checkDocument(const nlohmann::json &document, std::string &kind)
 {
@@ -101,6 +166,9 @@
     if (document.is_object() && document.contains("vms")) {
         kind = "VM list";
         configuration::parseVmList(document, faults);
+    } else if (settings::isRoutingSettings(document)) {
+        kind = "routing settings";
+        settings::parseRoutingSettings(document, faults);
     } else if (document.is_object() && document.contains("callerAddress")) {
         kind = "settings";
         settings::parseSettings(document, faults);
@@ -196,7 +264,7 @@
     return query(address, path);
 }
 
-int dispatch(const cxxopts::ParseResult &options)
+int dispatch(const cxxopts::ParseResult &options, const serving::PortFactory &makePort)
 {
     if (options.count("help") > 0) {
         std::cout << usage;
@@ -215,7 +283,7 @@
         : std::vector<std::string>();
     const auto address = options["address"].as<std::string>();
     if (command == "serve") {
-        return serve(arguments, options.count("verbose") > 0);
+        return serve(arguments, options.count("verbose") > 0, makePort);
     }
     if (command == "check") {
         return check(arguments);
@@ -237,7 +305,7 @@
 
 } // namespace
 
-int run(int count, char **values)
+int run(int count, char **values, const serving::PortFactory &makePort)
 {
     cxxopts::Options options("azurespindle");
     auto add = options.add_options();
@@ -253,7 +321,7 @@
     add("version", "");
     options.parse_positional({"command", "arguments"});
     try {
-        return dispatch(options.parse(count, values));
+        return dispatch(options.parse(count, values), makePort);
     } catch (const cxxopts::exceptions::exception &error) {
         return usageError(error.what());
     }
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -1,6 +1,8 @@
 #ifndef AZURESPINDLE_CLI_COMMANDS_H
 #define AZURESPINDLE_CLI_COMMANDS_H
 
+#include "serving/routing_process.h"
+
 namespace azurespindle::cli {
 
 /// What the program exits with.
@@ -12,9 +14,9 @@
     ExitStartFailed = 4, ///< The process could not start.
 };
 
-/// Runs the program.
+/// Runs the program. \param makePort makes what routing needs of the platform.
 /// \return one of ExitCode.
-int run(int count, char **values);
+int run(int count, char **values, const serving::PortFactory &makePort);
 
 } // namespace azurespindle::cli
 
--- /dev/null
+++ b/src/decision/arrival_budget.h
@@ -0,0 +1,92 @@
+#ifndef AZURESPINDLE_DECISION_ARRIVAL_BUDGET_H
+#define AZURESPINDLE_DECISION_ARRIVAL_BUDGET_H
+
+#include "base/time_types.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace azurespindle::decision {
+
+/// How many arrivals beyond the first of each request one service may get, from all processes.
+struct ArrivalLimits
+{
+    double share = 0.2;     ///< Of the requests for the service.
+    double allowance = 0.0; ///< Beside that, in each window.
+    milliseconds window {10'000};
+    bool operator==(const ArrivalLimits &other) const = default;
+};
+
+/// What one process counted for a service in the last window.
+struct ArrivalCount
+{
+    std::string service;
+    std::uint32_t requests = 0;
+    std::uint32_t repeats = 0;
+    bool operator==(const ArrivalCount &other) const = default;
+};
+
+/// Bounds, over the whole fleet, how often requests are sent once more: retries, and generations
+/// that go on elsewhere.
+///
+/// Each process has its part of the allowance and its own requests' share, so that the sum holds
+/// without a word between them. Beyond its part it may go while its peers say that most of the
+/// fleet's budget is unused; what peers said counts only while it is fresh.
+class ArrivalBudget
+{
+public:
+    /// Part of the limits that the processes' own parts add up to.
+    static constexpr double ownPart = 0.8;
+    /// Part of the fleet's limits up to which a process may borrow.
+    static constexpr double borrowPart = 0.55;
+    /// Part of a process's own budget that plain retries may use; the rest is for generations.
+    static constexpr double retryPart = 0.6;
+    static constexpr milliseconds peerMemory {1'500};
+
+    // Commands
+
+    void setLimits(const ArrivalLimits &limits) { this->limits = limits; }
+    /// Sets the number of processes that the allowance is divided by.
+    void setProcesses(std::size_t count) { this->processes = count == 0 ? 1 : count; }
+    /// Notes a request of a caller.
+    void noteRequest(const std::string &service, Instant now);
+    /// Notes an arrival beyond the first.
+    void noteRepeat(const std::string &service, Instant now);
+    void tell(const std::string &peer, const std::vector<ArrivalCount> &counts, Instant now);
+
+    // Queries
+
+    /// Returns true if a request for \a service may be sent once more.
+    /// \param generation it goes on with a generation that would be lost otherwise.
+    bool allows(const std::string &service, bool generation, Instant now) const;
+    std::vector<ArrivalCount> counts(Instant now) const;
+
+private:
+    struct Events
+    {
+        std::deque<Instant> requests;
+        std::deque<Instant> repeats;
+    };
+    struct Peer
+    {
+        Instant heard;
+        std::vector<ArrivalCount> counts;
+    };
+
+    void trim(Events &events, Instant now) const;
+    ArrivalCount own(const std::string &service, Instant now) const;
+    ArrivalCount fleet(const std::string &service, Instant now) const;
+
+    ArrivalLimits limits;
+    std::size_t processes = 1;
+    std::unordered_map<std::string, Events> services;
+    std::map<std::string, Peer> peers;
+};
+
+} // namespace azurespindle::decision
+
+#endif
--- /dev/null
+++ b/src/decision/cold_share.cpp
@@ -0,0 +1,24 @@
+#include "decision/cold_share.h"
+
+namespace azurespindle::decision {
+
+void ColdShare::noteSent(const std::string &upstream, Instant now)
+{
+    this->sent.touch(upstream) = now;
+}
+
+bool ColdShare::allows(const std::string &upstream, double requestsPerSecond, Instant now) const
+{
+    if (requestsPerSecond <= 0.0) {
+        return true;
+    }
+    const Instant *last = this->sent.find(upstream);
+    if (last == nullptr) {
+        return true;
+    }
+    const double spacingSeconds
+        = static_cast<double>(this->processes) / (requestsPerSecond * usedPart);
+    return inSeconds(now - *last) >= spacingSeconds;
+}
+
+} // namespace azurespindle::decision
--- /dev/null
+++ b/src/decision/engine_choice.cpp
@@ -0,0 +1,83 @@
+#include "decision/engine_choice.h"
+
+#include <algorithm>
+
+namespace azurespindle::decision {
+namespace {
+
+/// Load of a plain upstream, in its slots, that is as bad as being in another zone, or troubled.
+constexpr double plainOtherZone = 0.34;
+constexpr double plainTroubled = 2.0;
+
+double memoryPart(const ChoiceCandidate &candidate, const EngineNeed &need)
+{
+    return static_cast<double>(candidate.claimed.memory + need.memory)
+        / static_cast<double>(std::max<Tokens>(candidate.memory, 1));
+}
+
+double engineCost(const ChoiceCandidate &candidate, const EngineNeed &need,
+                  const ChoiceWeights &weights)
+{
+    const Tokens cached = std::min(candidate.cachedTokens, need.promptTokens);
+    const Tokens toRead = need.moves ? 0 : need.promptTokens - cached;
+    const double full = memoryPart(candidate, need);
+    double cost
+        = static_cast<double>(candidate.claimed.prefill + toRead) / weights.promptTokensPerMs;
+    cost += weights.attemptMs * candidate.claimed.attempts;
+    cost += weights.memoryMs * full * full;
+    cost += candidate.sameZone ? 0.0 : weights.otherZoneMs;
+    cost += candidate.troubled ? weights.troubledMs : 0.0;
+    return cost;
+}
+
+bool hasRoom(const ChoiceCandidate &candidate, const EngineNeed &need, const ChoiceWeights &weights)
+{
+    return candidate.claimed.attempts < candidate.slots
+        && memoryPart(candidate, need) <= weights.memoryLimit;
+}
+
+/// Returns the position of the lowest cost, beginning the search at \a turn.
+template<typename Cost>
+std::optional<std::size_t> cheapest(std::size_t count, std::uint64_t turn, const Cost &cost)
+{
+    std::optional<std::size_t> best;
+    double bestCost = 0.0;
+    for (std::size_t step = 0; step < count; ++step) {
+        const std::size_t index = (step + turn) % count;
+        const std::optional<double> each = cost(index);
+        if (each && (!best || *each < bestCost)) {
+            best = index;
+            bestCost = *each;
+        }
+    }
+    return best;
+}
+
+} // namespace
+
+std::optional<std::size_t> chooseEngine(const std::vector<ChoiceCandidate> &candidates,
+                                        const EngineNeed &need, std::uint64_t turn,
+                                        const ChoiceWeights &weights)
+{
+    return cheapest(candidates.size(), turn, [&](std::size_t index) -> std::optional<double> {
+        if (!hasRoom(candidates[index], need, weights)) {
+            return std::nullopt;
+        }
+        return engineCost(candidates[index], need, weights);
+    });
+}
+
+std::optional<std::size_t> choosePlain(const std::vector<ChoiceCandidate> &candidates,
+                                       std::uint64_t turn)
+{
+    return cheapest(candidates.size(), turn, [&](std::size_t index) -> std::optional<double> {
+        const ChoiceCandidate &each = candidates[index];
+        double cost = static_cast<double>(each.claimed.attempts)
+            / static_cast<double>(std::max<std::uint32_t>(each.slots, 1));
+        cost += each.sameZone ? 0.0 : plainOtherZone;
+        cost += each.troubled ? plainTroubled : 0.0;
+        return cost;
+    });
+}
+
+} // namespace azurespindle::decision
--- /dev/null
+++ b/src/decision/engine_choice.h
@@ -0,0 +1,62 @@
+#ifndef AZURESPINDLE_DECISION_ENGINE_CHOICE_H
+#define AZURESPINDLE_DECISION_ENGINE_CHOICE_H
+
+#include "decision/load_table.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace azurespindle::decision {
+
+/// An upstream in view of one request.
+struct ChoiceCandidate
+{
+    std::string upstream;
+    Claim claimed;            ///< By all processes, without this request.
+    std::uint32_t slots = 1;  ///< Attempts that it works on at once.
+    Tokens memory = 0;        ///< KV tokens that it holds; 0 for a plain service.
+    Tokens cachedTokens = 0;  ///< Of the request's prompt, probably.
+    bool sameZone = true;
+    bool troubled = false;    ///< Lately failed or refused requests.
+};
+
+/// What a request takes of an engine.
+struct EngineNeed
+{
+    Tokens promptTokens = 0;
+    Tokens memory = 0;  ///< KV tokens, reckoned to the time of need.
+    bool moves = false; ///< It comes with its memory: no prompt is read.
+};
+
+/// What considerations cost, in milliseconds of delay that they are as bad as.
+struct ChoiceWeights
+{
+    double promptTokensPerMs = 14.0; ///< Speed at which an engine reads prompts.
+    double attemptMs = 12.0;         ///< Each attempt that runs there slows all others.
+    double otherZoneMs = 60.0;       ///< Bytes between zones, and what a cut would take along.
+    double troubledMs = 400.0;
+    double memoryMs = 250.0;         ///< An engine that is just full; grows with the square.
+    double memoryLimit = 0.92;       ///< Part of the memory that is planned with.
+};
+
+/// Chooses the engine at which the request is expected to do best and to harm others least.
+///
+/// Answers for many long prompts at once: a prompt that is being read delays every stream of its
+/// engine, so prompts are spread before anything else; then memory, which fills before the slots
+/// do, and whose overflow costs a prompt read again.
+/// \param turn spreads choices among equals.
+/// \return an index into \a candidates, or nothing if none has room.
+std::optional<std::size_t> chooseEngine(const std::vector<ChoiceCandidate> &candidates,
+                                        const EngineNeed &need, std::uint64_t turn,
+                                        const ChoiceWeights &weights = {});
+
+/// Chooses an upstream of a plain service: the least loaded, in the own zone where equal.
+/// \return an index into \a candidates, or nothing if there is none.
+std::optional<std::size_t> choosePlain(const std::vector<ChoiceCandidate> &candidates,
+                                       std::uint64_t turn);
+
+} // namespace azurespindle::decision
+
+#endif
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -2,6 +2,8 @@
 
 #include <curl/curl.h>
 
+#include <strings.h>
+
 #include <algorithm>
 #include <atomic>
 #include <condition_variable>
@@ -33,34 +35,49 @@
     CURL *handle = nullptr;
     curl_slist *headerList = nullptr;
     Headers answerHeaders;
+    HeaderFields answerFields;
     bool statusTold = false;
     bool cancelled = false;
 };
 
 void tellStatus(Transfer &transfer)
 {
-    if (std::exchange(transfer.statusTold, true) || !transfer.callbacks.onStatus) {
+    if (std::exchange(transfer.statusTold, true)) {
         return;
     }
     long status = 0;
     curl_easy_getinfo(transfer.handle, CURLINFO_RESPONSE_CODE, &status);
-    transfer.callbacks.onStatus(static_cast<int>(status), transfer.answerHeaders);
+    if (transfer.callbacks.onStatus) {
+        transfer.callbacks.onStatus(static_cast<int>(status), transfer.answerHeaders);
+    }
+    if (transfer.callbacks.onHead) {
+        transfer.callbacks.onHead(static_cast<int>(status), transfer.answerFields);
+    }
 }
 
 std::size_t onHeaderLine(const char *bytes, std::size_t size, std::size_t count, void *user)
 {
     auto &transfer = *static_cast<Transfer *>(user);
     const std::string line(bytes, size * count);
+    if (line.rfind("HTTP/", 0) == 0) {
+        // What stood before belongs to an interim answer.
+        transfer.answerHeaders.clear();
+        transfer.answerFields.clear();
+        return size * count;
+    }
     const std::size_t colon = line.find(':');
     if (colon != std::string::npos) {
-        std::string name = line.substr(0, colon);
+        const std::string spelled = line.substr(0, colon);
+        std::string name = spelled;
         std::transform(name.begin(), name.end(), name.begin(), [](unsigned char letter) {
             return static_cast<char>(std::tolower(letter));
         });
         const std::size_t first = line.find_first_not_of(" \t", colon + 1);
         const std::size_t last = line.find_last_not_of("\r\n \t");
         const bool empty = first == std::string::npos || last < first;
-        transfer.answerHeaders[name] = empty ? "" : line.substr(first, last - first + 1);
+        const std::string value = empty ? "" : line.substr(first, last - first + 1);
+        transfer.answerHeaders[name] = value;
+        transfer.answerFields.emplace_back(spelled, value);
     }
     return size * count;
 }
@@ -84,6 +101,28 @@
     curl_easy_setopt(handle, option, value); // NOLINT(bugprone-unused-return-value)
 }
 
+void appendHeader(Transfer &transfer, const std::string &name, const std::string &value)
+{
+    // The library reads "Name:" as a wish to leave the header out, "Name;" as an empty one.
+    const std::string line = value.empty() ? name + ";" : name + ": " + value;
+    transfer.headerList = curl_slist_append(transfer.headerList, line.c_str());
+}
+
+/// Keeps the library from adding headers that the caller of a forwarded request did not send.
+void suppressDefaults(Transfer &transfer)
+{
+    for (const char *added : {"Accept", "Content-Type"}) {
+        const auto same = [added](const auto &field) {
+            return strcasecmp(field.first.c_str(), added) == 0;
+        };
+        const HeaderFields &fields = transfer.request.fields;
+        if (std::none_of(fields.begin(), fields.end(), same)) {
+            const std::string line = std::string(added) + ":";
+            transfer.headerList = curl_slist_append(transfer.headerList, line.c_str());
+        }
+    }
+}
+
 void prepare(Transfer &transfer)
 {
     const ClientRequest &request = transfer.request;
@@ -105,7 +144,9 @@
     set(handle, CURLOPT_HEADERFUNCTION, &onHeaderLine);
     set(handle, CURLOPT_HEADERDATA, &transfer);
     set(handle, CURLOPT_PRIVATE, &transfer);
-    if (request.method != "GET" && request.method != "DELETE") {
+    if (request.method == "HEAD") {
+        set(handle, CURLOPT_NOBODY, 1L);
+    } else if ((request.method != "GET" && request.method != "DELETE") || !request.body.empty()) {
         set(handle, CURLOPT_POSTFIELDSIZE, static_cast<long>(request.body.size()));
         set(handle, CURLOPT_POSTFIELDS, request.body.c_str());
     }
@@ -113,12 +154,20 @@
         set(handle, CURLOPT_FRESH_CONNECT, 1L);
         set(handle, CURLOPT_FORBID_REUSE, 1L);
     }
+    if (!request.target.empty()) {
+        set(handle, CURLOPT_REQUEST_TARGET, request.target.c_str());
+        set(handle, CURLOPT_PATH_AS_IS, 1L);
+    }
     for (const auto &[name, value] : request.headers) {
-        std::string line = name;
-        line.append(": ").append(value);
-        transfer.headerList = curl_slist_append(transfer.headerList, line.c_str());
+        appendHeader(transfer, name, value);
+    }
+    for (const auto &[name, value] : request.fields) {
+        appendHeader(transfer, name, value);
     }
     transfer.headerList = curl_slist_append(transfer.headerList, "Expect:");
+    if (!request.target.empty()) {
+        suppressDefaults(transfer);
+    }
     set(handle, CURLOPT_HTTPHEADER, transfer.headerList);
 }
 
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -19,6 +19,8 @@
     std::string method = "GET";
     std::string url;
     Headers headers;
+    HeaderFields fields; ///< Sent after the headers, as they are.
+    std::string target;  ///< Path and query to send as they are; empty: those of the URL.
     std::string body;
     milliseconds connectTimeout {1'000};
     milliseconds totalTimeout {0}; ///< 0: none.
@@ -47,6 +49,8 @@
 struct TransferCallbacks
 {
     std::function<void(int status, const Headers &headers)> onStatus;
+    /// As onStatus, with the header fields as they stood on the wire.
+    std::function<void(int status, const HeaderFields &fields)> onHead;
     /// Returns false to pause the transfer until Client::resume().
     std::function<bool(std::string_view bytes)> onData;
     std::function<void(const TransferResult &result)> onDone;
--- a/src/http/internal/connection.cpp
+++ b/src/http/internal/connection.cpp
@@ -14,9 +14,9 @@
 } // namespace
 
 std::shared_ptr<Connection> attachConnection(const std::shared_ptr<Peer> &peer,
-                                             std::size_t maxBytes)
+                                             const settings::CallerLimits &limits)
 {
-    auto connection = std::make_shared<Connection>(maxBytes);
+    auto connection = std::make_shared<Connection>(limits);
     connection->lastProgress = monotonicNow();
     peer->putData(connectionData, connection);
     return connection;
--- a/src/http/internal/connection_exchange.cpp
+++ b/src/http/internal/connection_exchange.cpp
@@ -24,7 +24,8 @@
                                        std::weak_ptr<PostingTransport> transport,
                                        std::shared_ptr<Peer> peer, bool closeAfter)
     : state(std::move(state)), transport(std::move(transport)), peer(std::move(peer)),
-      closeAfter(closeAfter), lastMoved(monotonicNow())
+      unsentLimit(this->state->limits().unsentBytes), closeAfter(closeAfter),
+      lastMoved(monotonicNow())
 {
     this->state->openExchanges += 1;
 }
@@ -41,11 +42,14 @@
     }
 }
 
-std::string ConnectionExchange::head(int status, const Headers &headers,
-                                     const std::string &framing) const
+std::string ConnectionExchange::head(int status, const HeaderFields &fields,
+                                     const std::string &framing)
 {
+    if (this->state->draining) {
+        this->closeAfter = true;
+    }
     std::string text = "HTTP/1.1 " + std::to_string(status) + " " + reasonPhrase(status) + "\r\n";
-    for (const auto &[name, value] : headers) {
+    for (const auto &[name, value] : fields) {
         text.append(name).append(": ").append(value).append("\r\n");
     }
     text += framing + "\r\n";
@@ -54,14 +58,24 @@
 }
 
 void ConnectionExchange::respond(int status, const Headers &headers, const std::string &body)
+{
+    this->respondWith(status, HeaderFields(headers.begin(), headers.end()), body);
+}
+
+void ConnectionExchange::respondWith(int status, const HeaderFields &fields, const std::string &body)
 {
     const std::string framing = "content-length: " + std::to_string(body.size());
-    this->append(this->head(status, headers, framing) + body, true);
+    this->append(this->head(status, fields, framing) + body, true);
 }
 
 void ConnectionExchange::beginStream(int status, const Headers &headers)
 {
-    this->append(this->head(status, headers, "transfer-encoding: chunked"), false);
+    this->beginStreamWith(status, HeaderFields(headers.begin(), headers.end()));
+}
+
+void ConnectionExchange::beginStreamWith(int status, const HeaderFields &fields)
+{
+    this->append(this->head(status, fields, "transfer-encoding: chunked"), false);
 }
 
 void ConnectionExchange::send(const std::string &part)
@@ -96,7 +110,7 @@
     }
     this->pending += bytes;
     this->complete = last;
-    if (this->pending.size() + this->inLibrary >= this->state->limits.unsentBytes) {
+    if (this->pending.size() + this->inLibrary >= this->unsentLimit) {
         this->wasCongested = true;
     }
     if (this->flushPosted) {
@@ -136,13 +150,13 @@
         return;
     }
     const std::shared_ptr<Connection> connection = connectionOf(this->peer);
+    auto self = this->shared_from_this();
     if (last) {
         connection->exchange.reset();
         connection->lastProgress = monotonicNow();
         connection->closing = connection->closing || this->closeAfter;
     }
     const std::size_t size = bytes.size();
-    auto self = this->shared_from_this();
     this->peer->send(Pistache::RawBuffer(std::move(bytes), size))
         .then(
             [self, size, last](ssize_t) {
@@ -158,6 +172,9 @@
                 }
             },
             [](const std::exception_ptr &) {});
+    if (last && !connection->closing) {
+        connection->onAnswered();
+    }
     // Not Transport::flush(): it spins until the socket takes the bytes, so that one caller who
     // reads nothing would hold up every other caller of this thread.
 }
@@ -170,7 +187,7 @@
         this->inLibrary -= std::min(bytes, this->inLibrary);
         this->lastMoved = monotonicNow();
         const std::size_t unsent = this->pending.size() + this->inLibrary;
-        if (this->wasCongested && unsent < this->state->limits.unsentBytes / 2) {
+        if (this->wasCongested && unsent < this->unsentLimit / 2) {
             this->wasCongested = false;
             drained = this->drainedCallback;
         }
@@ -208,7 +225,7 @@
 
 bool ConnectionExchange::congested() const
 {
-    return this->unsentBytes() >= this->state->limits.unsentBytes;
+    return this->unsentBytes() >= this->unsentLimit;
 }
 
 void ConnectionExchange::connectionGone()
--- a/src/http/internal/connection_exchange.h
+++ b/src/http/internal/connection_exchange.h
@@ -4,6 +4,7 @@
 #include "http/internal/posting_transport.h"
 #include "http/server.h"
 
+#include <atomic>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -20,7 +21,9 @@
     ~ConnectionExchange() override;
 
     void respond(int status, const Headers &headers, const std::string &body) override;
+    void respondWith(int status, const HeaderFields &fields, const std::string &body) override;
     void beginStream(int status, const Headers &headers) override;
+    void beginStreamWith(int status, const HeaderFields &fields) override;
     void send(const std::string &part) override;
     void finish() override;
     void abort() override;
@@ -39,12 +42,13 @@
     void flush();
     void noteSent(std::size_t bytes);
     void end();
-    std::string head(int status, const Headers &headers, const std::string &framing) const;
+    std::string head(int status, const HeaderFields &fields, const std::string &framing);
 
     const std::shared_ptr<ServerState> state;
     const std::weak_ptr<PostingTransport> transport;
     std::shared_ptr<Pistache::Tcp::Peer> peer;
-    const bool closeAfter;
+    const std::size_t unsentLimit;
+    std::atomic<bool> closeAfter;
 
     mutable std::mutex mutex; ///< Guards the members below.
     std::string pending;
--- a/src/http/internal/connection_handler.h
+++ b/src/http/internal/connection_handler.h
@@ -26,7 +26,9 @@
 
 private:
     std::shared_ptr<PostingTransport> owner();
-    void dispatch(Connection &connection, const std::shared_ptr<Pistache::Tcp::Peer> &peer);
+    void readOn(Connection &connection, const std::shared_ptr<Pistache::Tcp::Peer> &peer);
+    void dispatch(const ServerRequest &request, Connection &connection,
+                  const std::shared_ptr<Pistache::Tcp::Peer> &peer);
     void refuse(Connection &connection, const std::shared_ptr<Pistache::Tcp::Peer> &peer,
                 int status, const std::string &detail);
 
--- a/src/http/internal/posting_transport.cpp
+++ b/src/http/internal/posting_transport.cpp
@@ -10,6 +10,10 @@
 
 using Pistache::Tcp::Peer;
 
+/// While draining, a connection without a request is closed after so long: one that was just made
+/// is about to bring its first.
+constexpr milliseconds drainIdleTime {300};
+
 } // namespace
 
 std::shared_ptr<PostingTransport>
@@ -68,7 +72,7 @@
 void PostingTransport::sweep(bool draining)
 {
     const Instant now = monotonicNow();
-    const settings::CallerLimits &limits = this->state->limits;
+    const settings::CallerLimits limits = this->state->limits();
     std::vector<std::shared_ptr<Peer>> expired;
     for (const auto &[fd, peer] : this->peers) {
         const std::shared_ptr<Connection> connection = connectionOf(peer);
@@ -84,8 +88,9 @@
             continue;
         }
         const milliseconds allowed
-            = connection->requestBegun ? limits.requestTimeout : limits.idleTimeout;
-        if (age > allowed || (draining && !connection->requestBegun)) {
+            = connection->reader.begun() ? limits.requestTimeout : limits.idleTimeout;
+        const bool idle = !connection->reader.begun() && age > drainIdleTime;
+        if (age > allowed || (draining && idle)) {
             expired.push_back(peer);
         }
     }
--- /dev/null
+++ b/src/http/internal/request_reader.cpp
@@ -0,0 +1,194 @@
+#include "http/internal/request_reader.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace azurespindle::http::internal {
+namespace {
+
+namespace beast = boost::beast;
+
+constexpr int statusBadRequest = 400;
+constexpr int statusTooLarge = 413;
+constexpr int statusHeaderTooLarge = 431;
+constexpr unsigned hexBase = 16;
+
+std::string text(beast::string_view view)
+{
+    return {view.data(), view.size()};
+}
+
+std::string lowerCase(std::string text)
+{
+    std::transform(text.begin(), text.end(), text.begin(),
+                   [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
+    return text;
+}
+
+int hexValue(char digit)
+{
+    if (digit >= '0' && digit <= '9') {
+        return digit - '0';
+    }
+    const char letter = static_cast<char>(std::tolower(static_cast<unsigned char>(digit)));
+    return letter >= 'a' && letter <= 'f' ? letter - 'a' + 10 : -1;
+}
+
+std::string percentDecoded(const std::string &encoded)
+{
+    std::string decoded;
+    for (std::size_t at = 0; at < encoded.size(); ++at) {
+        const bool escape = encoded[at] == '%' && at + 2 < encoded.size()
+            && hexValue(encoded[at + 1]) >= 0 && hexValue(encoded[at + 2]) >= 0;
+        if (!escape) {
+            decoded += encoded[at] == '+' ? ' ' : encoded[at];
+            continue;
+        }
+        decoded += static_cast<char>(hexValue(encoded[at + 1]) * hexBase
+                                     + static_cast<unsigned>(hexValue(encoded[at + 2])));
+        at += 2;
+    }
+    return decoded;
+}
+
+std::map<std::string, std::string> parseQuery(const std::string &query)
+{
+    std::map<std::string, std::string> fields;
+    std::size_t begin = 0;
+    while (begin < query.size()) {
+        const std::size_t end = std::min(query.find('&', begin), query.size());
+        const std::string field = query.substr(begin, end - begin);
+        const std::size_t equals = std::min(field.find('='), field.size());
+        const std::string value = equals < field.size() ? field.substr(equals + 1) : "";
+        fields[percentDecoded(field.substr(0, equals))] = percentDecoded(value);
+        begin = end + 1;
+    }
+    return fields;
+}
+
+Unacceptable refusalOf(const beast::error_code &error)
+{
+    using Error = beast::http::error;
+    if (error == Error::header_limit) {
+        return {statusHeaderTooLarge, "the header is too large"};
+    }
+    if (error == Error::body_limit) {
+        return {statusTooLarge, "the request is too large"};
+    }
+    return {statusBadRequest, error.message()};
+}
+
+} // namespace
+
+RequestReader::RequestReader(const settings::CallerLimits &limits) : limits(limits)
+{
+    this->reset();
+}
+
+void RequestReader::reset()
+{
+    this->parser.emplace();
+    this->parser->header_limit(static_cast<std::uint32_t>(
+        std::min(this->limits.headerBytes, this->limits.headerAndBodyBytes)));
+    this->parser->body_limit(this->limits.headerAndBodyBytes);
+    this->framingChecked = false;
+}
+
+void RequestReader::append(const char *bytes, std::size_t size)
+{
+    this->input.append(bytes, size);
+}
+
+bool RequestReader::begun() const
+{
+    return !this->input.empty() || this->parser->is_header_done();
+}
+
+void RequestReader::skipEmptyLines()
+{
+    const std::size_t first = std::min(this->input.find_first_not_of("\r\n"), this->input.size());
+    this->input.erase(0, first);
+}
+
+bool RequestReader::holdsFoldedLine() const
+{
+    const std::size_t end = std::min(this->input.find("\r\n\r\n"), this->input.size());
+    const std::size_t fold = std::min(this->input.find("\n "), this->input.find("\n\t"));
+    return fold < end;
+}
+
+std::optional<Unacceptable> RequestReader::checkFraming() const
+{
+    using Field = beast::http::field;
+    const auto &head = this->parser->get();
+    if (head.count(Field::content_length) > 1 || head.count(Field::transfer_encoding) > 1
+        || head.count(Field::host) > 1) {
+        return Unacceptable {statusBadRequest, "a header that may stand once stands twice"};
+    }
+    const auto encoding = head.find(Field::transfer_encoding);
+    if (encoding == head.end()) {
+        return std::nullopt;
+    }
+    const bool chunkedOnly = lowerCase(text(encoding->value())) == "chunked";
+    const bool both = head.count(Field::content_length) > 0;
+    if (!chunkedOnly || both || head.version() < 11) {
+        return Unacceptable {statusBadRequest, "the length of the body is ambiguous"};
+    }
+    return std::nullopt;
+}
+
+ReadOutcome RequestReader::next()
+{
+    if (!this->parser->is_header_done()) {
+        this->skipEmptyLines();
+        if (this->holdsFoldedLine()) {
+            return Unacceptable {statusBadRequest, "a header line is folded"};
+        }
+    }
+    while (!this->parser->is_done()) {
+        if (this->input.empty()) {
+            return Incomplete {};
+        }
+        beast::error_code error;
+        const boost::asio::const_buffer buffer(this->input.data(), this->input.size());
+        this->parser->eager(this->framingChecked);
+        const std::size_t used = this->parser->put(buffer, error);
+        this->input.erase(0, used);
+        if (error == beast::http::error::need_more) {
+            return Incomplete {};
+        }
+        if (error) {
+            return refusalOf(error);
+        }
+        if (this->parser->is_header_done() && !std::exchange(this->framingChecked, true)) {
+            if (auto refusal = this->checkFraming()) {
+                return *refusal;
+            }
+        }
+    }
+    return this->takeRequest();
+}
+
+ServerRequest RequestReader::takeRequest()
+{
+    ServerRequest request;
+    request.keepAlive = this->parser->keep_alive();
+    auto message = this->parser->release();
+    this->reset();
+    request.method = text(message.method_string());
+    request.target = text(message.target());
+    const std::size_t question = std::min(request.target.find('?'), request.target.size());
+    request.path = request.target.substr(0, question);
+    if (question < request.target.size()) {
+        request.query = parseQuery(request.target.substr(question + 1));
+    }
+    for (const auto &field : message) {
+        const std::string name = text(field.name_string());
+        request.fields.emplace_back(name, text(field.value()));
+        request.headers[lowerCase(name)] = request.fields.back().second;
+    }
+    request.body = std::move(message.body());
+    return request;
+}
+
+} // namespace azurespindle::http::internal
--- a/src/http/internal/server_state.cpp
+++ b/src/http/internal/server_state.cpp
@@ -7,9 +7,21 @@
 namespace azurespindle::http::internal {
 
 ServerState::ServerState(settings::CallerLimits limits, Handler handler)
-    : limits(limits), handler(std::move(handler))
+    : handler(std::move(handler)), limitsInForce(limits)
 { }
 
+void ServerState::setLimits(const settings::CallerLimits &limits)
+{
+    const std::lock_guard lock(this->mutex);
+    this->limitsInForce = limits;
+}
+
+settings::CallerLimits ServerState::limits() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->limitsInForce;
+}
+
 void ServerState::addTransport(const std::weak_ptr<PostingTransport> &transport)
 {
     const std::lock_guard lock(this->mutex);
--- a/src/http/internal/server_state.h
+++ b/src/http/internal/server_state.h
@@ -22,8 +22,9 @@
     void drain();
     void sweep();
     void close();
+    void setLimits(const settings::CallerLimits &limits);
+    settings::CallerLimits limits() const;
 
-    const settings::CallerLimits limits;
     const Handler handler;
     std::atomic<std::size_t> openExchanges {0};
     std::atomic<std::size_t> openConnections {0};
@@ -33,8 +34,9 @@
 private:
     std::vector<std::shared_ptr<PostingTransport>> transports();
 
-    std::mutex mutex;
+    mutable std::mutex mutex; ///< Guards the two below.
     std::vector<std::weak_ptr<PostingTransport>> all;
+    settings::CallerLimits limitsInForce;
 };
 
 } // namespace azurespindle::http::internal
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -95,6 +95,11 @@
     this->implementation->shared->sweep();
 }
 
+void Server::setLimits(const settings::CallerLimits &limits)
+{
+    this->implementation->shared->setLimits(limits);
+}
+
 std::uint16_t Server::port() const
 {
     return static_cast<std::uint16_t>(this->implementation->listener->getPort());
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -9,20 +9,28 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace azurespindle::http {
 
 /// Header fields by lower-case name.
 using Headers = std::map<std::string, std::string>;
 
+/// Header fields as they stood on the wire: in order, spelled as sent, repeated ones kept.
+using HeaderFields = std::vector<std::pair<std::string, std::string>>;
+
 /// A whole request as it arrived.
 struct ServerRequest
 {
     std::string method;
-    std::string path; ///< Without the query.
+    std::string target; ///< Path and query as they were sent.
+    std::string path;   ///< Without the query.
     std::map<std::string, std::string> query;
     Headers headers;
+    HeaderFields fields;
     std::string body;
+    bool keepAlive = true; ///< The caller will keep its connection open.
 
     /// Returns the header \a name (lower case), or an empty text.
     std::string header(const std::string &name) const;
@@ -45,8 +53,11 @@
 
     /// Sends a whole answer.
     virtual void respond(int status, const Headers &headers, const std::string &body) = 0;
+    /// Sends a whole answer whose header fields go out as they are.
+    virtual void respondWith(int status, const HeaderFields &fields, const std::string &body) = 0;
     /// Begins an answer whose length is not known.
     virtual void beginStream(int status, const Headers &headers) = 0;
+    virtual void beginStreamWith(int status, const HeaderFields &fields) = 0;
     /// Sends a part of a streamed answer.
     virtual void send(const std::string &part) = 0;
     /// Ends a streamed answer.
@@ -96,6 +107,8 @@
     void drain();
     /// Enforces the time limits; to be called about once a second.
     void sweep();
+    /// Takes over limits for connections that are made from now on, and for idle times.
+    void setLimits(const settings::CallerLimits &limits);
 
     // Queries
 
--- a/src/journal/event_id.h
+++ b/src/journal/event_id.h
@@ -26,6 +26,9 @@
     AnswerIgnored = 207,
     CallerLeft = 208,
     CallerTooSlow = 209,
+    MoveBegun = 210,
+    MoveAnswered = 211,
+    GenerationLost = 212,
 
     UpstreamAdded = 300,
     UpstreamRemoved = 301,
@@ -43,6 +46,12 @@
     ConfigurationServiceLost = 403,
     ConfigurationServiceBack = 404,
     VmListRefused = 405,
+    PublishedItemRefused = 406,
+    PublisherLost = 407,
+    PublisherBack = 408,
+    ReadinessChanged = 409,
+    SettingsReloaded = 410,
+    LogLinesDropped = 411,
 
     MemberJoined = 500,
     MemberSuspected = 501,
--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -1,11 +1,15 @@
 #include "journal/journal.h"
 
+#include <boost/core/null_deleter.hpp>
 #include <boost/log/attributes/constant.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
 #include <boost/log/sources/global_logger_storage.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/support/date_time.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
 #include <boost/log/utility/setup/console.hpp>
@@ -13,7 +17,9 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <atomic>
 #include <iostream>
+#include <thread>
 #include <utility>
 
 namespace azurespindle::journal {
@@ -54,6 +60,29 @@
 
 settings::LogFormat chosenFormat = settings::LogFormat::Text;
 
+/// Lines that wait for a slow reader.
+constexpr std::size_t maxWaitingLines = 4'096;
+constexpr std::chrono::milliseconds closeTime {150};
+std::atomic<std::uint64_t> droppedLines {0};
+
+/// Drops a line that finds the queue full, and counts it.
+class CountingDrop
+{
+public:
+    template<typename Lock> static bool on_overflow(const logging::record_view &, Lock &)
+    {
+        droppedLines += 1;
+        return false;
+    }
+    static void on_queue_space_available() { }
+    static void interrupt() { }
+};
+
+using BoundedSink = logging::sinks::asynchronous_sink<
+    logging::sinks::text_ostream_backend,
+    logging::sinks::bounded_fifo_queue<maxWaitingLines, CountingDrop>>;
+boost::shared_ptr<BoundedSink> boundedSink;
+
 } // namespace
 
 void openLog(settings::LogFormat format, const std::string &file, const std::string &processName,
@@ -72,6 +101,30 @@
     sink->set_formatter(formatter(format, processName));
 }
 
+void openBoundedLog(settings::LogFormat format, const std::string &processName, Severity lowest)
+{
+    chosenFormat = format;
+    logging::core::get()->add_global_attribute("TimeStamp", logging::attributes::utc_clock());
+    logging::core::get()->set_filter(severityKeyword >= lowest);
+    auto backend = boost::make_shared<logging::sinks::text_ostream_backend>();
+    backend->add_stream(boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
+    backend->auto_flush(true);
+    boundedSink = boost::make_shared<BoundedSink>(backend);
+    boundedSink->set_formatter(formatter(format, processName));
+    logging::core::get()->add_sink(boundedSink);
+}
+
+std::uint64_t takeDroppedLines()
+{
+    return droppedLines.exchange(0);
+}
+
+void closeBoundedLog()
+{
+    // The sink's own stop waits for a reader that may never come.
+    std::this_thread::sleep_for(closeTime);
+}
+
 std::string toText(const Entry &entry)
 {
     const EventDescription &description = describe(entry.id);
--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -23,6 +23,14 @@
 void openLog(settings::LogFormat format, const std::string &file, const std::string &processName,
              Severity lowest);
 
+/// Opens the log of this process on standard output, without ever waiting for its reader: past
+/// a bounded number of waiting lines, further ones are dropped and counted.
+void openBoundedLog(settings::LogFormat format, const std::string &processName, Severity lowest);
+/// Returns the lines that were dropped since the last call.
+std::uint64_t takeDroppedLines();
+/// Writes what waits, but gives up soon if nobody reads.
+void closeBoundedLog();
+
 /// Returns the entry as one line of readable text, without its time.
 std::string toText(const Entry &entry);
 /// Returns the entry as one JSON object, without its time.
--- a/src/members/coordinator.cpp
+++ b/src/members/coordinator.cpp
@@ -10,7 +10,7 @@
 
 constexpr std::uint64_t seedTurns = 4; ///< Heartbeats between two tries of the seeds.
 
-platform::WatchCallbacks watchCallbacks(Coordinator &owner, DocumentKind kind,
+WatchCallbacks watchCallbacks(Coordinator &owner, DocumentKind kind,
                                         journal::Journal &journal)
 {
     return {[&owner, kind](const std::string &text) { owner.offer(kind, text, "service"); },
@@ -36,7 +36,7 @@
                          metrics::Registry &registry, journal::Journal &journal,
                          CoordinatorHooks hooks)
     : settings(settings), timers(timers), journal(journal), hooks(std::move(hooks)),
-      started(monotonicNow()), membership(std::move(self)),
+      started(monotonicNow()), membership(std::move(self)), seeds(settings.seeds),
       configurationWatch(watchUrl(settings.configurationService, "/configuration"), client, timers,
                          registry, watchCallbacks(*this, DocumentKind::Configuration, journal)),
       vmListWatch(watchUrl(settings.vmList, "/vms"), client, timers, registry,
@@ -66,6 +66,12 @@
     return {};
 }
 
+void Coordinator::setSeeds(std::vector<settings::Address> seeds)
+{
+    const std::lock_guard lock(this->mutex);
+    this->seeds = std::move(seeds);
+}
+
 void Coordinator::stop()
 {
     this->configurationWatch.setActive(false);
@@ -90,9 +96,9 @@
     {
         const std::lock_guard lock(this->mutex);
         addresses = this->vmListAddresses;
-    }
-    for (const settings::Address &seed : this->settings.seeds) {
-        addresses.push_back(seed.text());
+        for (const settings::Address &seed : this->seeds) {
+            addresses.push_back(seed.text());
+        }
     }
     const std::string own = this->self().memberAddress;
     for (const std::string &address : addresses) {
@@ -264,7 +270,7 @@
 
 // Documents ------------------------------------------------------------------------------------
 
-platform::DocumentWatch &Coordinator::watch(DocumentKind kind)
+DocumentWatch &Coordinator::watch(DocumentKind kind)
 {
     return kind == DocumentKind::Configuration ? this->configurationWatch : this->vmListWatch;
 }
@@ -299,6 +305,12 @@
     return this->membership.active();
 }
 
+std::vector<MemberRecord> Coordinator::known() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->membership.records();
+}
+
 std::string Coordinator::steward(const std::string &zone, const std::string &key) const
 {
     const std::lock_guard lock(this->mutex);
--- a/src/members/coordinator.h
+++ b/src/members/coordinator.h
@@ -3,10 +3,10 @@
 
 #include "base/recent_map.h"
 #include "journal/journal.h"
+#include "members/document_watch.h"
 #include "members/membership.h"
 #include "members/peer_network.h"
 #include "members/shared_documents.h"
-#include "platform/document_watch.h"
 
 #include <functional>
 #include <memory>
@@ -30,6 +30,9 @@
     std::function<void(const PermitAnswers &answers)> onPermitAnswers;
     /// See PeerCallbacks::reachable.
     std::function<bool(const std::string &member)> reachable {};
+    std::function<void(const std::string &from, const RouterReport &report)> onRouterReport {};
+    std::function<void(const std::string &from, const ViewWanted &wanted)> onViewWanted {};
+    std::function<void(const ViewNews &news)> onViewNews {};
 };
 
 /// What one member last said of itself, for `azurespindle status`.
@@ -61,6 +64,8 @@
     void leave();
     void stop();
     void send(const std::string &member, const Message &message);
+    /// Takes over other members to ask when joining.
+    void setSeeds(std::vector<settings::Address> seeds);
     /// Tells every member, by way of the neighbours.
     void tellCrash(const CrashNote &note);
     /// Takes in a document; \a source names it in the journal.
@@ -70,6 +75,8 @@
 
     /// Returns the members that take part.
     std::vector<MemberRecord> active() const;
+    /// Returns the members that are known, whether they take part or not.
+    std::vector<MemberRecord> known() const;
     /// Returns the member that stewards upstreams of \a zone under the key \a key.
     std::string steward(const std::string &zone, const std::string &key) const;
     /// Returns the member that is responsible for \a key in the whole fleet.
@@ -104,7 +111,7 @@
     void afterChange(const News &news);
     void chooseWatch();
     Heartbeat heartbeat() const;
-    platform::DocumentWatch &watch(DocumentKind kind);
+    DocumentWatch &watch(DocumentKind kind);
     void record(std::vector<journal::Entry> entries);
 
     const settings::Settings &settings;
@@ -119,12 +126,13 @@
     RecentMap<std::string, Heartbeat> heartbeats {Membership::maxMembers};
     std::map<std::string, Instant> chosenBy; ///< Known members that chose this one.
     std::vector<std::string> vmListAddresses;
+    std::vector<settings::Address> seeds;
     RecentMap<std::string, bool> crashNotes {maxCrashNotes};
     bool peerHeard = false;
     std::uint64_t turn = 0;
 
-    platform::DocumentWatch configurationWatch;
-    platform::DocumentWatch vmListWatch;
+    DocumentWatch configurationWatch;
+    DocumentWatch vmListWatch;
     PeerNetwork network;
 };
 
--- a/src/members/coordinator_messages.cpp
+++ b/src/members/coordinator_messages.cpp
@@ -51,6 +51,18 @@
         this->hooks.onPermitRequests(from, *permits);
     } else if (const auto *answers = std::get_if<PermitAnswers>(&message)) {
         this->hooks.onPermitAnswers(*answers);
+    } else if (const auto *report = std::get_if<RouterReport>(&message)) {
+        if (this->hooks.onRouterReport) {
+            this->hooks.onRouterReport(from, *report);
+        }
+    } else if (const auto *view = std::get_if<ViewWanted>(&message)) {
+        if (this->hooks.onViewWanted) {
+            this->hooks.onViewWanted(from, *view);
+        }
+    } else if (const auto *published = std::get_if<ViewNews>(&message)) {
+        if (this->hooks.onViewNews) {
+            this->hooks.onViewNews(*published);
+        }
     }
 }
 
--- a/src/platform/document_watch.cpp
+++ b/src/members/document_watch.cpp
@@ -1,8 +1,8 @@
-#include "platform/document_watch.h"
+#include "members/document_watch.h"
 
 #include <utility>
 
-namespace azurespindle::platform {
+namespace azurespindle::members {
 namespace {
 
 constexpr int statusOk = 200;
@@ -111,4 +111,4 @@
     });
 }
 
-} // namespace azurespindle::platform
+} // namespace azurespindle::members
--- a/src/platform/document_watch.h
+++ b/src/members/document_watch.h
@@ -1,5 +1,5 @@
-#ifndef AZURESPINDLE_PLATFORM_DOCUMENT_WATCH_H
-#define AZURESPINDLE_PLATFORM_DOCUMENT_WATCH_H
+#ifndef AZURESPINDLE_MEMBERS_DOCUMENT_WATCH_H
+#define AZURESPINDLE_MEMBERS_DOCUMENT_WATCH_H
 
 #include "base/time_types.h"
 #include "http/client.h"
@@ -11,7 +11,7 @@
 #include <mutex>
 #include <string>
 
-namespace azurespindle::platform {
+namespace azurespindle::members {
 
 /// What a watch tells its owner, on a thread of the HTTP client.
 struct WatchCallbacks
@@ -52,6 +52,6 @@
     std::shared_ptr<State> state;
 };
 
-} // namespace azurespindle::platform
+} // namespace azurespindle::members
 
 #endif
--- a/src/members/internal/frame_codec.h
+++ b/src/members/internal/frame_codec.h
@@ -77,6 +77,18 @@
 void read(const Object &from, PermitRequests &requests);
 void write(Packer &out, const PermitAnswers &answers);
 void read(const Object &from, PermitAnswers &answers);
+void write(Packer &out, const decision::UpstreamClaim &claim);
+void read(const Object &from, decision::UpstreamClaim &claim);
+void write(Packer &out, const decision::ArrivalCount &count);
+void read(const Object &from, decision::ArrivalCount &count);
+void write(Packer &out, const routing::PublishedItem &item);
+void read(const Object &from, routing::PublishedItem &item);
+void write(Packer &out, const RouterReport &report);
+void read(const Object &from, RouterReport &report);
+void write(Packer &out, const ViewWanted &wanted);
+void read(const Object &from, ViewWanted &wanted);
+void write(Packer &out, const ViewNews &news);
+void read(const Object &from, ViewNews &news);
 
 template<typename Item> void packList(Packer &out, const std::vector<Item> &items)
 {
--- /dev/null
+++ b/src/members/internal/routing_codec.cpp
@@ -0,0 +1,107 @@
+// How the messages between routers are packed.
+
+#include "members/internal/frame_codec.h"
+
+namespace azurespindle::members::internal {
+
+void write(Packer &out, const decision::UpstreamClaim &claim)
+{
+    out.pack_array(4);
+    out.pack(claim.upstream);
+    out.pack(claim.claim.attempts);
+    out.pack(claim.claim.memory);
+    out.pack(claim.claim.prefill);
+}
+
+void read(const Object &from, decision::UpstreamClaim &claim)
+{
+    ArrayReader in(from);
+    claim.upstream = in.as<std::string>();
+    claim.claim.attempts = in.as<std::uint32_t>();
+    claim.claim.memory = in.as<decision::Tokens>();
+    claim.claim.prefill = in.as<decision::Tokens>();
+}
+
+void write(Packer &out, const decision::ArrivalCount &count)
+{
+    out.pack_array(3);
+    out.pack(count.service);
+    out.pack(count.requests);
+    out.pack(count.repeats);
+}
+
+void read(const Object &from, decision::ArrivalCount &count)
+{
+    ArrayReader in(from);
+    count.service = in.as<std::string>();
+    count.requests = in.as<std::uint32_t>();
+    count.repeats = in.as<std::uint32_t>();
+}
+
+void write(Packer &out, const routing::PublishedItem &item)
+{
+    out.pack_array(4);
+    out.pack(item.key);
+    out.pack(item.value);
+    out.pack(item.revision);
+    out.pack(item.deleted);
+}
+
+void read(const Object &from, routing::PublishedItem &item)
+{
+    ArrayReader in(from);
+    item.key = in.as<std::string>();
+    item.value = in.as<std::string>();
+    item.revision = in.as<std::uint64_t>();
+    item.deleted = in.as<bool>();
+}
+
+void write(Packer &out, const RouterReport &report)
+{
+    out.pack_array(4);
+    out.pack(report.whole);
+    out.pack(report.viewAt);
+    packList(out, report.claims);
+    packList(out, report.arrivals);
+}
+
+void read(const Object &from, RouterReport &report)
+{
+    ArrayReader in(from);
+    report.whole = in.as<bool>();
+    report.viewAt = in.as<std::uint64_t>();
+    unpackList(in.next(), report.claims);
+    unpackList(in.next(), report.arrivals);
+}
+
+void write(Packer &out, const ViewWanted &wanted)
+{
+    out.pack_array(1);
+    out.pack(wanted.after);
+}
+
+void read(const Object &from, ViewWanted &wanted)
+{
+    ArrayReader in(from);
+    wanted.after = in.as<std::uint64_t>();
+}
+
+void write(Packer &out, const ViewNews &news)
+{
+    out.pack_array(4);
+    out.pack(news.update.whole);
+    out.pack(news.update.after);
+    out.pack(news.update.at);
+    packList(out, news.update.items);
+}
+
+void read(const Object &from, ViewNews &news)
+{
+    ArrayReader in(from);
+    news.update.whole = in.as<bool>();
+    news.update.after = in.as<std::uint64_t>();
+    news.update.at = in.as<std::uint64_t>();
+    unpackList(in.next(), news.update.items);
+}
+
+} // namespace azurespindle::members::internal
--- a/src/members/messages.h
+++ b/src/members/messages.h
@@ -2,9 +2,12 @@
 #define AZURESPINDLE_MEMBERS_MESSAGES_H
 
 #include "base/error.h"
+#include "decision/arrival_budget.h"
 #include "decision/engine_order.h"
 #include "decision/lease_steward.h"
+#include "decision/load_table.h"
 #include "decision/types.h"
+#include "routing/published_view.h"
 
 #include <cstdint>
 #include <string>
@@ -16,7 +19,7 @@
 
 /// Version of the protocol between entry processes. A member that speaks another one is refused
 /// at its Hello, so that a rolling update sees two fleets of leases rather than a garbled one.
-constexpr std::uint32_t protocolVersion = 2;
+constexpr std::uint32_t protocolVersion = 3;
 
 /// Frames larger than this are refused: a document of one megabyte and its envelope fit.
 constexpr std::size_t maxFrameBytes = 1'500'000;
@@ -139,8 +142,33 @@
     bool operator==(const PermitAnswers &other) const = default;
 };
 
+/// What a router has under way and counted, told to the others when it changes.
+struct RouterReport
+{
+    bool whole = false;          ///< \a claims is everything.
+    std::uint64_t viewAt = 0;    ///< Revision up to which the sender knows what is published.
+    std::vector<decision::UpstreamClaim> claims;
+    std::vector<decision::ArrivalCount> arrivals;
+    bool operator==(const RouterReport &other) const = default;
+};
+
+/// Asks for what was published after a revision.
+struct ViewWanted
+{
+    std::uint64_t after = 0;
+    bool operator==(const ViewWanted &other) const = default;
+};
+
+/// What was published, as the sender read it.
+struct ViewNews
+{
+    routing::ViewUpdate update;
+    bool operator==(const ViewNews &other) const = default;
+};
+
 using Message = std::variant<Hello, Heartbeat, MemberNews, DocumentWanted, DocumentBody,
-                             LeaseRequests, LeaseGrants, CrashNote, PermitRequests, PermitAnswers>;
+                             LeaseRequests, LeaseGrants, CrashNote, PermitRequests, PermitAnswers,
+                             RouterReport, ViewWanted, ViewNews>;
 
 /// Returns the frame's payload: a msgpack array of version, type and body.
 std::string encode(const Message &message);
--- /dev/null
+++ b/src/routing/router.cpp
@@ -0,0 +1,181 @@
+// The part of Router that takes events in and hands them to the other parts.
+
+#include "routing/router.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace azurespindle::routing {
+namespace {
+
+/// Odd multiplier that spreads consecutive numbers over all bits.
+constexpr std::uint64_t spreadMultiplier = 0x9E3779B97F4A7C15ULL;
+constexpr unsigned spreadShift = 33;
+
+} // namespace
+
+const char *name(AttemptEnd end)
+{
+    switch (end) {
+    case AttemptEnd::Complete:
+        return "complete";
+    case AttemptEnd::NotSent:
+        return "not-sent";
+    case AttemptEnd::Lost:
+        return "lost";
+    case AttemptEnd::TimedOut:
+        return "timed-out";
+    }
+    return "unknown";
+}
+
+const char *name(MoveStatus status)
+{
+    switch (status) {
+    case MoveStatus::Copied:
+        return "copied";
+    case MoveStatus::NoSuchRun:
+        return "no-such-run";
+    case MoveStatus::InProgress:
+        return "in-progress";
+    case MoveStatus::NoRoom:
+        return "no-room";
+    case MoveStatus::Failed:
+        return "failed";
+    }
+    return "unknown";
+}
+
+Router::Router(RouterOptions options) : options(std::move(options)), turn(this->options.seed)
+{
+    this->budget.setLimits(this->options.arrivals);
+}
+
+RouterEffects Router::handle(const RouterEvent &event, Instant at)
+{
+    this->now = at;
+    std::visit([this](const auto &each) { this->on(each); }, event);
+    return std::exchange(this->effects, {});
+}
+
+RouterStatus Router::status() const
+{
+    RouterStatus status = this->counts;
+    status.open = this->open.size();
+    status.queued = this->queue.size();
+    for (const auto &[id, each] : this->open) {
+        status.moving += each.move ? 1 : 0;
+    }
+    return status;
+}
+
+std::uint64_t Router::nextTurn()
+{
+    this->turn += 1;
+    return (this->turn * spreadMultiplier) >> spreadShift;
+}
+
+Router::Open *Router::find(RequestId id)
+{
+    const auto found = this->open.find(id);
+    return found == this->open.end() ? nullptr : &found->second;
+}
+
+Router::Open *Router::findCurrent(const AttemptId &attempt)
+{
+    Open *found = this->find(attempt.request);
+    const bool current = found != nullptr && found->attempt == attempt.number;
+    return current ? found : nullptr;
+}
+
+const UpstreamRecord *Router::record(const std::string &id) const
+{
+    const auto found = this->state->upstreams.find(id);
+    return found == this->state->upstreams.end() ? nullptr : &found->second;
+}
+
+void Router::journal(const Open &open, journal::EventId id, std::vector<journal::Field> fields)
+{
+    fields.insert(fields.begin(), {"request", open.request->callerId});
+    this->emit(Journal {{id, std::move(fields)}});
+}
+
+void Router::on(const CallerLeft &event)
+{
+    Open *left = this->find(event.id);
+    if (left == nullptr) {
+        return;
+    }
+    this->journal(*left, journal::EventId::CallerLeft,
+                  {{"events", std::to_string(left->events)},
+                   {"afterMs", std::to_string((this->now - left->arrived).count() / 1'000)}});
+    this->cancel(*left);
+    this->close(event.id);
+    this->dispatch();
+}
+
+void Router::on(const StateChanged &event)
+{
+    for (const auto &[id, record] : event.state->upstreams) {
+        const UpstreamRecord *before = this->record(id);
+        const bool fresh = before == nullptr || before->born != record.born;
+        const bool colder = before != nullptr && record.coldLeft > before->coldLeft;
+        if ((fresh || colder) && record.coldLeft.count() > 0) {
+            this->coldUntil[id] = this->now + record.coldLeft;
+        }
+    }
+    this->state = event.state;
+    this->resolveLosses();
+    for (auto cold = this->coldUntil.begin(); cold != this->coldUntil.end();) {
+        cold = cold->second < this->now ? this->coldUntil.erase(cold) : std::next(cold);
+    }
+    this->on(TimePassed {});
+}
+
+void Router::on(const PeerTold &event)
+{
+    this->loads.tell(event.peer, event.claims, event.whole, this->now);
+    this->budget.tell(event.peer, event.arrivals, this->now);
+}
+
+void Router::on(const CrashTold &event)
+{
+    this->crashes.blame(event.fingerprint, event.upstream, event.born, this->now);
+}
+
+void Router::on(const ProcessesChanged &event)
+{
+    this->budget.setProcesses(event.count);
+    this->coldShare.setProcesses(event.count);
+}
+
+void Router::on(const StopRequested &)
+{
+    this->stopping = true;
+}
+
+void Router::on(const TimePassed &)
+{
+    this->loads.forgetSilent(this->now);
+    std::vector<RequestId> ids;
+    ids.reserve(this->open.size());
+    for (const auto &[id, each] : this->open) {
+        ids.push_back(id);
+    }
+    std::sort(ids.begin(), ids.end());
+    for (const RequestId id : ids) {
+        if (Open *each = this->find(id)) {
+            this->checkTime(*each);
+        }
+        if (Open *each = this->find(id)) {
+            this->checkMove(*each);
+        }
+        if (Open *each = this->find(id)) {
+            this->checkSilence(*each);
+        }
+    }
+    this->dispatch();
+    this->refuseHopeless();
+}
+
+} // namespace azurespindle::routing
--- /dev/null
+++ b/src/routing/router.h
@@ -0,0 +1,230 @@
+#ifndef AZURESPINDLE_ROUTING_ROUTER_H
+#define AZURESPINDLE_ROUTING_ROUTER_H
+
+#include "decision/arrival_budget.h"
+#include "decision/cold_share.h"
+#include "decision/crash_register.h"
+#include "decision/engine_choice.h"
+#include "decision/load_table.h"
+#include "routing/router_events.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace azurespindle::routing {
+
+struct RouterOptions
+{
+    std::string zone;       ///< Of this process.
+    std::uint64_t seed = 0; ///< Spreads the choices of processes that know the same.
+    decision::ArrivalLimits arrivals;
+};
+
+/// What a router holds, for `azurespindle status` and the metrics.
+struct RouterStatus
+{
+    std::size_t open = 0;
+    std::size_t queued = 0;
+    std::size_t moving = 0;
+    std::uint64_t movesBegun = 0;
+    std::uint64_t movesDone = 0;
+    std::uint64_t generationsLost = 0;
+};
+
+/// Decides what becomes of each routed request: which upstream it goes to and when, what is tried
+/// again, which running generation moves to another engine, what is refused.
+///
+/// Pure, like decision::Dispatcher: handle() is told the event and the time, and returns what is to
+/// be done. It differs from the dispatcher in what it can ask of upstreams: engines here know no
+/// generations by name and no offsets, but can hand a running one to another engine.
+class Router
+{
+public:
+    static constexpr milliseconds tickInterval {20};
+
+    explicit Router(RouterOptions options);
+
+    // Commands
+
+    RouterEffects handle(const RouterEvent &event, Instant now);
+    /// Takes the own claims that changed since the last call, for the peers.
+    std::vector<decision::UpstreamClaim> takeChangedClaims() { return this->loads.takeChanged(); }
+
+    // Queries
+
+    RouterStatus status() const;
+    std::vector<decision::UpstreamClaim> claims() const { return this->loads.allOwn(); }
+    std::vector<decision::ArrivalCount> arrivals(Instant now) const
+    {
+        return this->budget.counts(now);
+    }
+
+private:
+    enum class MoveStage {
+        Choosing, ///< No destination yet, or the last one had no room.
+        Copying,  ///< A first copy is under way while the generation runs.
+        Copied,   ///< The first copy is there; the last part waits for its time.
+        Stopping, ///< The run is told to stop and copy the rest.
+        Stopped,  ///< All is copied; the last events of the old stream are awaited.
+    };
+
+    /// A running generation on its way to another engine.
+    struct Move
+    {
+        MoveStage stage = MoveStage::Choosing;
+        std::string reason;
+        UpstreamRecord to;
+        decision::Claim claim; ///< At the destination.
+        Instant since;
+        Instant nextTry;
+        Instant finalDue;
+        Instant stoppedAt;
+        std::string handle;
+        bool sourceEnded = false;
+        bool sourceComplete = false;
+        std::uint32_t failures = 0;
+        std::vector<std::string> refusedBy;
+    };
+
+    struct Open
+    {
+        RequestId id = 0;
+        std::shared_ptr<const RoutedRequest> request;
+        std::shared_ptr<const RouteTable> table; ///< Keeps route and service alive.
+        const Route *route = nullptr;
+        const Service *service = nullptr;
+        std::string serviceName;
+        std::string workspace;
+        std::uint32_t urgency = 0;
+        std::uint64_t fingerprint = 0;
+        Instant arrived;
+        Instant deadline;
+        bool queued = false;
+        Instant queuedAt;
+
+        AttemptNumber attempt = 0;
+        bool running = false;
+        UpstreamRecord upstream;
+        decision::Claim claim;
+        Instant started;
+        Instant lastHeard;
+        AnswerHead head;
+        bool headSeen = false;
+        bool isTakeover = false;
+        Takeover takeover;
+        std::string takeoverOrigin; ///< IP:PORT where the copy also lies; empty: nowhere.
+
+        std::uint32_t arrivals = 0; ///< Sends that may have reached an upstream.
+        std::uint32_t tries = 0;
+        std::vector<std::string> ranOn;   ///< Upstreams that may have run it.
+        std::vector<std::string> avoided; ///< Upstreams that are not to be tried again.
+
+        bool relaying = false;
+        std::uint64_t events = 0;
+        std::uint64_t lastEventId = 0;
+        std::optional<Move> move;
+        Instant nextRescue;
+    };
+
+    /// A lost attempt whose upstream may have died of it.
+    struct UnresolvedLoss
+    {
+        std::uint64_t fingerprint = 0;
+        RequestId request = 0;
+        std::string upstream;
+        std::uint64_t born = 0;
+        Instant at;
+    };
+
+    void on(const RequestArrived &event);
+    void on(const CallerLeft &event);
+    void on(const HeadArrived &event);
+    void on(const EventsArrived &event);
+    void on(const AttemptEnded &event);
+    void on(const MoveAnswered &event);
+    void on(const StateChanged &event);
+    void on(const PeerTold &event);
+    void on(const CrashTold &event);
+    void on(const ProcessesChanged &event);
+    void on(const TimePassed &event);
+    void on(const StopRequested &event);
+
+    // Admission (router_admission.cpp)
+    std::optional<OwnAnswer> resolve(Open &arrived);
+    void dispatch();
+    void enqueue(Open &open);
+    void unqueue(Open &open);
+    bool tryPlace(Open &open);
+    std::vector<decision::ChoiceCandidate> candidatesFor(const Open &open) const;
+    bool usable(const Open &open, const UpstreamRecord &record) const;
+    void refuseHopeless();
+    milliseconds retryAfter(const Open &open) const;
+
+    // Attempts (router_attempts.cpp)
+    void start(Open &open, const UpstreamRecord &upstream, const decision::Claim &claim,
+               const std::optional<Takeover> &takeover);
+    void leaveUpstream(Open &open);
+    void cancel(Open &open);
+    void conclude(Open &open, AttemptEnd end, const std::string &detail);
+    void concludeUnrun(Open &open, AttemptEnd end, const std::string &detail);
+    void concludeMayHaveRun(Open &open, AttemptEnd end, const std::string &detail);
+    void concludeStream(Open &open, AttemptEnd end, const std::string &detail);
+    bool mayRunAgain(const Open &open) const;
+    void checkTime(Open &open);
+    void checkSilence(Open &open);
+    void answer(Open &open, OwnAnswer answer);
+    void breakOff(Open &open, const std::string &reason);
+    void finish(Open &open);
+    void close(RequestId id);
+    void blameFor(const Open &open);
+    void resolveLosses();
+
+    // Moves (router_moves.cpp)
+    void beginMove(Open &open, const std::string &reason);
+    void checkMove(Open &open);
+    void chooseDestination(Open &open);
+    void askFinal(Open &open);
+    void onCopied(Open &open, const MoveAnswer &answer);
+    void onFinal(Open &open, const MoveAnswer &answer);
+    void takeOver(Open &open, const UpstreamRecord &to, const std::string &origin,
+                  const std::string &handle);
+    void concludeTakeover(Open &open, AttemptEnd end, const std::string &detail);
+    bool rescue(Open &open, const std::string &reason);
+    void dropMove(Open &open, bool freeCopy);
+    bool movable(const Open &open) const;
+    bool sourceLeaves(const Open &open) const;
+    microseconds copyTime(const Open &open, Tokens tokens) const;
+    decision::Claim movedClaim(const Open &open) const;
+
+    Open *find(RequestId id);
+    Open *findCurrent(const AttemptId &attempt);
+    const UpstreamRecord *record(const std::string &id) const;
+    Tokens expectedOutput(const Open &open) const;
+    void emit(RouterEffect effect) { this->effects.push_back(std::move(effect)); }
+    void journal(const Open &open, journal::EventId id, std::vector<journal::Field> fields);
+    std::uint64_t nextTurn();
+
+    const RouterOptions options;
+    Instant now;
+    RouterEffects effects;
+    std::shared_ptr<const FleetState> state = std::make_shared<FleetState>();
+    std::map<std::string, Instant> coldUntil; ///< By upstream.
+    std::unordered_map<std::string, Instant> troubledUntil;
+    std::unordered_map<RequestId, Open> open;
+    std::vector<RequestId> queue; ///< In the order in which they are tried.
+    decision::LoadTable loads;
+    decision::ArrivalBudget budget;
+    decision::ColdShare coldShare;
+    decision::CrashRegister crashes;
+    std::vector<UnresolvedLoss> losses;
+    RouterStatus counts;
+    std::uint64_t turn = 0;
+    bool stopping = false;
+};
+
+} // namespace azurespindle::routing
+
+#endif
--- /dev/null
+++ b/src/routing/router_attempts.cpp
@@ -0,0 +1,413 @@
+// The part of Router that sends requests, and decides what follows from how an attempt ended.
+
+#include "routing/router.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace azurespindle::routing {
+namespace {
+
+constexpr int statusOk = 200;
+constexpr int statusServerError = 500;
+constexpr int statusBadGateway = 502;
+constexpr int statusUnavailable = 503;
+constexpr int statusGatewayTimeout = 504;
+
+/// How long an upstream that could not be reached is the last choice.
+constexpr milliseconds unreachablePenalty {1'500};
+/// How long an upstream that refused a request for want of room is the last choice.
+constexpr milliseconds refusedPenalty {250};
+/// How long an upstream that failed a request is the last choice.
+constexpr milliseconds failedPenalty {500};
+/// Sends of one request, of which at most Route::maxAttempts may have run.
+constexpr std::uint32_t maxTries = 5;
+/// Time below which another try is not worth its while.
+constexpr milliseconds leastTimeLeft {40};
+/// An idempotent call is tried elsewhere after so many times its objective without an answer.
+constexpr int silentObjectives = 2;
+constexpr milliseconds silentMargin {100};
+/// A stream whose engine says nothing for so long is taken for cut off.
+constexpr milliseconds silentStream {1'500};
+/// A stream that has not begun is tried elsewhere after so long, if it may be.
+constexpr milliseconds silentStart {2'200};
+constexpr milliseconds rescueInterval {1'500};
+/// The death of an upstream is blamed on what it ran, if it shows within this time.
+constexpr seconds blameTime {6};
+constexpr std::size_t maxLosses = 256;
+constexpr std::uint32_t mostUrgent = 0;
+constexpr std::uint32_t leastUrgent = 9;
+
+std::string millisecondsSince(Instant from, Instant to)
+{
+    return std::to_string((to - from).count() / 1'000);
+}
+
+} // namespace
+
+void Router::start(Open &open, const UpstreamRecord &upstream, const decision::Claim &claim,
+                   const std::optional<Takeover> &takeover)
+{
+    const bool engine = open.service != nullptr && open.service->engine;
+    open.attempt += 1;
+    open.tries += 1;
+    open.running = true;
+    open.upstream = upstream;
+    open.claim = claim;
+    open.started = this->now;
+    open.lastHeard = this->now;
+    open.head = {};
+    open.headSeen = false;
+    open.isTakeover = takeover.has_value();
+    open.takeover = takeover.value_or(Takeover {});
+    this->loads.add(upstream.id, claim);
+    if (open.arrivals > 0) {
+        this->budget.noteRepeat(open.serviceName, this->now);
+    }
+    open.arrivals += 1;
+    if (this->coldUntil.count(upstream.id) > 0) {
+        this->coldShare.noteSent(upstream.id, this->now);
+    }
+    AttemptPlan plan;
+    plan.upstream = upstream;
+    plan.timeLeft = std::max(
+        milliseconds(1), std::chrono::duration_cast<milliseconds>(open.deadline - this->now));
+    plan.workspace = open.workspace;
+    plan.engine = engine;
+    plan.urgency = std::clamp(open.urgency, mostUrgent, leastUrgent);
+    plan.takeover = takeover;
+    const bool goesOn = takeover.has_value() || open.route->resumable;
+    if (open.lastEventId > 0 && (goesOn || open.request->lastEventId)) {
+        plan.afterEvent = open.lastEventId;
+    }
+    this->journal(open, journal::EventId::RequestPlaced,
+                  {{"attempt", std::to_string(open.attempt)},
+                   {"upstream", upstream.id},
+                   {"workspace", open.workspace},
+                   {"route", open.route->name},
+                   {"waitedMs", millisecondsSince(open.arrived, this->now)},
+                   {"leftMs", std::to_string(plan.timeLeft.count())},
+                   {"attemptsThere", std::to_string(this->loads.total(upstream.id).attempts)},
+                   {"memoryThere", std::to_string(this->loads.total(upstream.id).memory)},
+                   {"afterEvent", std::to_string(plan.afterEvent.value_or(0))},
+                   {"takeover", open.takeover.source},
+                   {"version", std::to_string(open.table->configuration().version)},
+                   {"revision", std::to_string(this->state->revision)}});
+    this->emit(StartAttempt {{open.id, open.attempt}, std::move(plan)});
+}
+
+void Router::leaveUpstream(Open &open)
+{
+    if (std::exchange(open.running, false)) {
+        this->loads.subtract(open.upstream.id, open.claim);
+        open.claim = {};
+    }
+}
+
+void Router::cancel(Open &open)
+{
+    if (open.running) {
+        this->emit(CancelAttempt {{open.id, open.attempt}});
+        this->leaveUpstream(open);
+    }
+}
+
+void Router::on(const HeadArrived &event)
+{
+    Open *current = this->findCurrent(event.attempt);
+    if (current == nullptr) {
+        return;
+    }
+    Open &open = *current;
+    open.head = event.head;
+    open.headSeen = true;
+    open.lastHeard = this->now;
+    const bool stream = open.route->kind == RouteKind::Streaming;
+    const bool begins = stream && event.head.status == statusOk && event.head.eventStream
+        && event.head.genuine && !event.head.foreign;
+    if (begins) {
+        open.relaying = true;
+        this->emit(RelayStream {event.attempt});
+    }
+}
+
+void Router::on(const EventsArrived &event)
+{
+    Open *current = this->findCurrent(event.attempt);
+    if (current == nullptr) {
+        return;
+    }
+    Open &open = *current;
+    open.lastHeard = this->now;
+    if (open.claim.prefill > 0) {
+        const decision::Claim read {0, 0, open.claim.prefill};
+        this->loads.subtract(open.upstream.id, read);
+        open.claim.prefill = 0;
+    }
+    open.events += event.count;
+    open.lastEventId = std::max(open.lastEventId, event.lastEventId);
+}
+
+void Router::on(const AttemptEnded &event)
+{
+    Open *current = this->findCurrent(event.attempt);
+    if (current == nullptr || !current->running) {
+        return;
+    }
+    this->leaveUpstream(*current);
+    this->conclude(*current, event.end, event.detail);
+    this->dispatch();
+}
+
+void Router::conclude(Open &open, AttemptEnd end, const std::string &detail)
+{
+    if (end != AttemptEnd::Complete || open.head.status != statusOk) {
+        this->journal(open, journal::EventId::AttemptFailed,
+                      {{"attempt", std::to_string(open.attempt)},
+                       {"upstream", open.upstream.id},
+                       {"end", name(end)},
+                       {"status", std::to_string(open.head.status)},
+                       {"notRun", open.head.notRun || open.head.otherInstance ? "yes" : "no"},
+                       {"events", std::to_string(open.events)},
+                       {"tookMs", millisecondsSince(open.started, this->now)},
+                       {"detail", detail}});
+    }
+    const bool begun = open.headSeen && open.relaying && open.head.eventStream
+        && open.head.status == statusOk;
+    if (open.isTakeover && !begun) {
+        this->concludeTakeover(open, end, detail);
+    } else if (begun) {
+        this->concludeStream(open, end, detail);
+    } else if (end == AttemptEnd::NotSent
+               || (end == AttemptEnd::Complete && (open.head.notRun || open.head.otherInstance))) {
+        this->concludeUnrun(open, end, detail);
+    } else if (end == AttemptEnd::Complete && open.head.genuine && !open.head.foreign
+               && !open.relaying
+               && (open.head.status < statusServerError || !this->mayRunAgain(open))) {
+        this->crashes.clear(open.fingerprint);
+        this->emit(PassAnswer {{open.id, open.attempt}});
+        this->finish(open);
+    } else {
+        this->concludeMayHaveRun(open, end, detail);
+    }
+}
+
+bool Router::mayRunAgain(const Open &open) const
+{
+    const bool repeatable = open.route->kind == RouteKind::Idempotent
+        || (open.route->kind == RouteKind::Streaming && open.route->resumable);
+    // What was just concluded is not in ranOn yet.
+    const bool attemptsLeft = open.ranOn.size() + 1 < open.route->maxAttempts;
+    return repeatable && attemptsLeft && open.tries < maxTries
+        && open.deadline - this->now > leastTimeLeft
+        && this->budget.allows(open.serviceName, open.events > 0, this->now);
+}
+
+void Router::concludeUnrun(Open &open, AttemptEnd end, const std::string &detail)
+{
+    const bool unreachable = end == AttemptEnd::NotSent;
+    this->troubledUntil[open.upstream.id]
+        = this->now + (unreachable ? unreachablePenalty : refusedPenalty);
+    open.avoided.push_back(open.upstream.id);
+    if (unreachable) {
+        open.arrivals -= 1;
+    }
+    const bool affordable
+        = open.arrivals == 0 || this->budget.allows(open.serviceName, false, this->now);
+    if (open.tries < maxTries && affordable && open.deadline - this->now > leastTimeLeft) {
+        this->enqueue(open);
+        return;
+    }
+    const int status = open.ranOn.empty() ? statusUnavailable : statusBadGateway;
+    this->answer(open, {status, this->retryAfter(open), "upstreams had no room: " + detail});
+}
+
+void Router::concludeMayHaveRun(Open &open, AttemptEnd end, const std::string &detail)
+{
+    this->troubledUntil[open.upstream.id] = this->now + failedPenalty;
+    if (end == AttemptEnd::Lost) {
+        this->blameFor(open);
+    }
+    const bool again = this->mayRunAgain(open);
+    open.ranOn.push_back(open.upstream.id);
+    if (again) {
+        this->enqueue(open);
+        return;
+    }
+    this->answer(open, {statusBadGateway, milliseconds(0), "the upstream failed: " + detail});
+}
+
+void Router::concludeStream(Open &open, AttemptEnd end, const std::string &detail)
+{
+    const bool complete = end == AttemptEnd::Complete;
+    const bool stopped = open.move
+        && (open.move->stage == MoveStage::Stopping || open.move->stage == MoveStage::Stopped);
+    if (stopped) {
+        open.move->sourceEnded = true;
+        open.move->sourceComplete = complete;
+        this->checkMove(open);
+        return;
+    }
+    if (complete) {
+        this->crashes.clear(open.fingerprint);
+        this->dropMove(open, true);
+        this->emit(EndStream {open.id});
+        this->finish(open);
+        return;
+    }
+    if (open.events == 0) {
+        this->blameFor(open);
+    }
+    if (open.move && open.move->stage == MoveStage::Copied) {
+        const Move move = *open.move;
+        this->takeOver(open, move.to, open.upstream.address, move.handle);
+        return;
+    }
+    this->dropMove(open, false);
+    if (this->mayRunAgain(open)) {
+        open.ranOn.push_back(open.upstream.id);
+        this->troubledUntil[open.upstream.id] = this->now + failedPenalty;
+        this->enqueue(open);
+        return;
+    }
+    if (!this->rescue(open, "stream " + std::string(name(end)))) {
+        this->breakOff(open, "the stream ended early: " + detail);
+    }
+}
+
+void Router::checkTime(Open &open)
+{
+    if (this->now < open.deadline) {
+        return;
+    }
+    if (open.relaying) {
+        this->breakOff(open, "the time ran out");
+        return;
+    }
+    const bool mayHaveRun = open.running || !open.ranOn.empty();
+    const bool queuedOnly = open.queued && !mayHaveRun;
+    this->answer(open, {queuedOnly ? statusUnavailable : statusGatewayTimeout, milliseconds(0),
+                        "the time ran out"});
+}
+
+void Router::checkSilence(Open &open)
+{
+    if (!open.running) {
+        return;
+    }
+    const microseconds silence = this->now - open.lastHeard;
+    if (open.relaying) {
+        if (silence < silentStream || open.move || this->now < open.nextRescue) {
+            return;
+        }
+        open.nextRescue = this->now + rescueInterval;
+        if (this->mayRunAgain(open)) {
+            this->cancel(open);
+            this->concludeStream(open, AttemptEnd::TimedOut, "silent");
+            this->dispatch();
+        } else if (this->movable(open)) {
+            this->rescue(open, "silent");
+        }
+        return;
+    }
+    const auto patience = open.route->kind == RouteKind::Streaming
+        ? std::max(silentStart, open.route->latencyObjective)
+        : open.route->latencyObjective * silentObjectives + silentMargin;
+    if (silence > patience && this->mayRunAgain(open)) {
+        this->cancel(open);
+        this->concludeMayHaveRun(open, AttemptEnd::TimedOut, "silent");
+        this->dispatch();
+    }
+}
+
+void Router::answer(Open &open, OwnAnswer answer)
+{
+    if (open.relaying) {
+        this->breakOff(open, answer.reason);
+        return;
+    }
+    this->cancel(open);
+    this->dropMove(open, false);
+    this->journal(open, journal::EventId::RequestRefused,
+                  {{"status", std::to_string(answer.status)},
+                   {"reason", answer.reason},
+                   {"retryAfterMs", std::to_string(answer.retryAfter.count())},
+                   {"workspace", open.workspace},
+                   {"route", open.route == nullptr ? "" : open.route->name},
+                   {"tries", std::to_string(open.tries)},
+                   {"mayHaveRunOn", std::to_string(open.ranOn.size())},
+                   {"afterMs", millisecondsSince(open.arrived, this->now)},
+                   {"revision", std::to_string(this->state->revision)}});
+    this->emit(AnswerOwn {open.id, std::move(answer)});
+    this->close(open.id);
+}
+
+void Router::breakOff(Open &open, const std::string &reason)
+{
+    this->cancel(open);
+    this->dropMove(open, true);
+    this->counts.generationsLost += 1;
+    this->journal(open, journal::EventId::GenerationLost,
+                  {{"upstream", open.upstream.id},
+                   {"events", std::to_string(open.events)},
+                   {"reason", reason},
+                   {"afterMs", millisecondsSince(open.arrived, this->now)}});
+    this->emit(BreakOff {open.id});
+    this->close(open.id);
+}
+
+void Router::finish(Open &open)
+{
+    this->journal(open, journal::EventId::RequestFinished,
+                  {{"upstream", open.upstream.id},
+                   {"workspace", open.workspace},
+                   {"route", open.route->name},
+                   {"status", std::to_string(open.head.status)},
+                   {"events", std::to_string(open.events)},
+                   {"tries", std::to_string(open.tries)},
+                   {"tookMs", millisecondsSince(open.arrived, this->now)}});
+    this->close(open.id);
+}
+
+void Router::close(RequestId id)
+{
+    Open &closing = this->open.at(id);
+    this->unqueue(closing);
+    this->leaveUpstream(closing);
+    this->dropMove(closing, true);
+    this->open.erase(id);
+    this->emit(RequestClosed {id});
+}
+
+void Router::blameFor(const Open &open)
+{
+    if (this->losses.size() >= maxLosses) {
+        this->losses.erase(this->losses.begin());
+    }
+    this->losses.push_back(
+        {open.fingerprint, open.id, open.upstream.id, open.upstream.born, this->now});
+}
+
+void Router::resolveLosses()
+{
+    std::vector<UnresolvedLoss> unresolved;
+    for (const UnresolvedLoss &loss : std::exchange(this->losses, {})) {
+        if (this->now - loss.at > blameTime) {
+            continue;
+        }
+        const UpstreamRecord *record = this->record(loss.upstream);
+        if (record != nullptr && (record->born == loss.born || record->leaving)) {
+            unresolved.push_back(loss);
+            continue;
+        }
+        if (this->crashes.blame(loss.fingerprint, loss.upstream, loss.born, this->now)) {
+            this->emit(Journal {{journal::EventId::CrashSuspected,
+                                 {{"fingerprint", std::to_string(loss.fingerprint)},
+                                  {"upstream", loss.upstream}}}});
+            this->emit(TellCrash {loss.fingerprint, loss.upstream, loss.born});
+        }
+    }
+    this->losses = std::move(unresolved);
+}
+
+} // namespace azurespindle::routing
--- /dev/null
+++ b/src/routing/router_events.h
@@ -0,0 +1,226 @@
+#ifndef AZURESPINDLE_ROUTING_ROUTER_EVENTS_H
+#define AZURESPINDLE_ROUTING_ROUTER_EVENTS_H
+
+#include "decision/arrival_budget.h"
+#include "decision/load_table.h"
+#include "journal/event_id.h"
+#include "routing/published_view.h"
+#include "routing/types.h"
+
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace azurespindle::routing {
+
+using decision::AttemptNumber;
+
+/// Names one attempt of one request.
+struct AttemptId
+{
+    RequestId request = 0;
+    AttemptNumber number = 0;
+    bool operator==(const AttemptId &other) const = default;
+};
+
+/// How a transfer to an upstream ended.
+enum class AttemptEnd {
+    Complete,  ///< A whole answer arrived.
+    NotSent,   ///< No byte left this process.
+    Lost,      ///< The connection ended early, or what came is no answer.
+    TimedOut,
+};
+
+/// Returns a short text for logs.
+const char *name(AttemptEnd end);
+
+/// What an upstream said to a request to copy a running generation.
+enum class MoveStatus {
+    Copied,
+    NoSuchRun,  ///< It does not run there: not yet, or no more.
+    InProgress, ///< An earlier copy of it is under way.
+    NoRoom,     ///< Not at the destination, or it is unreachable.
+    Failed,     ///< No answer that can be read.
+};
+
+const char *name(MoveStatus status);
+
+struct MoveAnswer
+{
+    MoveStatus status = MoveStatus::Failed;
+    std::string handle; ///< Names the copy; may be there though there was no room.
+    std::uint64_t created = 0; ///< Events generated so far.
+    bool operator==(const MoveAnswer &other) const = default;
+};
+
+// Events: what happened outside. ------------------------------------------------------------
+
+struct RequestArrived
+{
+    RequestId id = 0;
+    std::shared_ptr<const RoutedRequest> request;
+};
+
+struct CallerLeft
+{
+    RequestId id = 0;
+};
+
+/// The head of an answer arrived, and a body follows or not.
+struct HeadArrived
+{
+    AttemptId attempt;
+    AnswerHead head;
+};
+
+/// Whole events of a stream arrived and were passed on.
+struct EventsArrived
+{
+    AttemptId attempt;
+    std::uint32_t count = 0;
+    std::uint64_t lastEventId = 0;
+};
+
+struct AttemptEnded
+{
+    AttemptId attempt;
+    AttemptEnd end = AttemptEnd::Lost;
+    std::string detail;
+};
+
+struct MoveAnswered
+{
+    AttemptId attempt;
+    bool final = false;
+    MoveAnswer answer;
+};
+
+/// The configuration, the upstreams or the evacuated zones changed.
+struct StateChanged
+{
+    std::shared_ptr<const FleetState> state;
+};
+
+/// What a peer has under way and counted.
+struct PeerTold
+{
+    std::string peer;
+    bool whole = false;
+    std::vector<decision::UpstreamClaim> claims;
+    std::vector<decision::ArrivalCount> arrivals;
+};
+
+/// A peer saw an upstream die while it ran a request of this fingerprint.
+struct CrashTold
+{
+    std::uint64_t fingerprint = 0;
+    std::string upstream;
+    std::uint64_t born = 0;
+};
+
+struct ProcessesChanged
+{
+    std::size_t count = 1; ///< Processes that may send to the same upstreams.
+};
+
+struct TimePassed
+{ };
+
+struct StopRequested
+{ };
+
+using RouterEvent = std::variant<RequestArrived, CallerLeft, HeadArrived, EventsArrived,
+                                 AttemptEnded, MoveAnswered, StateChanged, PeerTold, CrashTold,
+                                 ProcessesChanged, TimePassed, StopRequested>;
+
+// Effects: what is to be done. --------------------------------------------------------------
+
+/// Send the request to an upstream.
+struct StartAttempt
+{
+    AttemptId attempt;
+    AttemptPlan plan;
+};
+
+/// Give up an attempt: close its connection, pass on nothing more of it.
+struct CancelAttempt
+{
+    AttemptId attempt;
+};
+
+/// Pass the events of this attempt on as they come; its head first if none went out yet.
+struct RelayStream
+{
+    AttemptId attempt;
+};
+
+/// Hand the caller this attempt's whole answer.
+struct PassAnswer
+{
+    AttemptId attempt;
+};
+
+/// End the caller's stream as complete.
+struct EndStream
+{
+    RequestId request = 0;
+};
+
+/// Close the caller's connection, so that the answer does not look complete.
+struct BreakOff
+{
+    RequestId request = 0;
+};
+
+/// Answer the caller without an upstream.
+struct AnswerOwn
+{
+    RequestId request = 0;
+    OwnAnswer answer;
+};
+
+/// Ask the engine that runs the attempt to copy it to another engine.
+struct AskMove
+{
+    AttemptId attempt;
+    std::string from;     ///< IP:PORT.
+    std::string to;       ///< IP:PORT.
+    std::string callerId; ///< The run's name at the engine.
+    bool final = false;   ///< The run stops before the rest is copied.
+};
+
+/// Free a copy that is not needed any more.
+struct DropCopy
+{
+    std::string at; ///< IP:PORT.
+    std::string handle;
+};
+
+/// Tell the peers that an upstream died while it ran a request of this fingerprint.
+struct TellCrash
+{
+    std::uint64_t fingerprint = 0;
+    std::string upstream;
+    std::uint64_t born = 0;
+};
+
+/// Nothing more happens to this request.
+struct RequestClosed
+{
+    RequestId request = 0;
+};
+
+struct Journal
+{
+    journal::Entry entry;
+};
+
+using RouterEffect
+    = std::variant<StartAttempt, CancelAttempt, RelayStream, PassAnswer, EndStream, BreakOff,
+                   AnswerOwn, AskMove, DropCopy, TellCrash, RequestClosed, Journal>;
+using RouterEffects = std::vector<RouterEffect>;
+
+} // namespace azurespindle::routing
+
+#endif
--- /dev/null
+++ b/src/routing/router_moves.cpp
@@ -0,0 +1,348 @@
+// The part of Router that takes running generations to other engines.
+
+#include "routing/router.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace azurespindle::routing {
+namespace {
+
+constexpr milliseconds runUnknownRetry {120}; ///< The engine may not have begun the run yet.
+constexpr milliseconds inProgressRetry {60};
+constexpr milliseconds failedRetry {100};
+constexpr milliseconds noDestinationRetry {100};
+constexpr std::uint32_t maxFailures = 4;
+/// Longest wait, from the notice on, for the other copies on the engine's link. A run that stops
+/// sooner would wait in their queue, and its caller with it.
+constexpr milliseconds longestHold {900};
+/// Copies between zones take twice as long; the first copies of an engine go to both kinds.
+constexpr double linkMargin = 1.4;
+constexpr double megabitsPerByte = 8.0 / 1e6;
+/// After the run has stopped, its last events are on their way for so long at most.
+constexpr milliseconds lastEventsTime {80};
+constexpr double remainingPart = 0.5;
+
+bool contains(const std::vector<std::string> &list, const std::string &item)
+{
+    return std::find(list.begin(), list.end(), item) != list.end();
+}
+
+} // namespace
+
+bool Router::movable(const Open &open) const
+{
+    return open.relaying && open.events > 0 && open.service != nullptr && open.service->engine
+        && open.service->engine->moves;
+}
+
+bool Router::sourceLeaves(const Open &open) const
+{
+    const UpstreamRecord *listed = this->record(open.upstream.id);
+    return listed == nullptr || listed->leaving || listed->born != open.upstream.born;
+}
+
+microseconds Router::copyTime(const Open &open, Tokens tokens) const
+{
+    const EngineTraits &engine = *open.service->engine;
+    const double megabits = engine.bytesPerToken * megabitsPerByte * tokens;
+    const double duration = megabits / std::max(1.0, engine.linkMegabitsPerSecond);
+    return std::chrono::duration_cast<microseconds>(std::chrono::duration<double>(duration));
+}
+
+decision::Claim Router::movedClaim(const Open &open) const
+{
+    const Tokens made
+        = static_cast<Tokens>(open.events) * open.service->engine->tokensPerEvent;
+    const Tokens expected = this->expectedOutput(open);
+    const Tokens remaining = expected > made ? expected - made : 0;
+    const auto held = static_cast<Tokens>(remainingPart * remaining);
+    return {1, open.request->promptTokens + made + held, 0};
+}
+
+void Router::beginMove(Open &open, const std::string &reason)
+{
+    Move move;
+    move.reason = reason;
+    move.since = this->now;
+    move.nextTry = this->now;
+    // What all processes run there shares the link.
+    const Tokens there = this->loads.total(open.upstream.id).memory;
+    const microseconds all
+        = std::chrono::duration_cast<microseconds>(this->copyTime(open, there) * linkMargin);
+    move.finalDue = this->now + std::min<microseconds>(all, longestHold);
+    open.move = move;
+    this->counts.movesBegun += 1;
+}
+
+void Router::checkMove(Open &open)
+{
+    if (!open.move) {
+        if (open.running && this->movable(open) && this->sourceLeaves(open)
+            && this->budget.allows(open.serviceName, true, this->now)) {
+            this->beginMove(open, "upstream leaves");
+        } else {
+            return;
+        }
+    }
+    Move &move = *open.move;
+    const bool destinationGone = [&] {
+        const UpstreamRecord *to = this->record(move.to.id);
+        return to == nullptr || to->leaving || to->born != move.to.born;
+    }();
+    const bool waits = move.stage == MoveStage::Copying || move.stage == MoveStage::Copied;
+    if (waits && destinationGone) {
+        this->loads.subtract(move.to.id, move.claim);
+        move.claim = {};
+        move.refusedBy.push_back(move.to.id);
+        move.stage = MoveStage::Choosing;
+        move.nextTry = this->now;
+    }
+    switch (move.stage) {
+    case MoveStage::Choosing:
+        if (this->now >= move.nextTry) {
+            this->chooseDestination(open);
+        }
+        break;
+    case MoveStage::Copying:
+        break;
+    case MoveStage::Copied:
+        if (this->now >= move.finalDue) {
+            this->askFinal(open);
+        }
+        break;
+    case MoveStage::Stopping:
+        break;
+    case MoveStage::Stopped:
+        if (move.sourceEnded || this->now - move.stoppedAt >= lastEventsTime) {
+            const Move done = move;
+            this->cancel(open);
+            this->takeOver(open, done.to, open.upstream.address, done.handle);
+        }
+        break;
+    }
+}
+
+void Router::chooseDestination(Open &open)
+{
+    Move &move = *open.move;
+    std::vector<decision::ChoiceCandidate> candidates;
+    for (const auto &[id, record] : this->state->upstreams) {
+        const bool fits = record.service == open.serviceName && !record.leaving
+            && id != open.upstream.id && !contains(move.refusedBy, id)
+            && this->state->evacuatedZones.count(record.zone) == 0;
+        if (!fits) {
+            continue;
+        }
+        decision::ChoiceCandidate candidate;
+        candidate.upstream = id;
+        candidate.claimed = this->loads.total(id);
+        candidate.slots = record.slots;
+        candidate.memory = open.service->engine->memoryTokens;
+        // Copies between zones take twice as long and hold up the others on the link.
+        candidate.sameZone = record.zone == open.upstream.zone;
+        const auto trouble = this->troubledUntil.find(id);
+        candidate.troubled = trouble != this->troubledUntil.end() && trouble->second > this->now;
+        candidates.push_back(std::move(candidate));
+    }
+    const decision::Claim claim = this->movedClaim(open);
+    const auto chosen = decision::chooseEngine(
+        candidates, {open.request->promptTokens, claim.memory, true}, this->nextTurn());
+    if (!chosen) {
+        move.nextTry = this->now + noDestinationRetry;
+        move.refusedBy.clear();
+        return;
+    }
+    move.to = *this->record(candidates[*chosen].upstream);
+    move.claim = claim;
+    this->loads.add(move.to.id, claim);
+    const bool stopNow = move.sourceEnded;
+    move.stage = stopNow ? MoveStage::Stopping : MoveStage::Copying;
+    this->journal(open, journal::EventId::MoveBegun,
+                  {{"from", open.upstream.id},
+                   {"to", move.to.id},
+                   {"reason", move.reason},
+                   {"events", std::to_string(open.events)},
+                   {"final", stopNow ? "yes" : "no"}});
+    this->emit(AskMove {{open.id, open.attempt},
+                        open.upstream.address,
+                        move.to.address,
+                        open.request->callerId,
+                        stopNow});
+}
+
+void Router::askFinal(Open &open)
+{
+    Move &move = *open.move;
+    move.stage = MoveStage::Stopping;
+    this->emit(AskMove {{open.id, open.attempt},
+                        open.upstream.address,
+                        move.to.address,
+                        open.request->callerId,
+                        true});
+}
+
+void Router::on(const MoveAnswered &event)
+{
+    Open *current = this->findCurrent(event.attempt);
+    if (current == nullptr || !current->move) {
+        return;
+    }
+    Open &open = *current;
+    this->journal(open, journal::EventId::MoveAnswered,
+                  {{"from", open.upstream.id},
+                   {"to", open.move->to.id},
+                   {"final", event.final ? "yes" : "no"},
+                   {"status", name(event.answer.status)},
+                   {"created", std::to_string(event.answer.created)},
+                   {"events", std::to_string(open.events)},
+                   {"sinceMs", std::to_string((this->now - open.move->since).count() / 1'000)}});
+    if (!event.final && open.move->stage == MoveStage::Copying) {
+        this->onCopied(open, event.answer);
+    } else if (event.final && open.move->stage == MoveStage::Stopping) {
+        this->onFinal(open, event.answer);
+    }
+    this->dispatch();
+}
+
+void Router::onCopied(Open &open, const MoveAnswer &answer)
+{
+    Move &move = *open.move;
+    if (answer.status == MoveStatus::Copied) {
+        move.handle = answer.handle;
+        move.stage = MoveStage::Copied;
+        this->checkMove(open);
+        return;
+    }
+    this->loads.subtract(move.to.id, move.claim);
+    move.claim = {};
+    move.stage = MoveStage::Choosing;
+    switch (answer.status) {
+    case MoveStatus::NoRoom:
+        move.refusedBy.push_back(move.to.id);
+        move.nextTry = this->now;
+        break;
+    case MoveStatus::InProgress:
+        move.nextTry = this->now + inProgressRetry;
+        break;
+    case MoveStatus::NoSuchRun:
+        move.nextTry = this->now + runUnknownRetry;
+        break;
+    default:
+        move.failures += 1;
+        move.nextTry = this->now + failedRetry * move.failures;
+        break;
+    }
+    this->checkMove(open);
+}
+
+void Router::onFinal(Open &open, const MoveAnswer &answer)
+{
+    Move &move = *open.move;
+    if (answer.status == MoveStatus::Copied) {
+        move.handle = answer.handle;
+        move.stage = MoveStage::Stopped;
+        move.stoppedAt = this->now;
+        this->checkMove(open);
+        return;
+    }
+    if (answer.status == MoveStatus::NoRoom && !answer.handle.empty()) {
+        // The run has stopped, and its memory is still at the source: it goes on there.
+        const UpstreamRecord source = open.upstream;
+        this->cancel(open);
+        this->takeOver(open, source, source.address, answer.handle);
+        return;
+    }
+    if (answer.status == MoveStatus::InProgress) {
+        move.nextTry = this->now + inProgressRetry;
+        move.stage = MoveStage::Choosing;
+        this->loads.subtract(move.to.id, move.claim);
+        move.claim = {};
+        return;
+    }
+    if (!move.sourceEnded) {
+        // It still streams, or has just come to its end.
+        move.failures += 1;
+        this->loads.subtract(move.to.id, move.claim);
+        move.claim = {};
+        move.stage = MoveStage::Choosing;
+        move.nextTry = this->now + failedRetry * move.failures;
+        return;
+    }
+    if (move.sourceComplete) {
+        this->dropMove(open, true);
+        this->emit(EndStream {open.id});
+        this->finish(open);
+        return;
+    }
+    if (!move.handle.empty()) {
+        const Move copied = move;
+        this->takeOver(open, copied.to, open.upstream.address, copied.handle);
+        return;
+    }
+    this->breakOff(open, "the engine could not hand the generation over");
+}
+
+void Router::takeOver(Open &open, const UpstreamRecord &to, const std::string &origin,
+                      const std::string &handle)
+{
+    decision::Claim claim = this->movedClaim(open);
+    if (open.move) {
+        this->loads.subtract(open.move->to.id, open.move->claim);
+        open.move.reset();
+    }
+    open.takeoverOrigin = origin;
+    this->start(open, to, claim, Takeover {origin + "/" + handle});
+}
+
+void Router::concludeTakeover(Open &open, AttemptEnd end, const std::string &detail)
+{
+    const bool first = open.upstream.address != open.takeoverOrigin;
+    const auto source = std::find_if(
+        this->state->upstreams.begin(), this->state->upstreams.end(),
+        [&](const auto &entry) { return entry.second.address == open.takeoverOrigin; });
+    const bool unrun
+        = end == AttemptEnd::NotSent || (end == AttemptEnd::Complete && open.head.notRun);
+    if (unrun && first && source != this->state->upstreams.end()) {
+        const UpstreamRecord back = source->second;
+        const Takeover again = open.takeover;
+        this->start(open, back, this->movedClaim(open), again);
+        return;
+    }
+    if (this->mayRunAgain(open)) {
+        open.ranOn.push_back(open.upstream.id);
+        this->enqueue(open);
+        return;
+    }
+    this->breakOff(open, "the generation could not go on elsewhere: " + detail);
+}
+
+bool Router::rescue(Open &open, const std::string &reason)
+{
+    if (!this->movable(open) || this->record(open.upstream.id) == nullptr
+        || !this->budget.allows(open.serviceName, true, this->now)) {
+        return false;
+    }
+    this->beginMove(open, reason);
+    open.move->sourceEnded = !open.running;
+    this->chooseDestination(open);
+    if (open.move->stage == MoveStage::Choosing && !open.running) {
+        this->dropMove(open, false);
+        return false;
+    }
+    return true;
+}
+
+void Router::dropMove(Open &open, bool freeCopy)
+{
+    if (!open.move) {
+        return;
+    }
+    this->loads.subtract(open.move->to.id, open.move->claim);
+    if (freeCopy && !open.move->handle.empty()) {
+        this->emit(DropCopy {open.upstream.address, open.move->handle});
+    }
+    open.move.reset();
+}
+
+} // namespace azurespindle::routing
--- /dev/null
+++ b/src/serving/routed_calls.h
@@ -0,0 +1,102 @@
+#ifndef AZURESPINDLE_SERVING_ROUTED_CALLS_H
+#define AZURESPINDLE_SERVING_ROUTED_CALLS_H
+
+#include "http/client.h"
+#include "http/server.h"
+#include "journal/journal.h"
+#include "metrics/registry.h"
+#include "routing/ports.h"
+#include "routing/router.h"
+#include "upstreams/event_splitter.h"
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+
+namespace azurespindle::serving {
+
+/// The requests that are routed: carries out what the router decides.
+class RoutedCalls
+{
+public:
+    /// Answers that are no streams are held whole, up to so many bytes.
+    static constexpr std::size_t maxAnswerBytes = 16'777'216;
+
+    /// \a tellCrash tells the peers which request an upstream died of.
+    RoutedCalls(routing::RouterOptions options, const routing::PlatformPort &port,
+                http::Client &client, metrics::Registry &registry, journal::Journal &journal,
+                std::function<void(const routing::TellCrash &)> tellCrash);
+
+    // Commands
+
+    void take(const http::ServerRequest &request, const http::ExchangePtr &exchange);
+    /// Hands an event to the router, and carries out what follows.
+    void handle(const routing::RouterEvent &event);
+    /// Takes the claims that changed since the last call.
+    std::vector<decision::UpstreamClaim> takeChangedClaims();
+    /// Ends what is still open: the process stops.
+    void cutAll();
+
+    // Queries
+
+    routing::RouterStatus status() const;
+    std::vector<decision::UpstreamClaim> claims() const;
+    std::vector<decision::ArrivalCount> arrivals() const;
+
+private:
+    /// One request, and the attempt whose answer it is waiting for.
+    struct Session
+    {
+        std::shared_ptr<const routing::RoutedRequest> request;
+        http::ExchangePtr exchange;
+        Instant arrived;
+        decision::AttemptNumber attempt = 0;
+        http::TransferId transfer = 0;
+        routing::AnswerHead head;
+        std::string body;
+        upstreams::EventSplitter splitter;
+        bool relaying = false; ///< The present attempt's events are passed on.
+        bool headSent = false;
+        std::uint64_t lastEventId = 0;
+        bool paused = false;
+        std::string workspace;
+        Instant lastEvent;
+    };
+
+    void onHead(const routing::AttemptId &attempt, int status, const http::HeaderFields &fields);
+    bool onData(const routing::AttemptId &attempt, std::string_view bytes);
+    void onDone(const routing::AttemptId &attempt, const http::TransferResult &result);
+    void passEvents(const routing::AttemptId &attempt, Session &session, std::string_view bytes);
+    Session *current(const routing::AttemptId &attempt);
+
+    /// The following run with the lock held.
+    void drive(const routing::RouterEvent &event);
+    void execute(const routing::StartAttempt &effect);
+    void execute(const routing::CancelAttempt &effect);
+    void execute(const routing::RelayStream &effect);
+    void execute(const routing::PassAnswer &effect);
+    void execute(const routing::EndStream &effect);
+    void execute(const routing::BreakOff &effect);
+    void execute(const routing::AnswerOwn &effect);
+    void execute(const routing::AskMove &effect);
+    void execute(const routing::DropCopy &effect);
+    void execute(const routing::TellCrash &effect);
+    void execute(const routing::RequestClosed &effect);
+    void execute(const routing::Journal &effect);
+
+    const routing::PlatformPort &port;
+    http::Client &client;
+    metrics::Registry &registry;
+    journal::Journal &journal;
+    const std::function<void(const routing::TellCrash &)> tellCrash;
+    mutable std::mutex mutex; ///< Guards the members below.
+    routing::Router router;
+    std::unordered_map<routing::RequestId, Session> sessions;
+    routing::RequestId lastRequest = 0;
+};
+
+} // namespace azurespindle::serving
+
+#endif
--- /dev/null
+++ b/src/serving/routing_process.h
@@ -0,0 +1,88 @@
+#ifndef AZURESPINDLE_SERVING_ROUTING_PROCESS_H
+#define AZURESPINDLE_SERVING_ROUTING_PROCESS_H
+
+#include "http/client.h"
+#include "http/server.h"
+#include "journal/journal.h"
+#include "members/coordinator.h"
+#include "metrics/registry.h"
+#include "routing/ports.h"
+#include "serving/routed_calls.h"
+#include "serving/view_keeper.h"
+#include "settings/routing_settings.h"
+#include "timer/timer_service.h"
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+
+namespace azurespindle::serving {
+
+/// Makes what the router needs of the platform it runs on.
+using PortFactory = std::function<routing::PlatformPort(
+    const settings::RoutingSettings &settings, http::Client &client, metrics::Registry &registry)>;
+
+/// One process that routes requests by published routes: everything on one entry VM.
+///
+///     RoutingProcess process(settings, platform::makePort);
+///     if (std::error_code error = process.start())
+///         return fail(error);
+///     waitForSignal();
+///     process.stopGracefully();
+class RoutingProcess
+{
+public:
+    RoutingProcess(settings::RoutingSettings settings, const PortFactory &makePort);
+    ~RoutingProcess();
+    RoutingProcess(const RoutingProcess &) = delete;
+    RoutingProcess &operator=(const RoutingProcess &) = delete;
+
+    // Commands
+
+    std::error_code start();
+    /// Takes over what may change while the process runs: the seeds.
+    void reload(const settings::RoutingSettings &settings);
+    /// Says that it is not ready, lets open requests end, then stops.
+    /// \return the number of requests that were cut.
+    std::size_t stopGracefully();
+
+    // Queries
+
+    /// Returns true if the process can take callers.
+    bool ready() const;
+
+private:
+    void takeState(const std::shared_ptr<const routing::FleetState> &state);
+    void answerReady(const http::ServerRequest &request, const http::ExchangePtr &exchange);
+    void answerMetrics(const http::ExchangePtr &exchange);
+    void tick();
+    void report(bool whole);
+    void noteReadiness();
+    std::vector<std::string> listeners() const;
+    members::CoordinatorHooks coordinatorHooks();
+    void stop();
+
+    const settings::RoutingSettings settings;
+    const settings::Settings memberSettings;
+    const Instant started;
+    journal::Journal journal;
+    metrics::Registry registry;
+    timer::TimerService timers;
+    http::Client client;
+    const routing::PlatformPort port;
+    std::atomic<bool> stopping {false};
+    std::atomic<bool> wasReady {false};
+    std::uint64_t reports = 0; ///< Touched by the timer's thread only.
+    routing::RequestLimits limitsInForce; ///< Touched while a state is taken over only.
+    RoutedCalls calls;
+    members::Coordinator coordinator;
+    ViewKeeper view;
+    http::Server callers;
+    http::Server readiness;
+    std::unique_ptr<http::Server> metricsServer;
+};
+
+} // namespace azurespindle::serving
+
+#endif
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -11,19 +11,6 @@
 constexpr std::int64_t maxPort = 65'535;
 constexpr std::int64_t maxThreads = 64;
 
-Address readAddress(json::ObjectReader &reader, const std::string &name)
-{
-    const std::string text = reader.requiredText(name);
-    Result<Address> address = parseAddress(text);
-    if (address.ok()) {
-        return address.value();
-    }
-    if (!text.empty()) {
-        reader.addFault(name, "IP:PORT, such as 127.0.0.1:8080");
-    }
-    return {};
-}
-
 std::string readUrl(json::ObjectReader &reader, const std::string &name)
 {
     std::string url = reader.text(name, "");
@@ -33,32 +20,12 @@
     return url;
 }
 
-std::vector<Address> readSeeds(json::ObjectReader &reader)
-{
-    std::vector<Address> seeds;
-    for (const std::string &text : reader.textList("seeds")) {
-        Result<Address> address = parseAddress(text);
-        if (address.ok()) {
-            seeds.push_back(address.value());
-        } else {
-            reader.addFault("seeds", "a list of IP:PORT");
-        }
-    }
-    return seeds;
-}
-
-std::size_t readSize(json::ObjectReader &reader, const std::string &name,
-                     json::Range<std::int64_t> range, std::size_t fallback)
-{
-    const auto number = reader.integer(name, range, static_cast<std::int64_t>(fallback));
-    return static_cast<std::size_t>(number);
-}
-
 CallerLimits readCallerLimits(json::ObjectReader &reader)
 {
     CallerLimits limits;
     limits.headerAndBodyBytes
         = readSize(reader, "headerAndBodyBytes", {1'024, 67'108'864}, limits.headerAndBodyBytes);
+    limits.headerBytes = readSize(reader, "headerBytes", {512, 1'048'576}, limits.headerBytes);
     limits.connections = readSize(reader, "connections", {1, 1'000'000}, limits.connections);
     limits.unsentBytes = readSize(reader, "unsentBytes", {4'096, 67'108'864}, limits.unsentBytes);
     limits.requestTimeout = reader.duration("requestTimeoutMs", limits.requestTimeout);
@@ -107,6 +74,40 @@
     return address;
 }
 
+Address readAddress(json::ObjectReader &reader, const std::string &name)
+{
+    const std::string text = reader.requiredText(name);
+    Result<Address> address = parseAddress(text);
+    if (address.ok()) {
+        return address.value();
+    }
+    if (!text.empty()) {
+        reader.addFault(name, "IP:PORT, such as 127.0.0.1:8080");
+    }
+    return {};
+}
+
+std::vector<Address> readSeeds(json::ObjectReader &reader)
+{
+    std::vector<Address> seeds;
+    for (const std::string &text : reader.textList("seeds")) {
+        Result<Address> address = parseAddress(text);
+        if (address.ok()) {
+            seeds.push_back(address.value());
+        } else {
+            reader.addFault("seeds", "a list of IP:PORT");
+        }
+    }
+    return seeds;
+}
+
+std::size_t readSize(json::ObjectReader &reader, const std::string &name,
+                     json::Range<std::int64_t> range, std::size_t fallback)
+{
+    const auto number = reader.integer(name, range, static_cast<std::int64_t>(fallback));
+    return static_cast<std::size_t>(number);
+}
+
 Settings parseSettings(const nlohmann::json &document, json::Faults &faults)
 {
     json::ObjectReader reader(document, "$", faults);
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -29,6 +29,7 @@
 struct CallerLimits
 {
     std::size_t headerAndBodyBytes = 1'048'576; ///< Largest request, headers included.
+    std::size_t headerBytes = 65'536;           ///< Largest header.
     std::size_t connections = 4'096;            ///< Open caller connections.
     std::size_t unsentBytes = 262'144;          ///< Answer bytes buffered for a slow reader.
     milliseconds requestTimeout {10'000};       ///< From the first byte to a whole request.
@@ -72,6 +73,14 @@
     bool operator==(const Settings &other) const = default;
 };
 
+/// Reads the required address at \a name; one that is malformed is a fault.
+Address readAddress(json::ObjectReader &reader, const std::string &name);
+/// Reads the list of addresses at `seeds`.
+std::vector<Address> readSeeds(json::ObjectReader &reader);
+/// Reads a count; see ObjectReader::integer().
+std::size_t readSize(json::ObjectReader &reader, const std::string &name,
+                     json::Range<std::int64_t> range, std::size_t fallback);
+
 /// Fills Settings from a JSON document; adds every fault to \a faults.
 Settings parseSettings(const nlohmann::json &document, json::Faults &faults);
 
