--- a/src/serving/routed_calls.cpp
+++ b/src/serving/routed_calls.cpp
@@ -56,21 +56,32 @@
     session.arrived = monotonicNow();
     session.lastEventId = session.request->lastEventId.value_or(0);
     routing::RequestId id = 0;
-    {
-        const std::lock_guard lock(this->mutex);
+    this->locked([&] {
         this->lastRequest += 1;
         id = this->lastRequest;
         routing::RequestArrived arrived {id, session.request};
         this->sessions.emplace(id, std::move(session));
         this->drive(arrived);
-    }
+    });
     exchange->onGone([this, id] { this->handle(routing::CallerLeft {id}); });
 }
 
 void RoutedCalls::handle(const routing::RouterEvent &event)
 {
-    const std::lock_guard lock(this->mutex);
-    this->drive(event);
+    this->locked([&] { this->drive(event); });
+}
+
+void RoutedCalls::locked(const std::function<void()> &work)
+{
+    std::vector<routing::TellCrash> telling;
+    {
+        const std::lock_guard lock(this->mutex);
+        work();
+        telling.swap(this->untold);
+    }
+    for (const routing::TellCrash &crash : telling) {
+        this->tellCrash(crash);
+    }
 }
 
 void RoutedCalls::drive(const routing::RouterEvent &event)
@@ -92,18 +103,23 @@
 void RoutedCalls::onHead(const routing::AttemptId &attempt, int status,
                          const http::HeaderFields &fields)
 {
-    const std::lock_guard lock(this->mutex);
-    Session *session = this->current(attempt);
-    if (session == nullptr) {
-        return;
-    }
-    session->head = this->port.readHead(*session->request, status, fields);
-    this->drive(routing::HeadArrived {attempt, session->head});
+    this->locked([&] {
+        if (Session *session = this->current(attempt)) {
+            session->head = this->port.readHead(*session->request, status, fields);
+            this->drive(routing::HeadArrived {attempt, session->head});
+        }
+    });
 }
 
 bool RoutedCalls::onData(const routing::AttemptId &attempt, std::string_view bytes)
 {
-    const std::lock_guard lock(this->mutex);
+    bool taken = true;
+    this->locked([&] { taken = this->takeData(attempt, bytes); });
+    return taken;
+}
+
+bool RoutedCalls::takeData(const routing::AttemptId &attempt, std::string_view bytes)
+{
     Session *session = this->current(attempt);
     if (session == nullptr) {
         return true;
@@ -158,10 +174,11 @@
 
 void RoutedCalls::onDone(const routing::AttemptId &attempt, const http::TransferResult &result)
 {
-    const std::lock_guard lock(this->mutex);
-    if (this->current(attempt) != nullptr) {
-        this->drive(routing::AttemptEnded {attempt, endOf(result), result.detail});
-    }
+    this->locked([&] {
+        if (this->current(attempt) != nullptr) {
+            this->drive(routing::AttemptEnded {attempt, endOf(result), result.detail});
+        }
+    });
 }
 
 // Effects. ---------------------------------------------------------------------------------------
@@ -251,7 +268,7 @@
 
 void RoutedCalls::execute(const routing::TellCrash &effect)
 {
-    this->tellCrash(effect);
+    this->untold.push_back(effect);
 }
 
 void RoutedCalls::execute(const routing::RequestClosed &effect)
--- a/src/serving/routed_calls.h
+++ b/src/serving/routed_calls.h
@@ -67,9 +67,13 @@
 
     void onHead(const routing::AttemptId &attempt, int status, const http::HeaderFields &fields);
     bool onData(const routing::AttemptId &attempt, std::string_view bytes);
+    bool takeData(const routing::AttemptId &attempt, std::string_view bytes);
     void onDone(const routing::AttemptId &attempt, const http::TransferResult &result);
     void passEvents(const routing::AttemptId &attempt, Session &session, std::string_view bytes);
     Session *current(const routing::AttemptId &attempt);
+    /// Runs \a work with the lock held; then, without it, tells what peers are to be told: the
+    /// telling may come back here.
+    void locked(const std::function<void()> &work);
 
     /// The following run with the lock held.
     void drive(const routing::RouterEvent &event);
@@ -95,6 +99,7 @@
     routing::Router router;
     std::unordered_map<routing::RequestId, Session> sessions;
     routing::RequestId lastRequest = 0;
+    std::vector<routing::TellCrash> untold;
 };
 
 } // namespace azurespindle::serving
