Keep copies of long generations on engines with free memory; time the last part by the engine's word

Load: three of eighteen engines leave each 3.3 s, with four to eight long generations each. Ruled out: detection (11 ms after the notice).

--- a/src/routing/ports.h
+++ b/src/routing/ports.h
@@ -38,6 +38,9 @@
     /// Asks an engine to copy a running generation. Calls back once, from any thread.
     std::function<void(const AskMove &ask, const std::function<void(const MoveAnswer &)> &handler)>
         askMove;
+    /// Asks an engine for its report. Calls back once, from any thread, unless it gets no answer.
+    std::function<void(const AskReport &ask, const std::function<void(const EngineReport &)> &)>
+        askReport;
     /// Frees a copy of a generation; its answer does not matter.
     std::function<void(const DropCopy &drop)> dropCopy;
 };
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -11,6 +11,8 @@
 /// Odd multiplier that spreads consecutive numbers over all bits.
 constexpr std::uint64_t spreadMultiplier = 0x9E3779B97F4A7C15ULL;
 constexpr unsigned spreadShift = 33;
+/// An engine that leaves is gone long before.
+constexpr seconds leavingMemory {60};
 
 } // namespace
 
@@ -132,6 +134,14 @@
     this->on(TimePassed {});
 }
 
+void Router::on(const ReportArrived &event)
+{
+    const auto found = this->leaving.find(event.upstream);
+    if (found != this->leaving.end() && event.report.leavesIn) {
+        found->second.gone = this->now + *event.report.leavesIn;
+    }
+}
+
 void Router::on(const PeerTold &event)
 {
     this->loads.tell(event.peer, event.claims, event.whole, this->now);
@@ -174,6 +184,9 @@
             this->checkSilence(*each);
         }
     }
+    std::erase_if(this->leaving, [this](const auto &entry) {
+        return this->now - entry.second.noticed > leavingMemory;
+    });
     this->dispatch();
     this->refuseHopeless();
 }
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -109,6 +109,8 @@
         bool running = false;
         UpstreamRecord upstream;
         decision::Claim claim;
+        std::optional<UpstreamRecord> backup; ///< Engine that keeps a copy as the run grows.
+        decision::Claim backupClaim;
         Instant started;
         Instant lastHeard;
         AnswerHead head;
@@ -129,6 +131,13 @@
         Instant nextRescue;
     };
 
+    /// What is known of an engine that leaves.
+    struct Leaving
+    {
+        Instant noticed;
+        std::optional<Instant> gone; ///< When it will be gone, if it says so.
+    };
+
     /// A lost attempt whose upstream may have died of it.
     struct UnresolvedLoss
     {
@@ -145,6 +154,7 @@
     void on(const EventsArrived &event);
     void on(const AttemptEnded &event);
     void on(const MoveAnswered &event);
+    void on(const ReportArrived &event);
     void on(const StateChanged &event);
     void on(const PeerTold &event);
     void on(const CrashTold &event);
@@ -183,6 +193,12 @@
     void resolveLosses();
 
     // Moves (router_moves.cpp)
+    void noteLeaving(const Open &open);
+    Instant latestHandover(const Open &open) const;
+    std::optional<UpstreamRecord> chooseBackup(const Open &open, const UpstreamRecord &upstream,
+                                               const decision::Claim &claim);
+    bool backupUsable(const Open &open) const;
+    void goOnFromBackup(Open &open);
     void beginMove(Open &open, const std::string &reason);
     void checkMove(Open &open);
     void chooseDestination(Open &open);
@@ -213,6 +229,7 @@
     std::shared_ptr<const FleetState> state = std::make_shared<FleetState>();
     std::map<std::string, Instant> coldUntil; ///< By upstream.
     std::unordered_map<std::string, Instant> troubledUntil;
+    std::unordered_map<std::string, Leaving> leaving; ///< Engines that run something of ours.
     std::unordered_map<RequestId, Open> open;
     std::vector<RequestId> queue; ///< In the order in which they are tried.
     decision::LoadTable loads;
--- a/src/routing/router_attempts.cpp
+++ b/src/routing/router_attempts.cpp
@@ -61,6 +61,11 @@
     open.isTakeover = takeover.has_value();
     open.takeover = takeover.value_or(Takeover {});
     this->loads.add(upstream.id, claim);
+    open.backup = this->chooseBackup(open, upstream, claim);
+    if (open.backup) {
+        open.backupClaim = {0, claim.memory, 0};
+        this->loads.add(open.backup->id, open.backupClaim);
+    }
     if (open.arrivals > 0) {
         this->budget.noteRepeat(open.serviceName, this->now);
     }
@@ -76,6 +81,7 @@
     plan.engine = engine;
     plan.urgency = std::clamp(open.urgency, mostUrgent, leastUrgent);
     plan.takeover = takeover;
+    plan.backupAddress = open.backup ? open.backup->address : "";
     const bool goesOn = takeover.has_value() || open.route->resumable;
     if (open.lastEventId > 0 && (goesOn || open.request->lastEventId)) {
         plan.afterEvent = open.lastEventId;
@@ -91,6 +97,10 @@
                    {"memoryThere", std::to_string(this->loads.total(upstream.id).memory)},
                    {"afterEvent", std::to_string(plan.afterEvent.value_or(0))},
                    {"takeover", open.takeover.source},
+                   {"backup", open.backup ? open.backup->id : ""},
+                   {"promptTokens", std::to_string(open.request->promptTokens)},
+                   {"maxTokens", std::to_string(open.request->maxOutputTokens)},
+                   {"expectedTokens", std::to_string(this->expectedOutput(open))},
                    {"version", std::to_string(open.table->configuration().version)},
                    {"revision", std::to_string(this->state->revision)}});
     this->emit(StartAttempt {{open.id, open.attempt}, std::move(plan)});
@@ -101,6 +111,9 @@
     if (std::exchange(open.running, false)) {
         this->loads.subtract(open.upstream.id, open.claim);
         open.claim = {};
+        if (open.backup) {
+            this->loads.subtract(open.backup->id, open.backupClaim);
+        }
     }
 }
 
@@ -161,7 +174,9 @@
 
 void Router::conclude(Open &open, AttemptEnd end, const std::string &detail)
 {
-    if (end != AttemptEnd::Complete || open.head.status != statusOk) {
+    const bool handedOver = open.move
+        && (open.move->stage == MoveStage::Stopping || open.move->stage == MoveStage::Stopped);
+    if (!handedOver && (end != AttemptEnd::Complete || open.head.status != statusOk)) {
         this->journal(open, journal::EventId::AttemptFailed,
                       {{"attempt", std::to_string(open.attempt)},
                        {"upstream", open.upstream.id},
@@ -258,6 +273,11 @@
     if (open.events == 0) {
         this->blameFor(open);
     }
+    if (this->backupUsable(open)) {
+        this->dropMove(open, true);
+        this->goOnFromBackup(open);
+        return;
+    }
     if (open.move && open.move->stage == MoveStage::Copied) {
         const Move move = *open.move;
         this->takeOver(open, move.to, open.upstream.address, move.handle);
@@ -305,6 +325,8 @@
             this->cancel(open);
             this->concludeStream(open, AttemptEnd::TimedOut, "silent");
             this->dispatch();
+        } else if (this->backupUsable(open)) {
+            this->goOnFromBackup(open);
         } else if (this->movable(open)) {
             this->rescue(open, "silent");
         }
--- a/src/routing/router_events.h
+++ b/src/routing/router_events.h
@@ -8,6 +8,7 @@
 #include "routing/types.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -54,6 +55,13 @@
     bool operator==(const MoveAnswer &other) const = default;
 };
 
+/// What an engine reports of itself.
+struct EngineReport
+{
+    std::optional<milliseconds> leavesIn; ///< Time until it is gone, if it knows.
+    bool operator==(const EngineReport &other) const = default;
+};
+
 // Events: what happened outside. ------------------------------------------------------------
 
 struct RequestArrived
@@ -96,6 +104,12 @@
     MoveAnswer answer;
 };
 
+struct ReportArrived
+{
+    std::string upstream;
+    EngineReport report;
+};
+
 /// The configuration, the upstreams or the evacuated zones changed.
 struct StateChanged
 {
@@ -131,8 +145,8 @@
 { };
 
 using RouterEvent = std::variant<RequestArrived, CallerLeft, HeadArrived, EventsArrived,
-                                 AttemptEnded, MoveAnswered, StateChanged, PeerTold, CrashTold,
-                                 ProcessesChanged, TimePassed, StopRequested>;
+                                 AttemptEnded, MoveAnswered, ReportArrived, StateChanged, PeerTold,
+                                 CrashTold, ProcessesChanged, TimePassed, StopRequested>;
 
 // Effects: what is to be done. --------------------------------------------------------------
 
@@ -190,6 +204,13 @@
     bool final = false;   ///< The run stops before the rest is copied.
 };
 
+/// Ask an engine for its report.
+struct AskReport
+{
+    std::string upstream;
+    std::string address; ///< IP:PORT.
+};
+
 /// Free a copy that is not needed any more.
 struct DropCopy
 {
@@ -218,7 +239,7 @@
 
 using RouterEffect
     = std::variant<StartAttempt, CancelAttempt, RelayStream, PassAnswer, EndStream, BreakOff,
-                   AnswerOwn, AskMove, DropCopy, TellCrash, RequestClosed, Journal>;
+                   AnswerOwn, AskMove, AskReport, DropCopy, TellCrash, RequestClosed, Journal>;
 using RouterEffects = std::vector<RouterEffect>;
 
 } // namespace azurespindle::routing
--- a/src/routing/router_moves.cpp
+++ b/src/routing/router_moves.cpp
@@ -13,9 +13,14 @@
 constexpr milliseconds failedRetry {100};
 constexpr milliseconds noDestinationRetry {100};
 constexpr std::uint32_t maxFailures = 4;
-/// Longest wait, from the notice on, for the other copies on the engine's link. A run that stops
-/// sooner would wait in their queue, and its caller with it.
-constexpr milliseconds longestHold {900};
+/// Longest wait, from the notice on, for the other copies on the engine's link, where the engine
+/// does not say when it is gone. A run that stops sooner would wait in their queue, and its caller
+/// with it.
+constexpr milliseconds longestHold {1'000};
+/// Time that is kept for the last part of a copy, before the engine is gone.
+constexpr milliseconds lastPartTime {350};
+/// Part of an engine's memory up to which copies are taken there beforehand. The rest is for runs.
+constexpr double backupLimit = 0.6;
 /// Copies between zones take twice as long; the first copies of an engine go to both kinds.
 constexpr double linkMargin = 1.4;
 constexpr double megabitsPerByte = 8.0 / 1e6;
@@ -60,6 +65,72 @@
     return {1, open.request->promptTokens + made + held, 0};
 }
 
+void Router::noteLeaving(const Open &open)
+{
+    const bool added = this->leaving.try_emplace(open.upstream.id, Leaving {this->now, {}}).second;
+    if (added) {
+        this->emit(AskReport {open.upstream.id, open.upstream.address});
+    }
+}
+
+Instant Router::latestHandover(const Open &open) const
+{
+    const auto found = this->leaving.find(open.upstream.id);
+    if (found == this->leaving.end()) {
+        return this->now;
+    }
+    const Leaving &leaving = found->second;
+    return leaving.gone ? *leaving.gone - lastPartTime : leaving.noticed + longestHold;
+}
+
+std::optional<UpstreamRecord> Router::chooseBackup(const Open &open, const UpstreamRecord &upstream,
+                                                   const decision::Claim &claim)
+{
+    const bool worthIt = open.route->kind == RouteKind::Streaming && !open.route->resumable
+        && open.service != nullptr && open.service->engine && open.service->engine->backups;
+    if (!worthIt) {
+        return std::nullopt;
+    }
+    const auto capacity = static_cast<double>(open.service->engine->memoryTokens);
+    const UpstreamRecord *best = nullptr;
+    double bestPart = backupLimit;
+    for (const auto &[id, record] : this->state->upstreams) {
+        if (id == upstream.id || !this->usable(open, record)) {
+            continue;
+        }
+        const double part = (this->loads.total(id).memory + claim.memory) / capacity;
+        if (part < bestPart) {
+            best = &record;
+            bestPart = part;
+        }
+    }
+    return best == nullptr ? std::nullopt : std::optional(*best);
+}
+
+bool Router::backupUsable(const Open &open) const
+{
+    if (!open.backup || open.events == 0) {
+        return false;
+    }
+    const UpstreamRecord *listed = this->record(open.backup->id);
+    return listed != nullptr && !listed->leaving && listed->born == open.backup->born;
+}
+
+void Router::goOnFromBackup(Open &open)
+{
+    const UpstreamRecord backup = *open.backup;
+    this->counts.movesBegun += 1;
+    this->journal(open, journal::EventId::MoveBegun,
+                  {{"from", open.upstream.id},
+                   {"to", backup.id},
+                   {"reason", "backup"},
+                   {"events", std::to_string(open.events)}});
+    this->cancel(open);
+    open.takeoverOrigin.clear();
+    const std::string source = backup.address + "/" + open.request->callerId;
+    this->start(open, backup, this->movedClaim(open), Takeover {source});
+}
+
 void Router::beginMove(Open &open, const std::string &reason)
 {
     Move move;
@@ -70,7 +141,7 @@
     const Tokens there = this->loads.total(open.upstream.id).memory;
     const microseconds all
         = std::chrono::duration_cast<microseconds>(this->copyTime(open, there) * linkMargin);
-    move.finalDue = this->now + std::min<microseconds>(all, longestHold);
+    move.finalDue = this->now + all;
     open.move = move;
     this->counts.movesBegun += 1;
 }
@@ -78,12 +149,18 @@
 void Router::checkMove(Open &open)
 {
     if (!open.move) {
-        if (open.running && this->movable(open) && this->sourceLeaves(open)
-            && this->budget.allows(open.serviceName, true, this->now)) {
-            this->beginMove(open, "upstream leaves");
-        } else {
+        if (!open.running || !this->movable(open) || !this->sourceLeaves(open)
+            || !this->budget.allows(open.serviceName, true, this->now)) {
+            return;
+        }
+        this->noteLeaving(open);
+        if (this->backupUsable(open)) {
+            if (this->now >= this->latestHandover(open)) {
+                this->goOnFromBackup(open);
+            }
             return;
         }
+        this->beginMove(open, "upstream leaves");
     }
     Move &move = *open.move;
     const bool destinationGone = [&] {
@@ -107,7 +184,7 @@
     case MoveStage::Copying:
         break;
     case MoveStage::Copied:
-        if (this->now >= move.finalDue) {
+        if (this->now >= std::min(move.finalDue, this->latestHandover(open))) {
             this->askFinal(open);
         }
         break;
--- a/src/serving/routed_calls.cpp
+++ b/src/serving/routed_calls.cpp
@@ -261,6 +261,15 @@
     });
 }
 
+void RoutedCalls::execute(const routing::AskReport &effect)
+{
+    this->registry.count(metrics::Counter::LoadReads);
+    const std::string upstream = effect.upstream;
+    this->port.askReport(effect, [this, upstream](const routing::EngineReport &report) {
+        this->handle(routing::ReportArrived {upstream, report});
+    });
+}
+
 void RoutedCalls::execute(const routing::DropCopy &effect)
 {
     this->port.dropCopy(effect);
--- a/src/serving/routed_calls.h
+++ b/src/serving/routed_calls.h
@@ -85,6 +85,7 @@
     void execute(const routing::BreakOff &effect);
     void execute(const routing::AnswerOwn &effect);
     void execute(const routing::AskMove &effect);
+    void execute(const routing::AskReport &effect);
     void execute(const routing::DropCopy &effect);
     void execute(const routing::TellCrash &effect);
     void execute(const routing::RequestClosed &effect);
