Find out about leaving and dead upstreams without the store, and tell the peers

Engines with unbacked generations are asked while the store is away; a refused connection takes an upstream out at once, and peers hear of both. Copies lie in the own zone where the run does not.

--- a/src/members/internal/frame_codec.h
+++ b/src/members/internal/frame_codec.h
@@ -83,6 +83,8 @@
 void read(const Object &from, decision::ArrivalCount &count);
 void write(Packer &out, const routing::PublishedItem &item);
 void read(const Object &from, routing::PublishedItem &item);
+void write(Packer &out, const routing::UpstreamNote &note);
+void read(const Object &from, routing::UpstreamNote &note);
 void write(Packer &out, const RouterReport &report);
 void read(const Object &from, RouterReport &report);
 void write(Packer &out, const ViewWanted &wanted);
--- a/src/members/internal/routing_codec.cpp
+++ b/src/members/internal/routing_codec.cpp
@@ -56,13 +56,32 @@
     item.deleted = in.as<bool>();
 }
 
-void write(Packer &out, const RouterReport &report)
+void write(Packer &out, const routing::UpstreamNote &note)
 {
     out.pack_array(4);
+    out.pack(note.upstream);
+    out.pack(note.born);
+    out.pack(static_cast<std::uint8_t>(note.kind));
+    out.pack(note.leavesIn.count());
+}
+
+void read(const Object &from, routing::UpstreamNote &note)
+{
+    ArrayReader in(from);
+    note.upstream = in.as<std::string>();
+    note.born = in.as<std::uint64_t>();
+    note.kind = in.enumeration<routing::UpstreamNote::Kind>(routing::UpstreamNote::Kind::Leaving);
+    note.leavesIn = milliseconds(in.as<std::int64_t>());
+}
+
+void write(Packer &out, const RouterReport &report)
+{
+    out.pack_array(5);
     out.pack(report.whole);
     out.pack(report.viewAt);
     packList(out, report.claims);
     packList(out, report.arrivals);
+    packList(out, report.notes);
 }
 
 void read(const Object &from, RouterReport &report)
@@ -72,6 +91,7 @@
     report.viewAt = in.as<std::uint64_t>();
     unpackList(in.next(), report.claims);
     unpackList(in.next(), report.arrivals);
+    unpackList(in.next(), report.notes);
 }
 
 void write(Packer &out, const ViewWanted &wanted)
--- a/src/members/messages.h
+++ b/src/members/messages.h
@@ -8,6 +8,7 @@
 #include "decision/load_table.h"
 #include "decision/types.h"
 #include "routing/published_view.h"
+#include "routing/upstream_note.h"
 
 #include <cstdint>
 #include <string>
@@ -149,6 +150,7 @@
     std::uint64_t viewAt = 0;    ///< Revision up to which the sender knows what is published.
     std::vector<decision::UpstreamClaim> claims;
     std::vector<decision::ArrivalCount> arrivals;
+    std::vector<routing::UpstreamNote> notes;
     bool operator==(const RouterReport &other) const = default;
 };
 
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -13,6 +13,10 @@
 constexpr unsigned spreadShift = 33;
 /// An engine that leaves is gone long before.
 constexpr seconds leavingMemory {60};
+/// How long a process tells its peers what it found out about an upstream.
+constexpr milliseconds noteTime {1'500};
+/// How long an upstream at whose address nothing listens gets nothing.
+constexpr milliseconds refusingTime {2'500};
 
 } // namespace
 
@@ -23,6 +27,8 @@
         return "complete";
     case AttemptEnd::NotSent:
         return "not-sent";
+    case AttemptEnd::Refused:
+        return "refused";
     case AttemptEnd::Lost:
         return "lost";
     case AttemptEnd::TimedOut:
@@ -136,16 +142,81 @@
 
 void Router::on(const ReportArrived &event)
 {
-    const auto found = this->leaving.find(event.upstream);
-    if (found != this->leaving.end() && event.report.leavesIn) {
-        found->second.gone = this->now + *event.report.leavesIn;
+    const UpstreamRecord *record = this->record(event.upstream);
+    if (record == nullptr || (!event.report.leaving && !event.report.leavesIn)) {
+        return;
+    }
+    Leaving &leaving
+        = this->leaving.try_emplace(event.upstream, Leaving {this->now, {}}).first->second;
+    leaving.born = record->born;
+    if (event.report.leavesIn) {
+        leaving.gone = this->now + *event.report.leavesIn;
     }
+    this->note({event.upstream, record->born, UpstreamNote::Kind::Leaving,
+                event.report.leavesIn.value_or(milliseconds(0))});
+}
+
+void Router::on(const PublisherChanged &event)
+{
+    this->publisherAway = event.away;
+}
+
+void Router::note(const UpstreamNote &note)
+{
+    std::erase_if(this->notes,
+                  [&](const auto &each) { return each.second.upstream == note.upstream; });
+    this->notes.emplace_back(this->now, note);
+}
+
+std::vector<UpstreamNote> Router::takeNotes(Instant at)
+{
+    std::erase_if(this->notes, [at](const auto &each) { return at - each.first > noteTime; });
+    std::vector<UpstreamNote> fresh;
+    for (const auto &[made, note] : this->notes) {
+        UpstreamNote told = note;
+        const auto age = std::chrono::duration_cast<milliseconds>(at - made);
+        told.leavesIn = std::max(milliseconds(0), told.leavesIn - age);
+        fresh.push_back(told);
+    }
+    return fresh;
+}
+
+void Router::heed(const UpstreamNote &note)
+{
+    const UpstreamRecord *record = this->record(note.upstream);
+    if (record == nullptr || record->born != note.born) {
+        return;
+    }
+    if (note.kind == UpstreamNote::Kind::Refusing) {
+        this->refusingUntil[note.upstream] = this->now + refusingTime;
+        return;
+    }
+    Leaving &leaving
+        = this->leaving.try_emplace(note.upstream, Leaving {this->now, {}}).first->second;
+    leaving.born = note.born;
+    if (note.leavesIn.count() > 0) {
+        leaving.gone = this->now + note.leavesIn;
+    }
+}
+
+bool Router::goesAway(const UpstreamRecord &record) const
+{
+    const auto refusing = this->refusingUntil.find(record.id);
+    if (refusing != this->refusingUntil.end() && refusing->second > this->now) {
+        return true;
+    }
+    const auto leaving = this->leaving.find(record.id);
+    return record.leaving
+        || (leaving != this->leaving.end() && leaving->second.born == record.born);
 }
 
 void Router::on(const PeerTold &event)
 {
     this->loads.tell(event.peer, event.claims, event.whole, this->now);
     this->budget.tell(event.peer, event.arrivals, this->now);
+    for (const UpstreamNote &note : event.notes) {
+        this->heed(note);
+    }
 }
 
 void Router::on(const CrashTold &event)
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -53,6 +53,8 @@
     RouterEffects handle(const RouterEvent &event, Instant now);
     /// Takes the own claims that changed since the last call, for the peers.
     std::vector<decision::UpstreamClaim> takeChangedClaims() { return this->loads.takeChanged(); }
+    /// Takes what was found out about upstreams lately, for the peers.
+    std::vector<UpstreamNote> takeNotes(Instant at);
 
     // Queries
 
@@ -130,6 +132,7 @@
         Instant lastEvent;
         std::uint64_t events = 0;
         std::uint64_t lastEventId = 0;
+        Instant begun; ///< First event of the present attempt.
         std::optional<Move> move;
         Instant nextRescue;
     };
@@ -139,6 +142,7 @@
     {
         Instant noticed;
         std::optional<Instant> gone; ///< When it will be gone, if it says so.
+        std::uint64_t born = 0;
     };
 
     /// A lost attempt whose upstream may have died of it.
@@ -159,6 +163,7 @@
     void on(const MoveAnswered &event);
     void on(const ReportArrived &event);
     void on(const StateChanged &event);
+    void on(const PublisherChanged &event);
     void on(const PeerTold &event);
     void on(const CrashTold &event);
     void on(const ProcessesChanged &event);
@@ -201,6 +206,9 @@
     std::optional<UpstreamRecord> chooseBackup(const Open &open, const UpstreamRecord &upstream,
                                                const decision::Claim &claim);
     bool backupUsable(const Open &open) const;
+    /// Returns true once a copy that grows with the run can be there.
+    bool backupSettled(const Open &open) const;
+    void watchWithoutPublisher(const Open &open);
     void goOnFromBackup(Open &open);
     void beginMove(Open &open, const std::string &reason);
     void checkMove(Open &open);
@@ -218,6 +226,12 @@
     microseconds copyTime(const Open &open, Tokens tokens) const;
     decision::Claim movedClaim(const Open &open) const;
 
+    /// Notes what was found out about an upstream, for the peers.
+    void note(const UpstreamNote &note);
+    /// Heeds what was found out, here or by a peer.
+    void heed(const UpstreamNote &note);
+    /// Returns true for an upstream that leaves, or at whose address nothing listens.
+    bool goesAway(const UpstreamRecord &record) const;
     Open *find(RequestId id);
     Open *findCurrent(const AttemptId &attempt);
     const UpstreamRecord *record(const std::string &id) const;
@@ -233,7 +247,11 @@
     std::shared_ptr<const FleetState> state = std::make_shared<FleetState>();
     std::map<std::string, Instant> coldUntil; ///< By upstream.
     std::unordered_map<std::string, Instant> troubledUntil;
-    std::unordered_map<std::string, Leaving> leaving; ///< Engines that run something of ours.
+    std::unordered_map<std::string, Leaving> leaving; ///< Engines known to leave.
+    std::unordered_map<std::string, Instant> refusingUntil;
+    std::unordered_map<std::string, Instant> reportAsked;
+    std::vector<std::pair<Instant, UpstreamNote>> notes;
+    bool publisherAway = false;
     std::unordered_map<RequestId, Open> open;
     std::vector<RequestId> queue; ///< In the order in which they are tried.
     decision::LoadTable loads;
--- a/src/routing/router_admission.cpp
+++ b/src/routing/router_admission.cpp
@@ -156,7 +156,7 @@
 
 bool Router::usable(const Open &open, const UpstreamRecord &record) const
 {
-    if (record.service != open.serviceName || record.leaving
+    if (record.service != open.serviceName || this->goesAway(record)
         || this->state->evacuatedZones.count(record.zone) > 0 || contains(open.avoided, record.id)
         || contains(open.ranOn, record.id)) {
         return false;
--- a/src/routing/router_attempts.cpp
+++ b/src/routing/router_attempts.cpp
@@ -152,6 +152,9 @@
         return;
     }
     Open &open = *current;
+    if (open.claim.prefill > 0 || open.resuming) {
+        open.begun = this->now;
+    }
     if (std::exchange(open.resuming, false)) {
         this->journal(open, journal::EventId::GenerationResumed,
                       {{"upstream", open.upstream.id},
@@ -182,6 +185,12 @@
 
 void Router::conclude(Open &open, AttemptEnd end, const std::string &detail)
 {
+    if (end == AttemptEnd::Refused) {
+        const UpstreamNote refusing {open.upstream.id, open.upstream.born,
+                                     UpstreamNote::Kind::Refusing, milliseconds(0)};
+        this->note(refusing);
+        this->heed(refusing);
+    }
     const bool handedOver = open.move
         && (open.move->stage == MoveStage::Stopping || open.move->stage == MoveStage::Stopped);
     if (!handedOver && (end != AttemptEnd::Complete || open.head.status != statusOk)) {
@@ -201,7 +210,7 @@
         this->concludeTakeover(open, end, detail);
     } else if (begun) {
         this->concludeStream(open, end, detail);
-    } else if (end == AttemptEnd::NotSent
+    } else if (end == AttemptEnd::NotSent || end == AttemptEnd::Refused
                || (end == AttemptEnd::Complete && (open.head.notRun || open.head.otherInstance))) {
         this->concludeUnrun(open, end, detail);
     } else if (end == AttemptEnd::Complete && open.head.genuine && !open.head.foreign
@@ -228,7 +237,7 @@
 
 void Router::concludeUnrun(Open &open, AttemptEnd end, const std::string &detail)
 {
-    const bool unreachable = end == AttemptEnd::NotSent;
+    const bool unreachable = end != AttemptEnd::Complete;
     this->troubledUntil[open.upstream.id]
         = this->now + (unreachable ? unreachablePenalty : refusedPenalty);
     open.avoided.push_back(open.upstream.id);
@@ -288,7 +297,8 @@
     if (open.events == 0) {
         this->blameFor(open);
     }
-    if (this->backupUsable(open)) {
+    const bool copied = open.move && open.move->stage == MoveStage::Copied;
+    if (!copied && this->backupUsable(open)) {
         this->dropMove(open, true);
         this->goOnFromBackup(open);
         return;
@@ -340,7 +350,7 @@
             this->cancel(open);
             this->concludeStream(open, AttemptEnd::TimedOut, "silent");
             this->dispatch();
-        } else if (this->backupUsable(open)) {
+        } else if (this->backupUsable(open) && this->backupSettled(open)) {
             this->goOnFromBackup(open);
         } else if (this->movable(open)) {
             this->rescue(open, "silent");
--- a/src/routing/router_events.h
+++ b/src/routing/router_events.h
@@ -6,6 +6,7 @@
 #include "journal/event_id.h"
 #include "routing/published_view.h"
 #include "routing/types.h"
+#include "routing/upstream_note.h"
 
 #include <memory>
 #include <optional>
@@ -29,6 +30,7 @@
 enum class AttemptEnd {
     Complete,  ///< A whole answer arrived.
     NotSent,   ///< No byte left this process.
+    Refused,   ///< Nothing listens there; no byte left this process.
     Lost,      ///< The connection ended early, or what came is no answer.
     TimedOut,
 };
@@ -58,6 +60,7 @@
 /// What an engine reports of itself.
 struct EngineReport
 {
+    bool leaving = false;
     std::optional<milliseconds> leavesIn; ///< Time until it is gone, if it knows.
     bool operator==(const EngineReport &other) const = default;
 };
@@ -116,6 +119,12 @@
     std::shared_ptr<const FleetState> state;
 };
 
+/// The store that publishes upstreams answers this process, or does not.
+struct PublisherChanged
+{
+    bool away = false;
+};
+
 /// What a peer has under way and counted.
 struct PeerTold
 {
@@ -123,6 +132,7 @@
     bool whole = false;
     std::vector<decision::UpstreamClaim> claims;
     std::vector<decision::ArrivalCount> arrivals;
+    std::vector<UpstreamNote> notes;
 };
 
 /// A peer saw an upstream die while it ran a request of this fingerprint.
@@ -145,7 +155,7 @@
 { };
 
 using RouterEvent = std::variant<RequestArrived, CallerLeft, HeadArrived, EventsArrived,
-                                 AttemptEnded, MoveAnswered, ReportArrived, StateChanged, PeerTold,
+                                 AttemptEnded, MoveAnswered, ReportArrived, StateChanged, PublisherChanged, PeerTold,
                                  CrashTold, ProcessesChanged, TimePassed, StopRequested>;
 
 // Effects: what is to be done. --------------------------------------------------------------
--- a/src/routing/router_moves.cpp
+++ b/src/routing/router_moves.cpp
@@ -21,6 +21,12 @@
 constexpr milliseconds lastPartTime {350};
 /// Part of an engine's memory up to which copies are taken there beforehand. The rest is for runs.
 constexpr double backupLimit = 0.75;
+/// Part of an engine's memory that is as bad as a copy that a cut of the zone takes away.
+constexpr double farBackupCost = 0.25;
+/// A copy is sent several times a second; a younger run may have none yet.
+constexpr milliseconds backupSettleTime {600};
+/// How often an engine is asked whether it leaves, while the store cannot tell.
+constexpr milliseconds reportInterval {500};
 /// Copies between zones take twice as long; the first copies of an engine go to both kinds.
 constexpr double linkMargin = 1.4;
 constexpr double megabitsPerByte = 8.0 / 1e6;
@@ -44,7 +50,7 @@
 bool Router::sourceLeaves(const Open &open) const
 {
     const UpstreamRecord *listed = this->record(open.upstream.id);
-    return listed == nullptr || listed->leaving || listed->born != open.upstream.born;
+    return listed == nullptr || this->goesAway(*listed) || listed->born != open.upstream.born;
 }
 
 microseconds Router::copyTime(const Open &open, Tokens tokens) const
@@ -66,7 +72,8 @@
 
 void Router::noteLeaving(const Open &open)
 {
-    const bool added = this->leaving.try_emplace(open.upstream.id, Leaving {this->now, {}}).second;
+    const Leaving leaving {this->now, {}, open.upstream.born};
+    const bool added = this->leaving.try_emplace(open.upstream.id, leaving).second;
     if (added) {
         this->emit(AskReport {open.upstream.id, open.upstream.address});
     }
@@ -92,15 +99,21 @@
     }
     const auto capacity = static_cast<double>(open.service->engine->memoryTokens);
     const UpstreamRecord *best = nullptr;
-    double bestPart = backupLimit;
+    double bestCost = backupLimit + farBackupCost;
     for (const auto &[id, record] : this->state->upstreams) {
         if (id == upstream.id || !this->usable(open, record)) {
             continue;
         }
+        const auto trouble = this->troubledUntil.find(id);
+        const bool troubled = trouble != this->troubledUntil.end() && trouble->second > this->now;
         const double part = (this->loads.total(id).memory + claim.memory) / capacity;
-        if (part < bestPart) {
+        // A copy near this process survives a cut of its zone, where the run itself is elsewhere.
+        const bool near
+            = upstream.zone == this->options.zone || record.zone == this->options.zone;
+        const double cost = part + (near ? 0.0 : farBackupCost);
+        if (!troubled && part < backupLimit && cost < bestCost) {
             best = &record;
-            bestPart = part;
+            bestCost = cost;
         }
     }
     return best == nullptr ? std::nullopt : std::optional(*best);
@@ -112,7 +125,24 @@
         return false;
     }
     const UpstreamRecord *listed = this->record(open.backup->id);
-    return listed != nullptr && !listed->leaving && listed->born == open.backup->born;
+    return listed != nullptr && !this->goesAway(*listed) && listed->born == open.backup->born;
+}
+
+bool Router::backupSettled(const Open &open) const
+{
+    return this->now - open.begun >= backupSettleTime;
+}
+
+void Router::watchWithoutPublisher(const Open &open)
+{
+    if (!this->publisherAway || this->backupUsable(open)) {
+        return;
+    }
+    const auto [asked, fresh] = this->reportAsked.try_emplace(open.upstream.id, this->now);
+    if (fresh || this->now - asked->second >= reportInterval) {
+        asked->second = this->now;
+        this->emit(AskReport {open.upstream.id, open.upstream.address});
+    }
 }
 
 void Router::goOnFromBackup(Open &open)
@@ -148,13 +178,19 @@
 void Router::checkMove(Open &open)
 {
     if (!open.move) {
-        if (!open.running || !this->movable(open) || !this->sourceLeaves(open)
-            || !this->budget.allows(open.serviceName, true, this->now)) {
+        if (!open.running || !this->movable(open)) {
+            return;
+        }
+        if (!this->sourceLeaves(open)) {
+            this->watchWithoutPublisher(open);
+            return;
+        }
+        if (!this->budget.allows(open.serviceName, true, this->now)) {
             return;
         }
         this->noteLeaving(open);
         if (this->backupUsable(open)) {
-            if (this->now >= this->latestHandover(open)) {
+            if (this->now >= this->latestHandover(open) && this->backupSettled(open)) {
                 this->goOnFromBackup(open);
             }
             return;
@@ -164,7 +200,7 @@
     Move &move = *open.move;
     const bool destinationGone = [&] {
         const UpstreamRecord *to = this->record(move.to.id);
-        return to == nullptr || to->leaving || to->born != move.to.born;
+        return to == nullptr || this->goesAway(*to) || to->born != move.to.born;
     }();
     const bool waits = move.stage == MoveStage::Copying || move.stage == MoveStage::Copied;
     if (waits && destinationGone) {
@@ -204,7 +240,7 @@
     Move &move = *open.move;
     std::vector<decision::ChoiceCandidate> candidates;
     for (const auto &[id, record] : this->state->upstreams) {
-        const bool fits = record.service == open.serviceName && !record.leaving
+        const bool fits = record.service == open.serviceName && !this->goesAway(record)
             && id != open.upstream.id && !contains(move.refusedBy, id)
             && this->state->evacuatedZones.count(record.zone) == 0;
         if (!fits) {
@@ -377,8 +413,7 @@
     const auto source = std::find_if(
         this->state->upstreams.begin(), this->state->upstreams.end(),
         [&](const auto &entry) { return entry.second.address == open.takeoverOrigin; });
-    const bool unrun
-        = end == AttemptEnd::NotSent || (end == AttemptEnd::Complete && open.head.notRun);
+    const bool unrun = end == AttemptEnd::NotSent || end == AttemptEnd::Refused || (end == AttemptEnd::Complete && open.head.notRun);
     if (unrun && first && source != this->state->upstreams.end()) {
         const UpstreamRecord back = source->second;
         const Takeover again = open.takeover;
--- a/src/serving/routed_calls.cpp
+++ b/src/serving/routed_calls.cpp
@@ -15,8 +15,9 @@
     case http::TransferEnd::Complete:
         return routing::AttemptEnd::Complete;
     case http::TransferEnd::NotSent:
-    case http::TransferEnd::ConnectionRefused:
         return routing::AttemptEnd::NotSent;
+    case http::TransferEnd::ConnectionRefused:
+        return routing::AttemptEnd::Refused;
     case http::TransferEnd::TimedOut:
         return routing::AttemptEnd::TimedOut;
     case http::TransferEnd::Lost:
@@ -298,6 +299,12 @@
     return this->router.takeChangedClaims();
 }
 
+std::vector<routing::UpstreamNote> RoutedCalls::takeNotes()
+{
+    const std::lock_guard lock(this->mutex);
+    return this->router.takeNotes(monotonicNow());
+}
+
 void RoutedCalls::cutAll()
 {
     const std::lock_guard lock(this->mutex);
--- a/src/serving/routed_calls.h
+++ b/src/serving/routed_calls.h
@@ -36,6 +36,8 @@
     void handle(const routing::RouterEvent &event);
     /// Takes the claims that changed since the last call.
     std::vector<decision::UpstreamClaim> takeChangedClaims();
+    /// Takes what was found out about upstreams lately.
+    std::vector<routing::UpstreamNote> takeNotes();
     /// Ends what is still open: the process stops.
     void cutAll();
 
--- a/src/serving/routing_process.cpp
+++ b/src/serving/routing_process.cpp
@@ -138,7 +138,7 @@
     };
     hooks.onRouterReport = [this](const std::string &from, const members::RouterReport &report) {
         this->calls.handle(
-            routing::PeerTold {from, report.whole, report.claims, report.arrivals});
+            routing::PeerTold {from, report.whole, report.claims, report.arrivals, report.notes});
         this->view.noteMember(from, report.viewAt);
     };
     hooks.onViewWanted = [this](const std::string &from, const members::ViewWanted &wanted) {
@@ -266,6 +266,7 @@
 {
     this->report(this->reports % reportsPerWhole == 0);
     this->reports += 1;
+    this->calls.handle(routing::PublisherChanged {this->view.publisherAway()});
     const std::size_t known = this->coordinator.known().size();
     const bool joining = monotonicNow() - this->started < joinTime;
     this->calls.handle(
@@ -284,7 +285,9 @@
     report.claims = this->calls.takeChangedClaims();
     if (whole) {
         report.claims = this->calls.claims();
-    } else if (report.claims.empty()) {
+    }
+    report.notes = this->calls.takeNotes();
+    if (!whole && report.claims.empty() && report.notes.empty()) {
         return;
     }
     report.arrivals = this->calls.arrivals();
