One reader of the store a zone; stuck links and stale pairs of members no longer hide changes

Mended: the highest revision heard counts, who stays behind reads itself, links with unacknowledged bytes are given up after 1.5 s. Silent streams are rescued by stopping the run at once, again and again while the cut lasts.

--- a/src/members/internal/routing_codec.cpp
+++ b/src/members/internal/routing_codec.cpp
@@ -76,9 +76,10 @@
 
 void write(Packer &out, const RouterReport &report)
 {
-    out.pack_array(5);
+    out.pack_array(6);
     out.pack(report.whole);
     out.pack(report.viewAt);
+    out.pack(report.reads);
     packList(out, report.claims);
     packList(out, report.arrivals);
     packList(out, report.notes);
@@ -89,6 +90,7 @@
     ArrayReader in(from);
     report.whole = in.as<bool>();
     report.viewAt = in.as<std::uint64_t>();
+    report.reads = in.as<bool>();
     unpackList(in.next(), report.claims);
     unpackList(in.next(), report.arrivals);
     unpackList(in.next(), report.notes);
--- a/src/members/peer_network.cpp
+++ b/src/members/peer_network.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/asio.hpp>
 
+#include <netinet/tcp.h>
+
 #include <array>
 #include <deque>
 #include <map>
@@ -17,6 +19,8 @@
 using SystemError = boost::system::error_code;
 
 constexpr std::size_t lengthBytes = 4;
+/// A connection whose bytes are not acknowledged for so long is given up.
+constexpr milliseconds unacknowledgedTime {1'500};
 
 std::array<unsigned char, lengthBytes> lengthPrefix(std::size_t size)
 {
@@ -73,6 +77,7 @@
         std::array<unsigned char, lengthBytes> prefix {};
         std::string payload;
         Instant lastUse = monotonicNow();
+        Instant lastHeard;
     };
     using LinkPtr = std::shared_ptr<Link>;
 
@@ -146,17 +151,17 @@
     LinkPtr linkTo(const MemberRecord &member) const
     {
         LinkPtr connecting;
+        LinkPtr heard; ///< The open one that was heard last: an older one may be stuck in a cut.
         for (const LinkPtr &link : this->links) {
             const bool same = link->member == member.name
                 || (link->member.empty() && link->address == member.memberAddress);
-            if (same && link->open) {
-                return link;
-            }
-            if (same) {
+            if (same && link->open && (heard == nullptr || link->lastHeard > heard->lastHeard)) {
+                heard = link;
+            } else if (same && !link->open) {
                 connecting = link;
             }
         }
-        return connecting;
+        return heard != nullptr ? heard : connecting;
     }
 
     void accept()
@@ -204,6 +209,11 @@
     {
         SystemError ignored;
         link->socket.set_option(Tcp::no_delay(true), ignored);
+        // What a cut path swallows is sent again ever more rarely; a new connection is made sooner.
+        const int unacknowledged = static_cast<int>(unacknowledgedTime.count());
+        setsockopt(link->socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged,
+                   sizeof(unacknowledged));
+        link->lastHeard = monotonicNow();
         link->open = true;
         link->queue.push_front(frame(Hello {protocolVersion, this->self}));
         link->queuedBytes += link->queue.front().size();
@@ -282,6 +292,7 @@
         this->registry.count(metrics::Counter::FrameBytesReceived,
                              link->payload.size() + lengthBytes);
         link->lastUse = monotonicNow();
+        link->lastHeard = link->lastUse;
         const Result<Message> message = decode(link->payload);
         if (!message.ok()) {
             this->refuse(link, message.error());
--- a/src/routing/feed_reader.cpp
+++ b/src/routing/feed_reader.cpp
@@ -52,7 +52,13 @@
 bool FeedReader::away() const
 {
     const std::lock_guard lock(this->mutex);
-    return this->lost;
+    return this->active && this->lost;
+}
+
+bool FeedReader::reads() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->active && !this->lost && this->answered != Instant::min();
 }
 
 void FeedReader::next()
--- a/src/routing/feed_reader.h
+++ b/src/routing/feed_reader.h
@@ -62,7 +62,7 @@
 class FeedReader : public std::enable_shared_from_this<FeedReader>
 {
 public:
-    static constexpr milliseconds watchWait {2'500};
+    static constexpr milliseconds watchWait {1'500};
     /// Between two watches, so that changes made together arrive together.
     static constexpr milliseconds gatherTime {120};
     static constexpr milliseconds retryTime {400}; ///< After a call that failed.
@@ -82,6 +82,8 @@
     /// Returns when the store last answered.
     Instant lastAnswer() const;
     bool away() const;
+    /// Returns true if it reads, and the store answers.
+    bool reads() const;
 
 private:
     void next();
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -86,6 +86,7 @@
         Instant finalDue;
         Instant stoppedAt;
         std::string handle;
+        bool stopAtOnce = false;  ///< No copy while it runs: nothing is heard of it anyway.
         bool sourceEnded = false;
         bool sourceComplete = false;
         std::uint32_t failures = 0;
@@ -219,7 +220,9 @@
     void takeOver(Open &open, const UpstreamRecord &to, const std::string &origin,
                   const std::string &handle);
     void concludeTakeover(Open &open, AttemptEnd end, const std::string &detail);
+    /// Tries to take over a generation whose stream broke or fell silent, from its engine's memory.
     bool rescue(Open &open, const std::string &reason);
+    bool backupNear(const Open &open) const;
     void dropMove(Open &open, bool freeCopy);
     bool movable(const Open &open) const;
     bool sourceLeaves(const Open &open) const;
--- a/src/routing/router_attempts.cpp
+++ b/src/routing/router_attempts.cpp
@@ -170,6 +170,9 @@
     }
     open.events += event.count;
     open.lastEventId = std::max(open.lastEventId, event.lastEventId);
+    if (open.move && open.move->stopAtOnce && open.move->stage == MoveStage::Choosing) {
+        this->dropMove(open, false); // It speaks again.
+    }
 }
 
 void Router::on(const AttemptEnded &event)
@@ -350,7 +353,8 @@
             this->cancel(open);
             this->concludeStream(open, AttemptEnd::TimedOut, "silent");
             this->dispatch();
-        } else if (this->backupUsable(open) && this->backupSettled(open)) {
+        } else if (this->backupUsable(open) && this->backupSettled(open)
+                   && this->backupNear(open)) {
             this->goOnFromBackup(open);
         } else if (this->movable(open)) {
             this->rescue(open, "silent");
--- a/src/routing/router_moves.cpp
+++ b/src/routing/router_moves.cpp
@@ -128,6 +128,11 @@
     return listed != nullptr && !this->goesAway(*listed) && listed->born == open.backup->born;
 }
 
+bool Router::backupNear(const Open &open) const
+{
+    return open.backup->zone == this->options.zone || open.upstream.zone == this->options.zone;
+}
+
 bool Router::backupSettled(const Open &open) const
 {
     return this->now - open.begun >= backupSettleTime;
@@ -135,7 +140,7 @@
 
 void Router::watchWithoutPublisher(const Open &open)
 {
-    if (!this->publisherAway || this->backupUsable(open)) {
+    if (!this->publisherAway) {
         return;
     }
     const auto [asked, fresh] = this->reportAsked.try_emplace(open.upstream.id, this->now);
@@ -251,8 +256,10 @@
         candidate.claimed = this->loads.total(id);
         candidate.slots = record.slots;
         candidate.memory = open.service->engine->memoryTokens;
-        // Copies between zones take twice as long and hold up the others on the link.
-        candidate.sameZone = record.zone == open.upstream.zone;
+        // Copies between zones take twice as long and hold up the others on the link; but where
+        // the stream is silent, the link that is cut may be the one to the engine's zone.
+        const std::string &near = move.stopAtOnce ? this->options.zone : open.upstream.zone;
+        candidate.sameZone = record.zone == near;
         const auto trouble = this->troubledUntil.find(id);
         candidate.troubled = trouble != this->troubledUntil.end() && trouble->second > this->now;
         candidates.push_back(std::move(candidate));
@@ -268,7 +275,7 @@
     move.to = *this->record(candidates[*chosen].upstream);
     move.claim = claim;
     this->loads.add(move.to.id, claim);
-    const bool stopNow = move.sourceEnded;
+    const bool stopNow = move.sourceEnded || move.stopAtOnce;
     move.stage = stopNow ? MoveStage::Stopping : MoveStage::Copying;
     this->journal(open, journal::EventId::MoveBegun,
                   {{"from", open.upstream.id},
@@ -341,7 +348,7 @@
         move.nextTry = this->now + runUnknownRetry;
         break;
     default:
-        move.failures += 1;
+        move.failures = std::min(move.failures + 1, maxFailures);
         move.nextTry = this->now + failedRetry * move.failures;
         break;
     }
@@ -374,7 +381,7 @@
     }
     if (!move.sourceEnded) {
         // It still streams, or has just come to its end.
-        move.failures += 1;
+        move.failures = std::min(move.failures + 1, maxFailures);
         this->loads.subtract(move.to.id, move.claim);
         move.claim = {};
         move.stage = MoveStage::Choosing;
@@ -436,6 +443,7 @@
     }
     this->beginMove(open, reason);
     open.move->sourceEnded = !open.running;
+    open.move->stopAtOnce = true;
     this->chooseDestination(open);
     if (open.move->stage == MoveStage::Choosing && !open.running) {
         this->dropMove(open, false);
--- a/src/serving/routing_process.cpp
+++ b/src/serving/routing_process.cpp
@@ -15,6 +15,8 @@
 constexpr milliseconds sweepInterval {1'000};
 constexpr milliseconds reportInterval {200};
 constexpr std::uint64_t reportsPerWhole = 5;
+/// Others count on a sign of life twice in ViewKeeper::readerTime.
+constexpr std::uint64_t reportsPerSign = 2;
 constexpr milliseconds stopPoll {20};
 /// The balancer passes a process over after two misses, a second apart.
 constexpr milliseconds passedOverAfter {2'300};
@@ -99,6 +101,13 @@
            {[this](const auto &state) { this->takeState(state); },
             [this](const std::string &member, const members::Message &message) {
                 this->coordinator.send(member, message);
+            },
+            [this](const members::ViewNews &news) {
+                for (const std::string &member : this->zoneMembers()) {
+                    if (member != this->settings.name) {
+                        this->coordinator.send(member, news);
+                    }
+                }
             }}),
       callers(this->settings.callerAddress,
               callerLimits(routing::RequestLimits {}, this->settings.descriptors), 1,
@@ -139,7 +148,7 @@
     hooks.onRouterReport = [this](const std::string &from, const members::RouterReport &report) {
         this->calls.handle(
             routing::PeerTold {from, report.whole, report.claims, report.arrivals, report.notes});
-        this->view.noteMember(from, report.viewAt);
+        this->view.noteMember(from, report);
     };
     hooks.onViewWanted = [this](const std::string &from, const members::ViewWanted &wanted) {
         this->view.answer(from, wanted);
@@ -262,8 +271,20 @@
     return names;
 }
 
+std::vector<std::string> RoutingProcess::zoneMembers() const
+{
+    std::vector<std::string> names;
+    for (const members::MemberRecord &member : this->coordinator.active()) {
+        if (member.zone == this->settings.zone) {
+            names.push_back(member.name);
+        }
+    }
+    return names;
+}
+
 void RoutingProcess::tick()
 {
+    this->view.chooseReader(this->zoneMembers(), this->settings.name);
     this->report(this->reports % reportsPerWhole == 0);
     this->reports += 1;
     this->calls.handle(routing::PublisherChanged {this->view.publisherAway()});
@@ -282,12 +303,14 @@
     members::RouterReport report;
     report.whole = whole;
     report.viewAt = this->view.at();
+    report.reads = this->view.reads();
     report.claims = this->calls.takeChangedClaims();
     if (whole) {
         report.claims = this->calls.claims();
     }
     report.notes = this->calls.takeNotes();
-    if (!whole && report.claims.empty() && report.notes.empty()) {
+    const bool due = this->reports % reportsPerSign == 0;
+    if (!due && report.claims.empty() && report.notes.empty()) {
         return;
     }
     report.arrivals = this->calls.arrivals();
--- a/src/serving/routing_process.h
+++ b/src/serving/routing_process.h
@@ -60,6 +60,8 @@
     void report(bool whole);
     void noteReadiness();
     std::vector<std::string> listeners() const;
+    /// Returns the members that take part in the own zone, this one included, in order of names.
+    std::vector<std::string> zoneMembers() const;
     members::CoordinatorHooks coordinatorHooks();
     void stop();
 
--- a/src/serving/view_keeper.cpp
+++ b/src/serving/view_keeper.cpp
@@ -1,5 +1,6 @@
 #include "serving/view_keeper.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace azurespindle::serving {
@@ -10,7 +11,13 @@
       reader(std::make_shared<routing::FeedReader>(
           std::move(calls),
           routing::FeedHooks {
-              [this](const routing::ViewUpdate &update) { return this->update(update); },
+              [this](const routing::ViewUpdate &update) {
+                  const bool taken = this->update(update);
+                  if (taken && !update.items.empty() && !update.whole) {
+                      this->hooks.tellZone({update});
+                  }
+                  return taken;
+              },
               [this] { this->journal.record({journal::EventId::PublisherLost, {}}); },
               [this] {
                   this->journal.record({journal::EventId::PublisherBack, {}});
@@ -54,19 +61,60 @@
     this->hooks.onState(state);
 }
 
-void ViewKeeper::noteMember(const std::string &member, std::uint64_t viewAt)
+bool ViewKeeper::anotherReads(Instant now) const
 {
+    return std::any_of(this->readers.begin(), this->readers.end(),
+                       [now](const auto &reader) { return now - reader.second < readerTime; });
+}
+
+bool ViewKeeper::publisherAway() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->reader->away() && !this->anotherReads(monotonicNow());
+}
+
+void ViewKeeper::chooseReader(const std::vector<std::string> &zone, const std::string &self)
+{
+    bool reads = true;
+    {
+        const std::lock_guard lock(this->mutex);
+        const Instant now = monotonicNow();
+        for (const std::string &member : zone) {
+            if (member == self) {
+                break;
+            }
+            const auto heard = this->readers.find(member);
+            reads = reads && (heard == this->readers.end() || now - heard->second >= readerTime);
+        }
+        const bool behind = this->behindSince != Instant::max()
+            && now - this->behindSince >= 2 * behindTime;
+        reads = reads || behind;
+    }
+    this->reader->setActive(reads);
+}
+
+void ViewKeeper::noteMember(const std::string &member, const members::RouterReport &report)
+{
+    const std::uint64_t viewAt = report.viewAt;
     const Instant now = monotonicNow();
     std::uint64_t known = 0;
     {
         const std::lock_guard lock(this->mutex);
+        if (report.reads) {
+            this->readers[member] = now;
+        } else {
+            this->readers.erase(member);
+        }
         known = this->view.at();
-        if (viewAt <= known) {
+        this->newestHeard = std::max(this->newestHeard, viewAt);
+        if (this->newestHeard <= known) {
             this->behindSince = Instant::max();
             return;
         }
         this->behindSince = std::min(this->behindSince, now);
-        const bool due = now - this->behindSince >= behindTime
+        // A member that knows as little does not make this process any less behind.
+        const bool due = viewAt > known
+            && now - this->behindSince >= behindTime
             && (this->asked == Instant::min() || now - this->asked >= behindTime);
         if (!due) {
             return;
--- a/src/serving/view_keeper.h
+++ b/src/serving/view_keeper.h
@@ -8,9 +8,11 @@
 #include "timer/timer_service.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
+#include <vector>
 
 namespace azurespindle::serving {
 
@@ -19,6 +21,8 @@
     /// Something published changed.
     std::function<void(const std::shared_ptr<const routing::FleetState> &state)> onState;
     std::function<void(const std::string &member, const members::Message &message)> send;
+    /// Tells the members of the zone what this process read.
+    std::function<void(const members::ViewNews &news)> tellZone;
 };
 
 /// Keeps what is published up to date: from the store, and from peers that know more.
@@ -28,6 +32,8 @@
     static constexpr milliseconds tickInterval {100};
     /// How long this process may know less than a peer before it asks the peer.
     static constexpr milliseconds behindTime {250};
+    /// A member that reads is counted on for so long after it said so.
+    static constexpr milliseconds readerTime {900};
 
     ViewKeeper(routing::ReadItem read, routing::FeedCalls calls, timer::TimerService &timers,
                journal::Journal &journal, ViewHooks hooks);
@@ -36,10 +42,12 @@
 
     void start();
     void stop() { this->reader->setActive(false); }
-    /// Reads the store itself, or leaves that to others and hears of changes from them.
-    void setReading(bool reads) { this->reader->setActive(reads); }
-    /// Notes up to which revision a member knows what is published.
-    void noteMember(const std::string &member, std::uint64_t viewAt);
+    /// Notes what a member said of its own view.
+    void noteMember(const std::string &member, const members::RouterReport &report);
+    /// Chooses whether this process reads the store itself: of the members of a zone, the first
+    /// of \a zone that gets answers does; the others hear of changes from it.
+    /// \param zone names of the members in this zone, in an order that all know alike.
+    void chooseReader(const std::vector<std::string> &zone, const std::string &self);
     void answer(const std::string &member, const members::ViewWanted &wanted);
     void take(const members::ViewNews &news);
     void tick();
@@ -48,10 +56,13 @@
 
     std::uint64_t at() const;
     std::shared_ptr<const routing::FleetState> state() const;
-    bool publisherAway() const { return this->reader->away(); }
+    /// Returns true if neither this process nor a member that it hears gets answers.
+    bool publisherAway() const;
+    bool reads() const { return this->reader->reads(); }
 
 private:
     bool update(const routing::ViewUpdate &update);
+    bool anotherReads(Instant now) const;
     void publish(const std::shared_ptr<const routing::FleetState> &state,
                  std::vector<journal::Entry> entries);
 
@@ -59,8 +70,10 @@
     const ViewHooks hooks;
     mutable std::mutex mutex; ///< Guards the members below, up to the reader.
     routing::PublishedView view;
+    std::uint64_t newestHeard = 0; ///< Highest revision that a member knows.
     Instant behindSince = Instant::max();
     Instant asked = Instant::min();
+    std::map<std::string, Instant> readers; ///< When members last said that they read.
     std::mutex publishing; ///< Held while a state is handed on, so that none overtakes a later one.
     std::shared_ptr<routing::FeedReader> reader;
 };
