--- a/src/http/client.h
+++ b/src/http/client.h
@@ -19,14 +19,14 @@
     std::string method = "GET";
     std::string url;
     Headers headers;
-    HeaderFields fields; ///< Sent after the headers, as they are.
-    std::string target;  ///< Path and query to send as they are; empty: those of the URL.
     std::string body;
     milliseconds connectTimeout {1'000};
     milliseconds totalTimeout {0}; ///< 0: none.
     /// Never sent on a connection that was used before. The library sends a request again by
     /// itself when a reused connection turns out dead, which an unrepeatable call must not risk.
     bool freshConnection = false;
+    HeaderFields fields; ///< Sent after the headers, as they are.
+    std::string target;  ///< Path and query to send as they are; empty: those of the URL.
 };
 
 /// How a transfer ended.
--- a/src/routing/feed_reader.cpp
+++ b/src/routing/feed_reader.cpp
@@ -147,15 +147,23 @@
 {
     const bool ok = answer.status == FeedStatus::Answered;
     bool changed = false;
+    microseconds away(0);
     {
         const std::lock_guard lock(this->mutex);
+        const Instant now = monotonicNow();
         changed = std::exchange(this->lost, !ok) == ok;
+        if (changed && !ok) {
+            this->lostAt = now;
+        }
+        away = now - this->lostAt;
         if (ok) {
-            this->answered = monotonicNow();
+            this->answered = now;
         }
     }
-    if (changed) {
-        (ok ? this->hooks.onBack : this->hooks.onLost)();
+    if (changed && ok) {
+        this->hooks.onBack(away);
+    } else if (changed) {
+        this->hooks.onLost();
     }
     return ok;
 }
--- a/src/routing/feed_reader.h
+++ b/src/routing/feed_reader.h
@@ -51,7 +51,8 @@
     /// \return false if the update leaves a gap, so that all is to be listed anew.
     std::function<bool(const ViewUpdate &update)> onUpdate;
     std::function<void()> onLost;
-    std::function<void()> onBack;
+    /// The store answers again; \a away is how long it had not.
+    std::function<void(microseconds away)> onBack;
 };
 
 /// Reads the publishing store: lists once, then waits for changes; lists anew when the store's
@@ -104,6 +105,7 @@
     bool lost = false;
     std::uint64_t known = 0;
     Instant answered = Instant::min();
+    Instant lostAt;
     ViewUpdate listing; ///< Pages read so far.
 };
 
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -13,6 +13,8 @@
 constexpr unsigned spreadShift = 33;
 /// An engine that leaves is gone long before.
 constexpr seconds leavingMemory {60};
+/// How long after its notice a leaving engine may still get back a run that it stopped.
+constexpr milliseconds leavingReturn {1'300};
 /// How long a process tells its peers what it found out about an upstream.
 constexpr milliseconds noteTime {1'500};
 /// How long an upstream at whose address nothing listens gets nothing.
@@ -128,6 +130,11 @@
         const UpstreamRecord *before = this->record(id);
         const bool fresh = before == nullptr || before->born != record.born;
         const bool colder = before != nullptr && record.coldLeft > before->coldLeft;
+        if (!record.leaving) {
+            this->leavingSince.erase(id);
+        } else {
+            this->leavingSince.try_emplace(id, this->now);
+        }
         if ((fresh || colder) && record.coldLeft.count() > 0) {
             this->coldUntil[id] = this->now + record.coldLeft;
         }
@@ -199,6 +206,15 @@
     }
 }
 
+bool Router::mayReceive(const UpstreamRecord &record) const
+{
+    const auto leaving = this->leavingSince.find(record.id);
+    const bool longSince
+        = leaving != this->leavingSince.end() && this->now - leaving->second > leavingReturn;
+    return this->record(record.id) != nullptr && !longSince
+        && this->state->evacuatedZones.count(record.zone) == 0;
+}
+
 bool Router::goesAway(const UpstreamRecord &record) const
 {
     const auto refusing = this->refusingUntil.find(record.id);
@@ -255,6 +271,9 @@
             this->checkSilence(*each);
         }
     }
+    std::erase_if(this->leavingSince, [this](const auto &entry) {
+        return this->now - entry.second > leavingMemory;
+    });
     std::erase_if(this->leaving, [this](const auto &entry) {
         return this->now - entry.second.noticed > leavingMemory;
     });
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -93,6 +93,15 @@
         std::vector<std::string> refusedBy;
     };
 
+    /// A takeover from a copy kept beforehand, begun while the run itself still streams: should
+    /// the copy not be there, nothing is lost.
+    struct Beside
+    {
+        AttemptNumber number = 0;
+        UpstreamRecord upstream;
+        decision::Claim claim;
+    };
+
     struct Open
     {
         RequestId id = 0;
@@ -109,7 +118,10 @@
         bool queued = false;
         Instant queuedAt;
 
-        AttemptNumber attempt = 0;
+        AttemptNumber lastNumber = 0; ///< Of the attempts so far.
+        AttemptNumber attempt = 0;    ///< The present one.
+        std::optional<Beside> beside;
+        Instant besideNotBefore;
         bool running = false;
         UpstreamRecord upstream;
         decision::Claim claim;
@@ -185,6 +197,12 @@
     // Attempts (router_attempts.cpp)
     void start(Open &open, const UpstreamRecord &upstream, const decision::Claim &claim,
                const std::optional<Takeover> &takeover);
+    AttemptPlan planFor(const Open &open, const UpstreamRecord &upstream) const;
+    void journalPlaced(const Open &open, AttemptNumber number, const AttemptPlan &plan);
+    void startBeside(Open &open);
+    void promoteBeside(Open &open, const AnswerHead &head);
+    void endBeside(Open &open, AttemptEnd end, const std::string &detail);
+    void dropBeside(Open &open);
     void leaveUpstream(Open &open);
     void cancel(Open &open);
     void conclude(Open &open, AttemptEnd end, const std::string &detail);
@@ -222,7 +240,6 @@
     void concludeTakeover(Open &open, AttemptEnd end, const std::string &detail);
     /// Tries to take over a generation whose stream broke or fell silent, from its engine's memory.
     bool rescue(Open &open, const std::string &reason);
-    bool backupNear(const Open &open) const;
     void dropMove(Open &open, bool freeCopy);
     bool movable(const Open &open) const;
     bool sourceLeaves(const Open &open) const;
@@ -235,6 +252,9 @@
     void heed(const UpstreamNote &note);
     /// Returns true for an upstream that leaves, or at whose address nothing listens.
     bool goesAway(const UpstreamRecord &record) const;
+    /// Returns true if a request may be sent there although it is not new: its zone is not
+    /// evacuated, and it has not been leaving for long.
+    bool mayReceive(const UpstreamRecord &record) const;
     Open *find(RequestId id);
     Open *findCurrent(const AttemptId &attempt);
     const UpstreamRecord *record(const std::string &id) const;
@@ -251,6 +271,7 @@
     std::map<std::string, Instant> coldUntil; ///< By upstream.
     std::unordered_map<std::string, Instant> troubledUntil;
     std::unordered_map<std::string, Leaving> leaving; ///< Engines known to leave.
+    std::unordered_map<std::string, Instant> leavingSince; ///< By upstream, as published.
     std::unordered_map<std::string, Instant> refusingUntil;
     std::unordered_map<std::string, Instant> reportAsked;
     std::vector<std::pair<Instant, UpstreamNote>> notes;
--- a/src/routing/router_attempts.cpp
+++ b/src/routing/router_attempts.cpp
@@ -31,7 +31,9 @@
 constexpr milliseconds silentStream {1'500};
 /// A stream that has not begun is tried elsewhere after so long, if it may be.
 constexpr milliseconds silentStart {2'200};
-constexpr milliseconds rescueInterval {1'500};
+constexpr milliseconds rescueInterval {600};
+/// Pause after a takeover that was begun beside the run and failed.
+constexpr milliseconds besideRetry {300};
 /// The death of an upstream is blamed on what it ran, if it shows within this time.
 constexpr seconds blameTime {6};
 constexpr std::size_t maxLosses = 256;
@@ -45,11 +47,23 @@
 
 } // namespace
 
+AttemptPlan Router::planFor(const Open &open, const UpstreamRecord &upstream) const
+{
+    AttemptPlan plan;
+    plan.upstream = upstream;
+    plan.timeLeft = std::max(
+        milliseconds(1), std::chrono::duration_cast<milliseconds>(open.deadline - this->now));
+    plan.workspace = open.workspace;
+    plan.engine = open.service != nullptr && open.service->engine;
+    plan.urgency = std::clamp(open.urgency, mostUrgent, leastUrgent);
+    return plan;
+}
+
 void Router::start(Open &open, const UpstreamRecord &upstream, const decision::Claim &claim,
                    const std::optional<Takeover> &takeover)
 {
-    const bool engine = open.service != nullptr && open.service->engine;
-    open.attempt += 1;
+    open.lastNumber += 1;
+    open.attempt = open.lastNumber;
     open.tries += 1;
     open.running = true;
     open.upstream = upstream;
@@ -74,37 +88,112 @@
     if (this->coldUntil.count(upstream.id) > 0) {
         this->coldShare.noteSent(upstream.id, this->now);
     }
-    AttemptPlan plan;
-    plan.upstream = upstream;
-    plan.timeLeft = std::max(
-        milliseconds(1), std::chrono::duration_cast<milliseconds>(open.deadline - this->now));
-    plan.workspace = open.workspace;
-    plan.engine = engine;
-    plan.urgency = std::clamp(open.urgency, mostUrgent, leastUrgent);
+    AttemptPlan plan = this->planFor(open, upstream);
     plan.takeover = takeover;
     plan.backupAddress = open.backup ? open.backup->address : "";
     const bool goesOn = takeover.has_value() || open.route->resumable;
     if (open.lastEventId > 0 && (goesOn || open.request->lastEventId)) {
         plan.afterEvent = open.lastEventId;
     }
+    this->journalPlaced(open, open.attempt, plan);
+    this->emit(StartAttempt {{open.id, open.attempt}, std::move(plan)});
+}
+
+void Router::journalPlaced(const Open &open, AttemptNumber number, const AttemptPlan &plan)
+{
+    const decision::Claim there = this->loads.total(plan.upstream.id);
     this->journal(open, journal::EventId::RequestPlaced,
-                  {{"attempt", std::to_string(open.attempt)},
-                   {"upstream", upstream.id},
+                  {{"attempt", std::to_string(number)},
+                   {"upstream", plan.upstream.id},
                    {"workspace", open.workspace},
                    {"route", open.route->name},
                    {"waitedMs", millisecondsSince(open.arrived, this->now)},
                    {"leftMs", std::to_string(plan.timeLeft.count())},
-                   {"attemptsThere", std::to_string(this->loads.total(upstream.id).attempts)},
-                   {"memoryThere", std::to_string(this->loads.total(upstream.id).memory)},
+                   {"attemptsThere", std::to_string(there.attempts)},
+                   {"memoryThere", std::to_string(there.memory)},
                    {"afterEvent", std::to_string(plan.afterEvent.value_or(0))},
-                   {"takeover", open.takeover.source},
-                   {"backup", open.backup ? open.backup->id : ""},
+                   {"takeover", plan.takeover ? plan.takeover->source : ""},
+                   {"backup", plan.backupAddress},
                    {"promptTokens", std::to_string(open.request->promptTokens)},
                    {"maxTokens", std::to_string(open.request->maxOutputTokens)},
                    {"expectedTokens", std::to_string(this->expectedOutput(open, 0))},
                    {"version", std::to_string(open.table->configuration().version)},
                    {"revision", std::to_string(this->state->revision)}});
-    this->emit(StartAttempt {{open.id, open.attempt}, std::move(plan)});
+}
+
+void Router::startBeside(Open &open)
+{
+    open.lastNumber += 1;
+    open.tries += 1;
+    open.arrivals += 1;
+    Beside beside {open.lastNumber, *open.backup, this->movedClaim(open)};
+    this->loads.add(beside.upstream.id, beside.claim);
+    this->budget.noteRepeat(open.serviceName, this->now);
+    AttemptPlan plan = this->planFor(open, beside.upstream);
+    plan.takeover = Takeover {beside.upstream.address + "/" + open.request->callerId};
+    plan.afterEvent = open.lastEventId;
+    this->journalPlaced(open, beside.number, plan);
+    this->emit(StartAttempt {{open.id, beside.number}, std::move(plan), true});
+    open.beside = std::move(beside);
+}
+
+void Router::promoteBeside(Open &open, const AnswerHead &head)
+{
+    const Beside beside = *open.beside;
+    open.beside.reset();
+    // The copy's claim ends with the run it was a copy of.
+    if (open.running) {
+        this->emit(CancelAttempt {{open.id, open.attempt}});
+    }
+    this->leaveUpstream(open);
+    this->dropMove(open, true);
+    open.backup.reset();
+    open.attempt = beside.number;
+    open.running = true;
+    open.upstream = beside.upstream;
+    open.claim = beside.claim;
+    open.started = this->now;
+    open.begun = this->now;
+    open.head = head;
+    open.headSeen = true;
+    open.isTakeover = true;
+    open.resuming = true;
+    open.takeoverOrigin.clear();
+    this->counts.movesDone += 1;
+    this->emit(RelayStream {{open.id, open.attempt}});
+}
+
+void Router::endBeside(Open &open, AttemptEnd end, const std::string &detail)
+{
+    this->journal(open, journal::EventId::AttemptFailed,
+                  {{"attempt", std::to_string(open.beside->number)},
+                   {"upstream", open.beside->upstream.id},
+                   {"end", name(end)},
+                   {"beside", "yes"},
+                   {"detail", detail}});
+    this->dropBeside(open);
+    open.besideNotBefore = this->now + besideRetry;
+    const bool unreachable = end == AttemptEnd::NotSent || end == AttemptEnd::TimedOut;
+    if (open.running && unreachable && !this->sourceLeaves(open)) {
+        return; // The path may come back, and the run itself may speak again.
+    }
+    if (open.running) {
+        this->loads.subtract(open.backup->id, open.backupClaim);
+        open.backup.reset();
+        return;
+    }
+    open.backup.reset();
+    if (!this->rescue(open, "no copy")) {
+        this->breakOff(open, "the generation could not go on elsewhere: " + detail);
+    }
+}
+
+void Router::dropBeside(Open &open)
+{
+    if (open.beside) {
+        this->loads.subtract(open.beside->upstream.id, open.beside->claim);
+        open.beside.reset();
+    }
 }
 
 void Router::leaveUpstream(Open &open)
@@ -120,6 +209,10 @@
 
 void Router::cancel(Open &open)
 {
+    if (open.beside) {
+        this->emit(CancelAttempt {{open.id, open.beside->number}});
+        this->dropBeside(open);
+    }
     if (open.running) {
         this->emit(CancelAttempt {{open.id, open.attempt}});
         this->leaveUpstream(open);
@@ -128,6 +221,14 @@
 
 void Router::on(const HeadArrived &event)
 {
+    Open *waiting = this->find(event.attempt.request);
+    if (waiting != nullptr && waiting->beside && waiting->beside->number == event.attempt.number) {
+        const AnswerHead &head = event.head;
+        if (head.status == statusOk && head.eventStream && head.genuine) {
+            this->promoteBeside(*waiting, head);
+        }
+        return;
+    }
     Open *current = this->findCurrent(event.attempt);
     if (current == nullptr) {
         return;
@@ -177,6 +278,12 @@
 
 void Router::on(const AttemptEnded &event)
 {
+    Open *waiting = this->find(event.attempt.request);
+    if (waiting != nullptr && waiting->beside && waiting->beside->number == event.attempt.number) {
+        this->endBeside(*waiting, event.end, event.detail);
+        this->dispatch();
+        return;
+    }
     Open *current = this->findCurrent(event.attempt);
     if (current == nullptr || !current->running) {
         return;
@@ -285,6 +392,7 @@
     }
     if (complete) {
         this->crashes.clear(open.fingerprint);
+        this->cancel(open);
         this->dropMove(open, true);
         const bool whole = !open.request->lastEventId && open.service != nullptr
             && open.service->engine;
@@ -300,6 +408,9 @@
     if (open.events == 0) {
         this->blameFor(open);
     }
+    if (open.beside) {
+        return; // The takeover that was begun beside it will go on, or end the stream.
+    }
     const bool copied = open.move && open.move->stage == MoveStage::Copied;
     if (!copied && this->backupUsable(open)) {
         this->dropMove(open, true);
@@ -345,7 +456,8 @@
     }
     const microseconds silence = this->now - open.lastHeard;
     if (open.relaying) {
-        if (silence < silentStream || open.move || this->now < open.nextRescue) {
+        const bool busy = open.move || open.beside;
+        if (silence < silentStream || busy || this->now < open.nextRescue) {
             return;
         }
         open.nextRescue = this->now + rescueInterval;
@@ -353,8 +465,7 @@
             this->cancel(open);
             this->concludeStream(open, AttemptEnd::TimedOut, "silent");
             this->dispatch();
-        } else if (this->backupUsable(open) && this->backupSettled(open)
-                   && this->backupNear(open)) {
+        } else if (this->backupUsable(open) && this->backupSettled(open)) {
             this->goOnFromBackup(open);
         } else if (this->movable(open)) {
             this->rescue(open, "silent");
@@ -424,6 +535,7 @@
 {
     Open &closing = this->open.at(id);
     this->unqueue(closing);
+    this->dropBeside(closing);
     this->leaveUpstream(closing);
     this->dropMove(closing, true);
     this->open.erase(id);
--- a/src/routing/router_events.h
+++ b/src/routing/router_events.h
@@ -165,6 +165,7 @@
 {
     AttemptId attempt;
     AttemptPlan plan;
+    bool beside = false; ///< The attempt before goes on until this one's stream is relayed.
 };
 
 /// Give up an attempt: close its connection, pass on nothing more of it.
@@ -173,7 +174,8 @@
     AttemptId attempt;
 };
 
-/// Pass the events of this attempt on as they come; its head first if none went out yet.
+/// Pass the events of this attempt on as they come, and no other's; its head first if none went
+/// out yet.
 struct RelayStream
 {
     AttemptId attempt;
--- a/src/routing/router_moves.cpp
+++ b/src/routing/router_moves.cpp
@@ -125,12 +125,8 @@
         return false;
     }
     const UpstreamRecord *listed = this->record(open.backup->id);
-    return listed != nullptr && !this->goesAway(*listed) && listed->born == open.backup->born;
-}
-
-bool Router::backupNear(const Open &open) const
-{
-    return open.backup->zone == this->options.zone || open.upstream.zone == this->options.zone;
+    return listed != nullptr && !this->goesAway(*listed) && listed->born == open.backup->born
+        && this->mayReceive(*listed) && !open.beside && this->now >= open.besideNotBefore;
 }
 
 bool Router::backupSettled(const Open &open) const
@@ -159,7 +155,10 @@
                    {"to", backup.id},
                    {"reason", "backup"},
                    {"events", std::to_string(open.events)}});
-    this->cancel(open);
+    if (open.running) {
+        this->startBeside(open);
+        return;
+    }
     open.takeoverOrigin.clear();
     const std::string source = backup.address + "/" + open.request->callerId;
     this->start(open, backup, this->movedClaim(open), Takeover {source});
@@ -183,7 +182,7 @@
 void Router::checkMove(Open &open)
 {
     if (!open.move) {
-        if (!open.running || !this->movable(open)) {
+        if (!open.running || !this->movable(open) || open.beside) {
             return;
         }
         if (!this->sourceLeaves(open)) {
@@ -205,7 +204,8 @@
     Move &move = *open.move;
     const bool destinationGone = [&] {
         const UpstreamRecord *to = this->record(move.to.id);
-        return to == nullptr || this->goesAway(*to) || to->born != move.to.born;
+        return to == nullptr || this->goesAway(*to) || to->born != move.to.born
+            || !this->mayReceive(*to);
     }();
     const bool waits = move.stage == MoveStage::Copying || move.stage == MoveStage::Copied;
     if (waits && destinationGone) {
@@ -405,7 +405,11 @@
 void Router::takeOver(Open &open, const UpstreamRecord &to, const std::string &origin,
                       const std::string &handle)
 {
-    decision::Claim claim = this->movedClaim(open);
+    if (!this->mayReceive(to)) {
+        this->breakOff(open, "its zone is evacuated, or the engine is long since leaving");
+        return;
+    }
+    const decision::Claim claim = this->movedClaim(open);
     if (open.move) {
         this->loads.subtract(open.move->to.id, open.move->claim);
         open.move.reset();
@@ -421,7 +425,8 @@
         this->state->upstreams.begin(), this->state->upstreams.end(),
         [&](const auto &entry) { return entry.second.address == open.takeoverOrigin; });
     const bool unrun = end == AttemptEnd::NotSent || end == AttemptEnd::Refused || (end == AttemptEnd::Complete && open.head.notRun);
-    if (unrun && first && source != this->state->upstreams.end()) {
+    if (unrun && first && source != this->state->upstreams.end()
+        && this->mayReceive(source->second)) {
         const UpstreamRecord back = source->second;
         const Takeover again = open.takeover;
         this->start(open, back, this->movedClaim(open), again);
--- a/src/serving/routed_calls.cpp
+++ b/src/serving/routed_calls.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr const char *routedClass = "routed";
+constexpr int statusUnavailable = 503;
+constexpr milliseconds closingRetry {20};
 
 routing::AttemptEnd endOf(const http::TransferResult &result)
 {
@@ -44,6 +46,12 @@
 void RoutedCalls::take(const http::ServerRequest &request, const http::ExchangePtr &exchange)
 {
     this->registry.count(metrics::Counter::Requests);
+    if (this->closing) {
+        const routing::OwnAnswer stopped {statusUnavailable, closingRetry, "this process stops"};
+        exchange->respondWith(stopped.status, this->port.writeOwnHead("", stopped),
+                              ownBody(stopped));
+        return;
+    }
     routing::ReadRequest read = this->port.readRequest(request);
     if (const auto *refusal = std::get_if<routing::OwnAnswer>(&read)) {
         exchange->respondWith(refusal->status, this->port.writeOwnHead("", *refusal),
@@ -92,11 +100,18 @@
     }
 }
 
-RoutedCalls::Session *RoutedCalls::current(const routing::AttemptId &attempt)
+RoutedCalls::Transfer *RoutedCalls::find(const routing::AttemptId &attempt)
 {
     const auto found = this->sessions.find(attempt.request);
-    const bool is = found != this->sessions.end() && found->second.attempt == attempt.number;
-    return is ? &found->second : nullptr;
+    if (found == this->sessions.end()) {
+        return nullptr;
+    }
+    Session &session = found->second;
+    if (session.present.attempt == attempt.number) {
+        return &session.present;
+    }
+    const bool isBeside = session.beside && session.beside->attempt == attempt.number;
+    return isBeside ? &*session.beside : nullptr;
 }
 
 // What upstreams send. ---------------------------------------------------------------------------
@@ -105,9 +120,12 @@
                          const http::HeaderFields &fields)
 {
     this->locked([&] {
-        if (Session *session = this->current(attempt)) {
-            session->head = this->port.readHead(*session->request, status, fields);
-            this->drive(routing::HeadArrived {attempt, session->head});
+        if (Transfer *transfer = this->find(attempt)) {
+            const Session &session = this->sessions.at(attempt.request);
+            transfer->head = this->port.readHead(*session.request, status, fields);
+            // Copied: the transfer moves when it takes the place of the one before.
+            const routing::AnswerHead head = transfer->head;
+            this->drive(routing::HeadArrived {attempt, head});
         }
     });
 }
@@ -121,25 +139,24 @@
 
 bool RoutedCalls::takeData(const routing::AttemptId &attempt, std::string_view bytes)
 {
-    Session *session = this->current(attempt);
-    if (session == nullptr) {
+    Transfer *transfer = this->find(attempt);
+    if (transfer == nullptr) {
         return true;
     }
-    if (session->relaying) {
-        if (session->exchange->congested()) {
-            session->paused = true;
+    if (transfer->relaying) {
+        Session &session = this->sessions.at(attempt.request);
+        if (session.exchange->congested()) {
             return false;
         }
-        this->passEvents(attempt, *session, bytes);
+        this->passEvents(attempt, session, bytes);
         return true;
     }
-    if (session->body.size() + bytes.size() > maxAnswerBytes) {
-        const http::TransferId transfer = session->transfer;
-        this->client.cancel(transfer);
+    if (transfer->body.size() + bytes.size() > maxAnswerBytes) {
+        this->client.cancel(transfer->id);
         this->drive(routing::AttemptEnded {attempt, routing::AttemptEnd::Lost, "too large"});
         return true;
     }
-    session->body += bytes;
+    transfer->body += bytes;
     return true;
 }
 
@@ -148,7 +165,7 @@
 {
     std::string passed;
     routing::EventsArrived arrived {attempt, 0, session.lastEventId};
-    for (const upstreams::RawEvent &event : session.splitter.take(bytes)) {
+    for (const upstreams::RawEvent &event : session.present.splitter.take(bytes)) {
         if (event.id && *event.id <= session.lastEventId) {
             continue; // The engine before had sent it.
         }
@@ -160,7 +177,7 @@
         return;
     }
     if (!std::exchange(session.headSent, true)) {
-        session.exchange->beginStreamWith(session.head.status, session.head.fields);
+        session.exchange->beginStreamWith(session.present.head.status, session.present.head.fields);
         this->registry.observe(metrics::Measure::FirstToken, session.workspace, routedClass,
                                inSeconds(monotonicNow() - session.arrived));
     } else {
@@ -176,7 +193,7 @@
 void RoutedCalls::onDone(const routing::AttemptId &attempt, const http::TransferResult &result)
 {
     this->locked([&] {
-        if (this->current(attempt) != nullptr) {
+        if (this->find(attempt) != nullptr) {
             this->drive(routing::AttemptEnded {attempt, endOf(result), result.detail});
         }
     });
@@ -187,14 +204,8 @@
 void RoutedCalls::execute(const routing::StartAttempt &effect)
 {
     Session &session = this->sessions.at(effect.attempt.request);
-    session.attempt = effect.attempt.number;
-    session.head = {};
-    session.body.clear();
-    session.splitter = {};
-    session.relaying = false;
-    session.paused = false;
-    session.workspace = effect.plan.workspace;
     const routing::AttemptId attempt = effect.attempt;
+    session.workspace = effect.plan.workspace;
     http::TransferCallbacks callbacks;
     callbacks.onHead = [this, attempt](int status, const http::HeaderFields &fields) {
         this->onHead(attempt, status, fields);
@@ -204,29 +215,42 @@
     callbacks.onDone = [this, attempt](const http::TransferResult &result) {
         this->onDone(attempt, result);
     };
-    session.transfer = this->client.start(this->port.writeAttempt(*session.request, effect.plan),
-                                          std::move(callbacks));
-    const http::TransferId transfer = session.transfer;
-    session.exchange->onDrained([this, transfer] { this->client.resume(transfer); });
+    Transfer transfer;
+    transfer.attempt = attempt.number;
+    transfer.id = this->client.start(this->port.writeAttempt(*session.request, effect.plan),
+                                     std::move(callbacks));
+    if (effect.beside) {
+        session.beside = std::move(transfer);
+    } else {
+        session.present = std::move(transfer);
+    }
 }
 
 void RoutedCalls::execute(const routing::CancelAttempt &effect)
 {
-    if (Session *session = this->current(effect.attempt)) {
-        session->relaying = false;
-        this->client.cancel(session->transfer);
+    if (Transfer *transfer = this->find(effect.attempt)) {
+        transfer->relaying = false;
+        this->client.cancel(transfer->id);
     }
 }
 
 void RoutedCalls::execute(const routing::RelayStream &effect)
 {
-    this->sessions.at(effect.attempt.request).relaying = true;
+    Session &session = this->sessions.at(effect.attempt.request);
+    if (session.beside && session.beside->attempt == effect.attempt.number) {
+        session.present = std::move(*session.beside);
+        session.beside.reset();
+    }
+    session.present.relaying = true;
+    const http::TransferId transfer = session.present.id;
+    session.exchange->onDrained([this, transfer] { this->client.resume(transfer); });
 }
 
 void RoutedCalls::execute(const routing::PassAnswer &effect)
 {
     Session &session = this->sessions.at(effect.attempt.request);
-    session.exchange->respondWith(session.head.status, session.head.fields, session.body);
+    session.exchange->respondWith(session.present.head.status, session.present.head.fields,
+                                  session.present.body);
     this->registry.observe(metrics::Measure::FirstToken, session.workspace, routedClass,
                            inSeconds(monotonicNow() - session.arrived));
 }
@@ -235,7 +259,7 @@
 {
     Session &session = this->sessions.at(effect.request);
     if (!std::exchange(session.headSent, true)) {
-        session.exchange->beginStreamWith(session.head.status, session.head.fields);
+        session.exchange->beginStreamWith(session.present.head.status, session.present.head.fields);
     }
     session.exchange->finish();
 }
@@ -309,7 +333,10 @@
 {
     const std::lock_guard lock(this->mutex);
     for (auto &[id, session] : this->sessions) {
-        this->client.cancel(session.transfer);
+        this->client.cancel(session.present.id);
+        if (session.beside) {
+            this->client.cancel(session.beside->id);
+        }
         session.exchange->abort();
     }
 }
--- a/src/serving/routed_calls.h
+++ b/src/serving/routed_calls.h
@@ -9,9 +9,11 @@
 #include "routing/router.h"
 #include "upstreams/event_splitter.h"
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -38,6 +40,8 @@
     std::vector<decision::UpstreamClaim> takeChangedClaims();
     /// Takes what was found out about upstreams lately.
     std::vector<routing::UpstreamNote> takeNotes();
+    /// From now on refuses what arrives: the process is about to stop.
+    void refuseFurther() { this->closing = true; }
     /// Ends what is still open: the process stops.
     void cutAll();
 
@@ -48,21 +52,27 @@
     std::vector<decision::ArrivalCount> arrivals() const;
 
 private:
-    /// One request, and the attempt whose answer it is waiting for.
-    struct Session
+    /// One attempt's transfer from its upstream.
+    struct Transfer
     {
-        std::shared_ptr<const routing::RoutedRequest> request;
-        http::ExchangePtr exchange;
-        Instant arrived;
         decision::AttemptNumber attempt = 0;
-        http::TransferId transfer = 0;
+        http::TransferId id = 0;
         routing::AnswerHead head;
         std::string body;
         upstreams::EventSplitter splitter;
-        bool relaying = false; ///< The present attempt's events are passed on.
+        bool relaying = false; ///< Its events are passed on.
+    };
+
+    /// One request, and the attempts whose answers it is waiting for.
+    struct Session
+    {
+        std::shared_ptr<const routing::RoutedRequest> request;
+        http::ExchangePtr exchange;
+        Instant arrived;
+        Transfer present;
+        std::optional<Transfer> beside; ///< Begun while the present one goes on.
         bool headSent = false;
         std::uint64_t lastEventId = 0;
-        bool paused = false;
         std::string workspace;
         Instant lastEvent;
     };
@@ -72,7 +82,8 @@
     bool takeData(const routing::AttemptId &attempt, std::string_view bytes);
     void onDone(const routing::AttemptId &attempt, const http::TransferResult &result);
     void passEvents(const routing::AttemptId &attempt, Session &session, std::string_view bytes);
-    Session *current(const routing::AttemptId &attempt);
+    /// Returns the transfer of an attempt, or nullptr if it is of no concern any more.
+    Transfer *find(const routing::AttemptId &attempt);
     /// Runs \a work with the lock held; then, without it, tells what peers are to be told: the
     /// telling may come back here.
     void locked(const std::function<void()> &work);
@@ -98,6 +109,7 @@
     metrics::Registry &registry;
     journal::Journal &journal;
     const std::function<void(const routing::TellCrash &)> tellCrash;
+    std::atomic<bool> closing {false};
     mutable std::mutex mutex; ///< Guards the members below.
     routing::Router router;
     std::unordered_map<routing::RequestId, Session> sessions;
--- a/src/serving/routing_process.cpp
+++ b/src/serving/routing_process.cpp
@@ -336,6 +336,14 @@
     while (busy() && monotonicNow() < latest) {
         std::this_thread::sleep_for(stopPoll);
     }
+    // What arrives between the last answer and the exit is refused rather than cut.
+    this->calls.refuseFurther();
+    const auto answering = [&] {
+        return this->calls.status().open > 0 || this->callers.openExchanges() > 0;
+    };
+    while (answering() && monotonicNow() < latest) {
+        std::this_thread::sleep_for(stopPoll);
+    }
     const std::size_t cut = this->calls.status().open;
     this->calls.cutAll();
     std::this_thread::sleep_for(lastBytes);
--- a/src/serving/view_keeper.cpp
+++ b/src/serving/view_keeper.cpp
@@ -4,6 +4,12 @@
 #include <utility>
 
 namespace azurespindle::serving {
+namespace {
+
+/// Records lapse only while the store is away for longer than upstreams take to renew them.
+constexpr milliseconds lapsingOutage {1'500};
+
+} // namespace
 
 ViewKeeper::ViewKeeper(routing::ReadItem read, routing::FeedCalls calls,
                        timer::TimerService &timers, journal::Journal &journal, ViewHooks hooks)
@@ -19,10 +25,13 @@
                   return taken;
               },
               [this] { this->journal.record({journal::EventId::PublisherLost, {}}); },
-              [this] {
-                  this->journal.record({journal::EventId::PublisherBack, {}});
-                  const std::lock_guard lock(this->mutex);
-                  this->view.noteOutageOver(monotonicNow());
+              [this](microseconds away) {
+                  this->journal.record({journal::EventId::PublisherBack,
+                                        {{"awayMs", std::to_string(away.count() / 1'000)}}});
+                  if (away >= lapsingOutage) {
+                      const std::lock_guard lock(this->mutex);
+                      this->view.noteOutageOver(monotonicNow());
+                  }
               }},
           timers))
 { }
--- /dev/null
+++ b/tests/decision/arrival_budget_test.cpp
@@ -0,0 +1,141 @@
+#include "decision/arrival_budget.h"
+
+#include "support/suite.h"
+
+#include <random>
+#include <string>
+#include <vector>
+
+namespace azurespindle::decision {
+namespace {
+
+constexpr ArrivalLimits limits {0.2, 58.0, milliseconds(10'000)};
+const std::string service = "engines";
+
+/// Spends as long as the budget allows, at one moment.
+std::size_t spendAll(ArrivalBudget &budget, bool generation, Instant now)
+{
+    std::size_t spent = 0;
+    while (budget.allows(service, generation, now)) {
+        budget.noteRepeat(service, now);
+        spent += 1;
+    }
+    return spent;
+}
+
+ArrivalBudget makeBudget(std::size_t processes)
+{
+    ArrivalBudget budget;
+    budget.setLimits(limits);
+    budget.setProcesses(processes);
+    return budget;
+}
+
+} // namespace
+
+class ArrivalBudgetTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ArrivalBudgetTest);
+    CPPUNIT_TEST(processesThatHearNobodyStayWithinTheLimitTogether);
+    CPPUNIT_TEST(aBusyProcessBorrowsWhatTheOthersDoNotUse);
+    CPPUNIT_TEST(borrowersAtOnceStayWithinTheLimit);
+    CPPUNIT_TEST(whatPeersSaidLongAgoIsNotBorrowedFrom);
+    CPPUNIT_TEST(retriesLeaveRoomForGenerations);
+    CPPUNIT_TEST(theWindowSlides);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// A partition of nine into nine: each sees failures only and spends all it may.
+    void processesThatHearNobodyStayWithinTheLimitTogether()
+    {
+        constexpr std::size_t processes = 9;
+        std::size_t spent = 0;
+        std::size_t requests = 0;
+        for (std::size_t process = 0; process < processes; ++process) {
+            ArrivalBudget budget = makeBudget(processes);
+            for (std::size_t request = 0; request < 5 * process; ++request) {
+                budget.noteRequest(service, Instant(seconds(20)));
+                requests += 1;
+            }
+            spent += spendAll(budget, true, Instant(seconds(20)));
+        }
+        const double most = limits.share * static_cast<double>(requests) + limits.allowance;
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(spent) + " of " + std::to_string(most),
+                               static_cast<double>(spent) <= most);
+        CPPUNIT_ASSERT(static_cast<double>(spent) >= 0.6 * most);
+    }
+
+    void aBusyProcessBorrowsWhatTheOthersDoNotUse()
+    {
+        const Instant now(seconds(20));
+        ArrivalBudget alone = makeBudget(9);
+        ArrivalBudget heard = makeBudget(9);
+        for (int peer = 0; peer < 8; ++peer) {
+            heard.tell("p" + std::to_string(peer), {{service, 10, 0}}, now);
+        }
+        const std::size_t own = spendAll(alone, true, now);
+        const std::size_t borrowed = spendAll(heard, true, now);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(own) + " then " + std::to_string(borrowed),
+                               borrowed > 3 * own);
+    }
+
+    /// All nine borrow in the same moment, before they hear of one another.
+    void borrowersAtOnceStayWithinTheLimit()
+    {
+        Instant now(seconds(20));
+        constexpr std::size_t processes = 9;
+        std::vector<ArrivalBudget> fleet(processes, makeBudget(processes));
+        std::mt19937 random(3);
+        std::size_t spent = 0;
+        for (int round = 0; round < 40; ++round) {
+            for (std::size_t process = 0; process < processes; ++process) {
+                for (std::size_t peer = 0; peer < processes; ++peer) {
+                    if (peer != process) {
+                        fleet[process].tell(std::to_string(peer), fleet[peer].counts(now), now);
+                    }
+                }
+            }
+            // Each wants to move one generation between two reports.
+            for (ArrivalBudget &budget : fleet) {
+                if (random() % 2 == 0 && budget.allows(service, true, now)) {
+                    budget.noteRepeat(service, now);
+                    spent += 1;
+                }
+            }
+            now += milliseconds(200);
+        }
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(spent),
+                               static_cast<double>(spent) <= limits.allowance);
+    }
+
+    void whatPeersSaidLongAgoIsNotBorrowedFrom()
+    {
+        ArrivalBudget budget = makeBudget(2);
+        budget.tell("peer", {{service, 100, 0}}, Instant(seconds(20)));
+        const Instant later = Instant(seconds(20)) + ArrivalBudget::peerMemory;
+        ArrivalBudget alone = makeBudget(2);
+        CPPUNIT_ASSERT_EQUAL(spendAll(alone, true, later), spendAll(budget, true, later));
+    }
+
+    void retriesLeaveRoomForGenerations()
+    {
+        const Instant now(seconds(20));
+        ArrivalBudget budget = makeBudget(2);
+        const std::size_t retries = spendAll(budget, false, now);
+        const std::size_t generations = spendAll(budget, true, now);
+        CPPUNIT_ASSERT(retries > 0);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(generations), generations >= retries / 2);
+    }
+
+    void theWindowSlides()
+    {
+        ArrivalBudget budget = makeBudget(1);
+        const std::size_t first = spendAll(budget, true, Instant(seconds(20)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), spendAll(budget, true, Instant(seconds(29))));
+        CPPUNIT_ASSERT_EQUAL(first, spendAll(budget, true, Instant(milliseconds(30'001))));
+    }
+};
+
+REGISTER_SUITE(ArrivalBudgetTest, "arrival_budget");
+
+} // namespace azurespindle::decision
--- /dev/null
+++ b/tests/decision/cold_share_test.cpp
@@ -0,0 +1,60 @@
+#include "decision/cold_share.h"
+
+#include "support/suite.h"
+
+#include <deque>
+#include <string>
+#include <vector>
+
+namespace azurespindle::decision {
+
+class ColdShareTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ColdShareTest);
+    CPPUNIT_TEST(allProcessesTogetherStayWithinWhatItBears);
+    CPPUNIT_TEST(upstreamsThatSayNothingAreNotHeldBack);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// A zone comes back: nine processes find its upstreams empty and send all they may, without a
+    /// word between them. In no second does one get more than it bears, and a burst of one each.
+    void allProcessesTogetherStayWithinWhatItBears()
+    {
+        constexpr std::size_t processes = 9;
+        constexpr double bears = 27.0;
+        std::vector<ColdShare> fleet(processes);
+        for (ColdShare &each : fleet) {
+            each.setProcesses(processes);
+        }
+        std::deque<Instant> lastSecond;
+        std::size_t most = 0;
+        std::size_t all = 0;
+        for (Instant now(seconds(10)); now < Instant(seconds(14)); now += milliseconds(5)) {
+            for (ColdShare &each : fleet) {
+                if (each.allows("e1", bears, now)) {
+                    each.noteSent("e1", now);
+                    lastSecond.push_back(now);
+                    all += 1;
+                }
+            }
+            while (now - lastSecond.front() >= seconds(1)) {
+                lastSecond.pop_front();
+            }
+            most = std::max(most, lastSecond.size());
+        }
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(most), static_cast<double>(most) <= bears);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(all), static_cast<double>(all) >= 3.0 * bears);
+    }
+
+    void upstreamsThatSayNothingAreNotHeldBack()
+    {
+        ColdShare share;
+        share.setProcesses(9);
+        share.noteSent("e1", Instant(seconds(1)));
+        CPPUNIT_ASSERT(share.allows("e1", 0.0, Instant(seconds(1))));
+    }
+};
+
+REGISTER_SUITE(ColdShareTest, "cold_share");
+
+} // namespace azurespindle::decision
--- /dev/null
+++ b/tests/http/request_reader_test.cpp
@@ -0,0 +1,149 @@
+#include "http/internal/request_reader.h"
+
+#include "support/suite.h"
+
+#include <string>
+#include <vector>
+
+namespace azurespindle::http::internal {
+namespace {
+
+ReadOutcome read(const std::string &bytes, settings::CallerLimits limits = {})
+{
+    RequestReader reader(limits);
+    reader.append(bytes.data(), bytes.size());
+    return reader.next();
+}
+
+std::string describe(const ReadOutcome &outcome)
+{
+    if (const auto *fault = std::get_if<Unacceptable>(&outcome)) {
+        return std::to_string(fault->status) + " " + fault->detail;
+    }
+    return std::holds_alternative<ServerRequest>(outcome) ? "a request" : "incomplete";
+}
+
+} // namespace
+
+class RequestReaderTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RequestReaderTest);
+    CPPUNIT_TEST(ambiguousFramingIsRefused);
+    CPPUNIT_TEST(targetFieldsAndBodyStayAsTheyWereSent);
+    CPPUNIT_TEST(chunksAndTheirExtensionsAreRead);
+    CPPUNIT_TEST(aRequestIsReadByteByByte);
+    CPPUNIT_TEST(requestsThatWaitAreReadOneAfterTheOther);
+    CPPUNIT_TEST(limitsAreKept);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Each was accepted by the parser that this one replaced, and the call was run.
+    void ambiguousFramingIsRefused()
+    {
+        const std::vector<std::string> ambiguous {
+            "Content-Length: 5\r\nContent-Length: 6\r\n\r\nhello!",
+            "Content-Length: 5\r\nContent-Length: 5\r\n\r\nhello",
+            "Content-Length : 5\r\n\r\nhello",
+            "X-Long: a\r\n folded\r\nContent-Length: 0\r\n\r\n",
+            "X-Long: a\r\n\tfolded\r\nContent-Length: 0\r\n\r\n",
+            "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+            "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n",
+            "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            "Content-Length: 0x5\r\n\r\nhello",
+            "Content-Length: -1\r\n\r\n",
+            "Transfer-Encoding: chunked\r\n\r\nzz\r\n\r\n",
+            "Host: a\r\nHost: b\r\nContent-Length: 0\r\n\r\n",
+        };
+        for (const std::string &head : ambiguous) {
+            const std::string found = describe(read("POST /orders HTTP/1.1\r\n" + head));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(head, std::string("400"), found.substr(0, 3));
+        }
+        const std::string old = "POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+        CPPUNIT_ASSERT_EQUAL(std::string("400"), describe(read(old)).substr(0, 3));
+    }
+
+    void targetFieldsAndBodyStayAsTheyWereSent()
+    {
+        const ReadOutcome outcome = read("PUT /a//b/../c%2f?x=%41&y=+&x=2 HTTP/1.1\r\nHoSt: shop\r\n"
+                                         "X-One: 1\r\nX-One:  2 \r\nContent-Length: 3\r\n\r\n\0\1\2"
+                                         "rest");
+        CPPUNIT_ASSERT_EQUAL(std::string("incomplete"), describe(outcome));
+        const std::string bytes("PUT /a//b/../c%2f?x=%41&y=+ HTTP/1.1\r\nHoSt: shop\r\n"
+                                "X-One: 1\r\nX-One:  2 \r\nContent-Length: 3\r\n\r\n\0\1\2",
+                                101);
+        const ReadOutcome whole = read(bytes);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(describe(whole), true,
+                                     std::holds_alternative<ServerRequest>(whole));
+        const auto &request = std::get<ServerRequest>(whole);
+        CPPUNIT_ASSERT_EQUAL(std::string("PUT"), request.method);
+        CPPUNIT_ASSERT_EQUAL(std::string("/a//b/../c%2f?x=%41&y=+"), request.target);
+        CPPUNIT_ASSERT_EQUAL(std::string("/a//b/../c%2f"), request.path);
+        CPPUNIT_ASSERT_EQUAL(std::string("A"), request.queryField("x"));
+        CPPUNIT_ASSERT_EQUAL(std::string(" "), request.queryField("y"));
+        const HeaderFields fields {
+            {"HoSt", "shop"}, {"X-One", "1"}, {"X-One", "2"}, {"Content-Length", "3"}};
+        CPPUNIT_ASSERT(fields == request.fields);
+        CPPUNIT_ASSERT_EQUAL(std::string("\0\1\2", 3), request.body);
+    }
+
+    void chunksAndTheirExtensionsAreRead()
+    {
+        const ReadOutcome outcome
+            = read("POST / HTTP/1.1\r\nTransfer-Encoding: Chunked\r\n\r\n"
+                   "5;name=\"value\"\r\nhello\r\n1\r\n!\r\n0\r\nX-Trailer: t\r\n\r\n");
+        CPPUNIT_ASSERT_EQUAL(std::string("a request"), describe(outcome));
+        CPPUNIT_ASSERT_EQUAL(std::string("hello!"), std::get<ServerRequest>(outcome).body);
+    }
+
+    void aRequestIsReadByteByByte()
+    {
+        const std::string bytes = "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                  "3\r\nabc\r\n0\r\n\r\n";
+        RequestReader reader(settings::CallerLimits {});
+        for (std::size_t index = 0; index + 1 < bytes.size(); ++index) {
+            reader.append(bytes.data() + index, 1);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(index), std::string("incomplete"),
+                                         describe(reader.next()));
+            CPPUNIT_ASSERT(reader.begun());
+        }
+        reader.append(bytes.data() + bytes.size() - 1, 1);
+        CPPUNIT_ASSERT_EQUAL(std::string("a request"), describe(reader.next()));
+        CPPUNIT_ASSERT(!reader.begun());
+    }
+
+    void requestsThatWaitAreReadOneAfterTheOther()
+    {
+        const std::string bytes = "POST /1 HTTP/1.1\r\nContent-Length: 2\r\n\r\nab"
+                                  "POST /2 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                  "1\r\nc\r\n0\r\n\r\n"
+                                  "\r\nGET /3 HTTP/1.1\r\nConnection: close\r\n\r\n";
+        RequestReader reader(settings::CallerLimits {});
+        reader.append(bytes.data(), bytes.size());
+        for (const char *path : {"/1", "/2", "/3"}) {
+            const ReadOutcome outcome = reader.next();
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(describe(outcome), std::string(path),
+                                         std::get<ServerRequest>(outcome).path);
+            const bool last = std::string(path) == "/3";
+            CPPUNIT_ASSERT_EQUAL(!last, std::get<ServerRequest>(outcome).keepAlive);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string("incomplete"), describe(reader.next()));
+    }
+
+    void limitsAreKept()
+    {
+        settings::CallerLimits limits;
+        limits.headerBytes = 200;
+        limits.headerAndBodyBytes = 1'000;
+        const std::string head = "POST / HTTP/1.1\r\n";
+        const std::string long_ = "X: " + std::string(300, 'x') + "\r\n\r\n";
+        CPPUNIT_ASSERT_EQUAL(std::string("431"), describe(read(head + long_, limits)).substr(0, 3));
+        const std::string large = "Content-Length: 1001\r\n\r\n";
+        CPPUNIT_ASSERT_EQUAL(std::string("413"),
+                             describe(read(head + large, limits)).substr(0, 3));
+    }
+};
+
+REGISTER_SUITE(RequestReaderTest, "request_reader");
+
+} // namespace azurespindle::http::internal
--- /dev/null
+++ b/tests/platform/ingress_test.cpp
@@ -0,0 +1,196 @@
+#include "platform/ingress.h"
+
+#include "support/suite.h"
+
+#include <algorithm>
+
+namespace azurespindle::platform {
+namespace {
+
+http::ServerRequest callerRequest()
+{
+    http::ServerRequest request;
+    request.method = "POST";
+    request.target = "/a/2f?x=%41";
+    request.path = "/a/2f";
+    request.body = "body";
+    request.fields = {{"Host", "shop.example"},
+                      {"Azurespindle-Attempt-Id", "9c41"},
+                      {"Azurespindle-Model", "m"},
+                      {"Azurespindle-Token-Usage", "1460,80"},
+                      {"Azurespindle-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410"},
+                      {"azurespindle-deadline-ms", "39000"},
+                      {"Azurespindle-Key", "secret"},
+                      {"X-Own", "kept"},
+                      {"X-Own", "twice"}};
+    return request;
+}
+
+routing::RoutedRequest readGood(const http::ServerRequest &request)
+{
+    const routing::ReadRequest read = readRequest(request);
+    CPPUNIT_ASSERT(std::holds_alternative<routing::RoutedRequest>(read));
+    return std::get<routing::RoutedRequest>(read);
+}
+
+std::string valueOf(const http::HeaderFields &fields, const std::string &name)
+{
+    std::string values;
+    for (const auto &[field, value] : fields) {
+        values += field == name ? (values.empty() ? "" : "|") + value : "";
+    }
+    return values;
+}
+
+routing::AttemptPlan plainPlan()
+{
+    routing::AttemptPlan plan;
+    plan.upstream.id = "i-1";
+    plan.upstream.address = "10.0.0.1:80";
+    plan.timeLeft = milliseconds(700);
+    plan.workspace = "gates";
+    return plan;
+}
+
+} // namespace
+
+class IngressTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(IngressTest);
+    CPPUNIT_TEST(whatDecidesIsRead);
+    CPPUNIT_TEST(aRequestWithoutAnIdIsNone);
+    CPPUNIT_TEST(whatCallersForgeIsNotForwarded);
+    CPPUNIT_TEST(fieldsOfOneConnectionStayThere);
+    CPPUNIT_TEST(theUpstreamGetsTheCallersBytesAndTheSystemsFields);
+    CPPUNIT_TEST(aTakeoverSaysWhereItGoesOn);
+    CPPUNIT_TEST(headsSayWhoAnswered);
+    CPPUNIT_TEST(ownAnswersTellFractionsOfSeconds);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void whatDecidesIsRead()
+    {
+        const routing::RoutedRequest read = readGood(callerRequest());
+        CPPUNIT_ASSERT_EQUAL(std::string("9c41"), read.callerId);
+        CPPUNIT_ASSERT_EQUAL(std::string("shop.example"), read.host);
+        CPPUNIT_ASSERT_EQUAL(std::string("secret"), read.key);
+        CPPUNIT_ASSERT(read.deadline == milliseconds(39'000));
+        CPPUNIT_ASSERT_EQUAL(1'460U, read.promptTokens);
+        CPPUNIT_ASSERT_EQUAL(80U, read.maxOutputTokens);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), read.promptParts.size());
+        CPPUNIT_ASSERT((routing::PromptPart {0x91bd3f06, 410}) == read.promptParts[1]);
+    }
+
+    void aRequestWithoutAnIdIsNone()
+    {
+        http::ServerRequest request = callerRequest();
+        request.fields.erase(request.fields.begin() + 1);
+        const routing::ReadRequest read = readRequest(request);
+        CPPUNIT_ASSERT(std::holds_alternative<routing::OwnAnswer>(read));
+        CPPUNIT_ASSERT_EQUAL(400, std::get<routing::OwnAnswer>(read).status);
+    }
+
+    void whatCallersForgeIsNotForwarded()
+    {
+        http::ServerRequest request = callerRequest();
+        for (const char *name :
+             {"Azurespindle-Retain", "azurespindle-pin-ms", "AZURESPINDLE-KV-BACKUP", "Kv-From",
+              "Kv-Fetch", "Azurespindle-Tenant", "Azurespindle-Expected-Instance",
+              "Azurespindle-Request-Priority", "Azurespindle-Expected-Version",
+              "Azurespindle-Server-Seal", "Azurespindle-Not-Executed"}) {
+            request.fields.emplace_back(name, "forged");
+        }
+        const http::ClientRequest out = writeAttempt(readGood(request), plainPlan());
+        for (const auto &[name, value] : out.fields) {
+            CPPUNIT_ASSERT_MESSAGE(name, value != "forged");
+            CPPUNIT_ASSERT_MESSAGE(name, value != "secret");
+        }
+    }
+
+    void fieldsOfOneConnectionStayThere()
+    {
+        http::ServerRequest request = callerRequest();
+        request.fields.insert(request.fields.end(),
+                              {{"Connection", "keep-alive, X-Hop"},
+                               {"X-Hop", "1"},
+                               {"Keep-Alive", "timeout=5"},
+                               {"Transfer-Encoding", "chunked"},
+                               {"TE", "trailers"},
+                               {"Content-Length", "4"}});
+        const routing::RoutedRequest read = readGood(request);
+        for (const char *name :
+             {"Connection", "X-Hop", "Keep-Alive", "Transfer-Encoding", "TE", "Content-Length"}) {
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(name, std::string(), valueOf(read.forwarded, name));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string("kept|twice"), valueOf(read.forwarded, "X-Own"));
+    }
+
+    void theUpstreamGetsTheCallersBytesAndTheSystemsFields()
+    {
+        const http::ClientRequest out = writeAttempt(readGood(callerRequest()), plainPlan());
+        CPPUNIT_ASSERT_EQUAL(std::string("POST"), out.method);
+        CPPUNIT_ASSERT_EQUAL(std::string("/a/2f?x=%41"), out.target);
+        CPPUNIT_ASSERT_EQUAL(std::string("body"), out.body);
+        CPPUNIT_ASSERT_MESSAGE("the library repeats requests on kept connections",
+                               out.freshConnection);
+        CPPUNIT_ASSERT_EQUAL(std::string("9c41"), valueOf(out.fields, "Azurespindle-Attempt-Id"));
+        CPPUNIT_ASSERT_EQUAL(std::string("700"), valueOf(out.fields, "Azurespindle-Deadline-Ms"));
+        CPPUNIT_ASSERT_EQUAL(std::string("i-1"),
+                             valueOf(out.fields, "Azurespindle-Expected-Instance"));
+        CPPUNIT_ASSERT_EQUAL(std::string("gates"), valueOf(out.fields, "Azurespindle-Tenant"));
+        CPPUNIT_ASSERT_EQUAL(std::string(), valueOf(out.fields, "Azurespindle-Request-Priority"));
+    }
+
+    void aTakeoverSaysWhereItGoesOn()
+    {
+        routing::AttemptPlan plan = plainPlan();
+        plan.engine = true;
+        plan.urgency = 1;
+        plan.afterEvent = 17;
+        plan.takeover = routing::Takeover {"10.0.0.2:80/h"};
+        plan.backupAddress = "10.0.0.3:80";
+        const http::ClientRequest out = writeAttempt(readGood(callerRequest()), plan);
+        CPPUNIT_ASSERT_EQUAL(std::string("17"), valueOf(out.fields, "Last-Event-Id"));
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.2:80/h"), valueOf(out.fields, "Kv-From"));
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.3:80"),
+                             valueOf(out.fields, "Azurespindle-Kv-Backup"));
+        CPPUNIT_ASSERT_EQUAL(std::string("1"), valueOf(out.fields, "Azurespindle-Request-Priority"));
+    }
+
+    void headsSayWhoAnswered()
+    {
+        const routing::RoutedRequest request = readGood(callerRequest());
+        const http::HeaderFields good {{"Azurespindle-Attempt-Id", "9c41"},
+                                       {"Azurespindle-Server-Seal", "s"},
+                                       {"content-type", "text/event-stream; charset=utf-8"},
+                                       {"Connection", "close"}};
+        const routing::AnswerHead head = readHead(request, 200, good);
+        CPPUNIT_ASSERT(head.genuine && head.eventStream && !head.foreign && !head.notRun);
+        CPPUNIT_ASSERT_EQUAL(std::string("s"), valueOf(head.fields, "Azurespindle-Server-Seal"));
+        CPPUNIT_ASSERT_EQUAL(std::string(), valueOf(head.fields, "Connection"));
+        http::HeaderFields crossed = good;
+        crossed[0].second = "another";
+        CPPUNIT_ASSERT(readHead(request, 200, crossed).foreign);
+        CPPUNIT_ASSERT(!readHead(request, 200, crossed).genuine);
+        http::HeaderFields encoded = good;
+        encoded.emplace_back("Content-Encoding", "gzip");
+        CPPUNIT_ASSERT(!readHead(request, 200, encoded).genuine);
+        CPPUNIT_ASSERT(!readHead(request, 200, {}).genuine);
+        CPPUNIT_ASSERT(readHead(request, 503, {{"azurespindle-not-executed", "1"}}).notRun);
+        CPPUNIT_ASSERT(readHead(request, 421, {}).otherInstance);
+    }
+
+    void ownAnswersTellFractionsOfSeconds()
+    {
+        const http::HeaderFields fields
+            = writeOwnHead("9c41", {503, milliseconds(1'250), "no room"});
+        CPPUNIT_ASSERT_EQUAL(std::string("1.250"), valueOf(fields, "Retry-After"));
+        CPPUNIT_ASSERT_EQUAL(std::string("9c41"), valueOf(fields, "Azurespindle-Attempt-Id"));
+        CPPUNIT_ASSERT_EQUAL(std::string(),
+                             valueOf(writeOwnHead("", {504, milliseconds(0), ""}), "Retry-After"));
+    }
+};
+
+REGISTER_SUITE(IngressTest, "ingress");
+
+} // namespace azurespindle::platform
--- /dev/null
+++ b/tests/platform/platform_standins.cpp
@@ -0,0 +1,424 @@
+#include "platform/platform_standins.h"
+
+#include <boost/archive/iterators/base64_from_binary.hpp>
+#include <boost/archive/iterators/transform_width.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace azurespindle::tests {
+namespace {
+
+using nlohmann::json;
+
+constexpr milliseconds storeTick {10};
+const http::Headers jsonHeaders {{"content-type", "application/json"}};
+
+std::string encodeBase64(const std::string &bytes)
+{
+    using namespace boost::archive::iterators;
+    using Encoder = base64_from_binary<transform_width<std::string::const_iterator, 6, 8>>;
+    std::string text(Encoder(bytes.begin()), Encoder(bytes.end()));
+    text.append((3 - bytes.size() % 3) % 3, '=');
+    return text;
+}
+
+std::string headerOf(const http::ServerRequest &request, const std::string &name)
+{
+    return request.header(name);
+}
+
+/// Copies of generations, by engine address and handle: what engines hold for one another.
+struct Copy
+{
+    std::uint64_t made = 0;
+    std::uint64_t total = 0;
+};
+std::mutex copiesMutex;
+std::map<std::string, Copy> copies;
+
+std::string eventText(std::uint64_t number, const std::string &callerId)
+{
+    return "id: " + std::to_string(number) + "\ndata: " + callerId + ":" + std::to_string(number)
+        + "\n\n";
+}
+
+} // namespace
+
+// Store. -----------------------------------------------------------------------------------------
+
+StoreStandin::StoreStandin(std::uint16_t port)
+    : server({"127.0.0.1", port}, {}, 1,
+             [this](const http::ServerRequest &request, const http::ExchangePtr &exchange) {
+                 this->answer(request, exchange);
+             })
+{
+    if (this->server.start()) {
+        throw std::runtime_error("the store's port is taken");
+    }
+    this->timers.subscribe(storeTick, [this] { this->answerWatches(); });
+    this->timers.start();
+}
+
+void StoreStandin::put(const std::string &key, const std::string &value)
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        this->revision += 1;
+        this->items[key] = {value, this->revision, false};
+    }
+    this->answerWatches();
+}
+
+void StoreStandin::remove(const std::string &key)
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        this->revision += 1;
+        this->items[key] = {"", this->revision, true};
+    }
+    this->answerWatches();
+}
+
+void StoreStandin::forgetHistory()
+{
+    const std::lock_guard lock(this->mutex);
+    this->forgotten = this->revision;
+    for (const Watch &watch : this->watches) {
+        watch.exchange->abort();
+    }
+    this->watches.clear();
+}
+
+std::string StoreStandin::changesAfter(std::uint64_t after) const
+{
+    json events = json::array();
+    for (const auto &[key, item] : this->items) {
+        if (item.revision > after && item.deleted) {
+            events.push_back({{"key", key}, {"revision", item.revision}, {"deleted", true}});
+        } else if (item.revision > after) {
+            events.push_back(
+                {{"key", key}, {"revision", item.revision}, {"value", encodeBase64(item.value)}});
+        }
+    }
+    const bool none = events.empty();
+    return none ? "" : json {{"events", events}, {"at", this->revision}}.dump();
+}
+
+void StoreStandin::answerWatches()
+{
+    const std::lock_guard lock(this->mutex);
+    const auto done = [this](const Watch &watch) {
+        if (this->refusal != 0) {
+            watch.exchange->respond(this->refusal, jsonHeaders, "{}");
+            return true;
+        }
+        const std::string changes = this->changesAfter(watch.after);
+        if (!changes.empty()) {
+            watch.exchange->respond(200, jsonHeaders, changes);
+            return true;
+        }
+        if (monotonicNow() >= watch.until) {
+            watch.exchange->respond(200, jsonHeaders,
+                                    json {{"events", json::array()}, {"at", this->revision}}.dump());
+            return true;
+        }
+        return false;
+    };
+    this->watches.erase(std::remove_if(this->watches.begin(), this->watches.end(), done),
+                        this->watches.end());
+}
+
+void StoreStandin::answer(const http::ServerRequest &request, const http::ExchangePtr &exchange)
+{
+    this->callCount += 1;
+    if (this->refusal != 0) {
+        exchange->respond(this->refusal, jsonHeaders, "{}");
+        return;
+    }
+    if (request.path == "/v1/kv-watch") {
+        const std::uint64_t after = std::stoull(request.queryField("after"));
+        const milliseconds wait(std::stoll(request.queryField("wait_ms")));
+        {
+            const std::lock_guard lock(this->mutex);
+            if (after < this->forgotten) {
+                exchange->respond(410, jsonHeaders, "{}");
+                return;
+            }
+            this->watches.push_back({after, monotonicNow() + wait, exchange});
+        }
+        this->answerWatches();
+        return;
+    }
+    const std::lock_guard lock(this->mutex);
+    json listed = json::array();
+    for (const auto &[key, item] : this->items) {
+        if (!item.deleted) {
+            listed.push_back(
+                {{"key", key}, {"revision", item.revision}, {"value", encodeBase64(item.value)}});
+        }
+    }
+    const json answer {{"items", listed}, {"has_more", false}, {"at", this->revision}};
+    exchange->respond(200, jsonHeaders, answer.dump());
+}
+
+// Engine. ----------------------------------------------------------------------------------------
+
+EngineStandin::EngineStandin(std::string id, std::uint16_t port, milliseconds eventInterval)
+    : id(std::move(id)), port(port),
+      server(std::make_unique<http::Server>(
+          settings::Address {"127.0.0.1", port}, settings::CallerLimits {}, 1,
+          [this](const http::ServerRequest &request, const http::ExchangePtr &exchange) {
+              this->answer(request, exchange);
+          }))
+{
+    if (this->server->start()) {
+        throw std::runtime_error("an engine's port is taken");
+    }
+    this->timers.subscribe(eventInterval, [this] { this->tick(); });
+    this->timers.start();
+}
+
+EngineStandin::~EngineStandin()
+{
+    this->timers.stop();
+    this->server->stop();
+}
+
+std::string EngineStandin::address() const
+{
+    return "127.0.0.1:" + std::to_string(this->port);
+}
+
+std::string EngineStandin::record(bool leaving) const
+{
+    return json {{"service", "models"}, {"address", this->address()}, {"zone", "north"},
+                 {"slots", 24}, {"state", leaving ? "draining" : "ready"}, {"cold_left_ms", 0},
+                 {"born", 100 + this->port}, {"sequence", 1}}
+        .dump();
+}
+
+std::size_t EngineStandin::running() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->runs.size();
+}
+
+void EngineStandin::die()
+{
+    this->dead = true;
+    {
+        const std::lock_guard lock(this->mutex);
+        for (auto &[callerId, run] : this->runs) {
+            run.exchange->abort();
+        }
+        this->runs.clear();
+    }
+    std::this_thread::sleep_for(milliseconds(20));
+    this->server->stop();
+}
+
+void EngineStandin::tick()
+{
+    const std::lock_guard lock(this->mutex);
+    if (this->dead || this->silent) {
+        return;
+    }
+    for (auto each = this->runs.begin(); each != this->runs.end();) {
+        Run &run = each->second;
+        run.made += 1;
+        run.exchange->send(eventText(run.made, each->first));
+        if (!run.backup.empty()) {
+            const std::lock_guard copiesLock(copiesMutex);
+            copies[run.backup + "/" + each->first] = {run.made - 1, run.total};
+        }
+        if (run.made < run.total) {
+            ++each;
+            continue;
+        }
+        run.exchange->finish();
+        each = this->runs.erase(each);
+    }
+}
+
+void EngineStandin::answer(const http::ServerRequest &request, const http::ExchangePtr &exchange)
+{
+    if (this->dead) {
+        exchange->abort();
+    } else if (request.path == "/v1/kv-move") {
+        this->move(request, exchange);
+    } else if (request.path == "/v1/report") {
+        json report {{"state", this->leavesIn > 0 ? "draining" : "ready"}};
+        if (this->leavesIn > 0) {
+            report["leaves_ms"] = this->leavesIn.load();
+        }
+        exchange->respond(200, jsonHeaders, report.dump());
+    } else if (request.path.rfind("/v1/", 0) == 0) {
+        exchange->respond(200, jsonHeaders, "{}");
+    } else {
+        this->begin(request, exchange);
+    }
+}
+
+void EngineStandin::begin(const http::ServerRequest &request, const http::ExchangePtr &exchange)
+{
+    const std::string callerId = headerOf(request, "azurespindle-attempt-id");
+    if (headerOf(request, "azurespindle-expected-instance") != this->id) {
+        exchange->respond(421, {}, "");
+        return;
+    }
+    Run run;
+    run.exchange = exchange;
+    run.backup = headerOf(request, "azurespindle-kv-backup");
+    const std::size_t equals = request.body.find('=');
+    run.total = equals == std::string::npos ? 1 : std::stoull(request.body.substr(equals + 1));
+    const std::string source = headerOf(request, "kv-from");
+    if (!source.empty()) {
+        const std::lock_guard copiesLock(copiesMutex);
+        const auto copy = copies.find(source);
+        if (copy == copies.end()) {
+            exchange->respond(503, {{"azurespindle-not-executed", "1"}}, "");
+            return;
+        }
+        copies.erase(copy);
+        this->takeoverCount += 1;
+    }
+    const std::string last = headerOf(request, "last-event-id");
+    run.made = last.empty() ? 0 : std::stoull(last);
+    this->startCount += 1;
+    exchange->beginStream(200, {{"content-type", "text/event-stream"},
+                                {"azurespindle-attempt-id", callerId},
+                                {"azurespindle-server-seal", "seal-of-" + this->id}});
+    {
+        const std::lock_guard lock(this->mutex);
+        this->runs[callerId] = run;
+    }
+    exchange->onGone([this, callerId] {
+        const std::lock_guard lock(this->mutex);
+        this->runs.erase(callerId);
+    });
+}
+
+void EngineStandin::move(const http::ServerRequest &request, const http::ExchangePtr &exchange)
+{
+    const json asked = json::parse(request.body);
+    const std::string callerId = asked.at("id");
+    const std::lock_guard lock(this->mutex);
+    const auto run = this->runs.find(callerId);
+    if (run == this->runs.end()) {
+        exchange->respond(404, jsonHeaders, "{}");
+        return;
+    }
+    const std::string handle = "copy-of-" + callerId;
+    {
+        const std::lock_guard copiesLock(copiesMutex);
+        copies[this->address() + "/" + handle] = {run->second.made, run->second.total};
+    }
+    const json answer {{"kv_handle", handle}, {"created", run->second.made}};
+    exchange->respond(200, jsonHeaders, answer.dump());
+    if (asked.at("final").get<bool>()) {
+        run->second.exchange->abort();
+        this->runs.erase(run);
+    }
+}
+
+// Plain service. ---------------------------------------------------------------------------------
+
+PlainStandin::PlainStandin(std::string id, std::uint16_t port)
+    : id(std::move(id)), port(port),
+      server({"127.0.0.1", port}, {}, 1,
+             [this](const http::ServerRequest &request, const http::ExchangePtr &exchange) {
+                 this->answer(request, exchange);
+             })
+{
+    if (this->server.start()) {
+        throw std::runtime_error("a service's port is taken");
+    }
+}
+
+std::string PlainStandin::record(bool leaving) const
+{
+    return json {{"service", "desk"}, {"address", "127.0.0.1:" + std::to_string(this->port)},
+                 {"zone", "north"}, {"slots", 6}, {"state", leaving ? "draining" : "ready"},
+                 {"cold_left_ms", 0}, {"born", 100 + this->port}, {"sequence", 1}}
+        .dump();
+}
+
+std::size_t PlainStandin::runs(const std::string &callerId) const
+{
+    const std::lock_guard lock(this->mutex);
+    const auto found = this->counts.find(callerId);
+    return found == this->counts.end() ? 0 : found->second;
+}
+
+std::size_t PlainStandin::totalRuns() const
+{
+    const std::lock_guard lock(this->mutex);
+    std::size_t total = 0;
+    for (const auto &[callerId, count] : this->counts) {
+        total += count;
+    }
+    return total;
+}
+
+void PlainStandin::answer(const http::ServerRequest &request, const http::ExchangePtr &exchange)
+{
+    const std::string callerId = headerOf(request, "azurespindle-attempt-id");
+    if (this->mood == Mood::IsFull) {
+        exchange->respond(503, {{"azurespindle-not-executed", "1"}}, "");
+        return;
+    }
+    const bool expected = headerOf(request, "azurespindle-expected-instance") == this->id;
+    if (this->mood == Mood::OtherInstance || !expected) {
+        exchange->respond(421, {}, "");
+        return;
+    }
+    {
+        const std::lock_guard lock(this->mutex);
+        this->counts[callerId] += 1;
+    }
+    if (this->mood == Mood::LosesAnswer) {
+        exchange->abort();
+        return;
+    }
+    if (this->mood == Mood::Hangs) {
+        exchange->onGone([this] { this->goneCount += 1; });
+        const std::lock_guard lock(this->mutex);
+        this->hanging.push_back(exchange);
+        return;
+    }
+    const int status = this->mood == Mood::Fails ? 500 : 200;
+    exchange->respond(status,
+                      {{"azurespindle-attempt-id", callerId},
+                       {"azurespindle-server-seal", "seal-of-" + this->id},
+                       {"x-target", request.target}},
+                      "ran " + request.method + " " + request.target + " " + request.body);
+}
+
+std::string platformConfiguration(std::uint64_t version, const std::string &extraRoutes)
+{
+    const auto route = [](const std::string &name, const std::string &kind,
+                          const std::string &service, const std::string &further) {
+        return R"({"name":")" + name + R"(","host":"shop.example","path_prefix":"/)" + name
+            + R"(/","route_kind":")" + kind + R"(","service":")" + service + "\"," + further + "}";
+    };
+    const std::string stream = R"("timeout_ms":20000,"target_latency_ms":1800,"priority":1,)"
+                               R"("max_attempts":1,"target_itl_ms":180)";
+    const std::string resumable = R"("timeout_ms":6000,"target_latency_ms":1500,"priority":0,)"
+                                  R"("max_attempts":2,"resumable":true)";
+    const std::string plain
+        = R"("timeout_ms":1500,"target_latency_ms":150,"priority":2,"max_attempts":)";
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[)"
+        + route("draft", "streaming", "models", stream) + ","
+        + route("check", "streaming", "models", resumable) + ","
+        + route("order", "non_idempotent", "desk", plain + "1") + ","
+        + route("look", "idempotent", "desk", plain + "2") + extraRoutes
+        + R"(],"services":[{"name":"models","max_conns":252,"cold_per_s":27,"engine":{"slots":24,)"
+          R"("kv_capacity":34000,"kv_bytes":262144,"link_mbps":38000,"moves":true,"backups":true,)"
+          R"("stride":4,"kv_handle_s":5}},{"name":"desk","max_conns":110}],)"
+          R"("limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,)"
+          R"("idle_timeout_ms":15000},"tenants":[{"name":"gates","api_keys":["k1"]}]})";
+}
+
+} // namespace azurespindle::tests
--- /dev/null
+++ b/tests/platform/platform_standins.h
@@ -0,0 +1,155 @@
+#ifndef AZURESPINDLE_TESTS_PLATFORM_PLATFORM_STANDINS_H
+#define AZURESPINDLE_TESTS_PLATFORM_PLATFORM_STANDINS_H
+
+#include "http/server.h"
+#include "timer/timer_service.h"
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace azurespindle::tests {
+
+/// The platform's store, as its published protocol describes it: lists, watches, forgets.
+class StoreStandin
+{
+public:
+    explicit StoreStandin(std::uint16_t port);
+
+    // Commands
+
+    void put(const std::string &key, const std::string &value);
+    void remove(const std::string &key);
+    /// Refuses every call with this status from now on; 0: answers again.
+    void refuseWith(int status) { this->refusal = status; }
+    /// Refuses only callers that are named here by their ports' owner... none by default.
+    void forgetHistory();
+
+    // Queries
+
+    std::size_t calls() const { return this->callCount; }
+
+private:
+    struct Item
+    {
+        std::string value;
+        std::uint64_t revision = 0;
+        bool deleted = false;
+    };
+    struct Watch
+    {
+        std::uint64_t after = 0;
+        Instant until;
+        http::ExchangePtr exchange;
+    };
+
+    void answer(const http::ServerRequest &request, const http::ExchangePtr &exchange);
+    void answerWatches();
+    std::string changesAfter(std::uint64_t revision) const;
+
+    std::atomic<int> refusal {0};
+    std::atomic<std::size_t> callCount {0};
+    mutable std::mutex mutex; ///< Guards the members below.
+    std::map<std::string, Item> items;
+    std::uint64_t revision = 1;
+    std::uint64_t forgotten = 0;
+    std::vector<Watch> watches;
+    timer::TimerService timers;
+    http::Server server;
+};
+
+/// A model engine: streams numbered events, copies running generations to other engines.
+///
+/// A request's body says how many events it gets ("events=30"). An event's data names the request,
+/// so that another generation's is noticed.
+class EngineStandin
+{
+public:
+    EngineStandin(std::string id, std::uint16_t port, milliseconds eventInterval = milliseconds(5));
+    ~EngineStandin();
+
+    // Commands
+
+    /// Dies: cuts all streams and answers nothing more.
+    void die();
+    void setLeavesIn(milliseconds time) { this->leavesIn = time.count(); }
+    /// Streams stand still, their connections stay open.
+    void setSilent(bool silent) { this->silent = silent; }
+
+    // Queries
+
+    std::string address() const;
+    std::string record(bool leaving = false) const;
+    /// Returns the requests that are worked on here.
+    std::size_t running() const;
+    std::size_t started() const { return this->startCount; }
+    std::size_t takenOver() const { return this->takeoverCount; }
+
+private:
+    struct Run
+    {
+        std::uint64_t made = 0;
+        std::uint64_t total = 0;
+        std::string backup;
+        http::ExchangePtr exchange;
+    };
+
+    void answer(const http::ServerRequest &request, const http::ExchangePtr &exchange);
+    void begin(const http::ServerRequest &request, const http::ExchangePtr &exchange);
+    void move(const http::ServerRequest &request, const http::ExchangePtr &exchange);
+    void tick();
+
+    const std::string id;
+    const std::uint16_t port;
+    std::atomic<std::int64_t> leavesIn {0};
+    std::atomic<bool> silent {false};
+    std::atomic<bool> dead {false};
+    std::atomic<std::size_t> startCount {0};
+    std::atomic<std::size_t> takeoverCount {0};
+    mutable std::mutex mutex; ///< Guards runs.
+    std::map<std::string, Run> runs;
+    timer::TimerService timers;
+    std::unique_ptr<http::Server> server;
+};
+
+/// A plain service that counts what it runs.
+class PlainStandin
+{
+public:
+    /// What it does with the next requests.
+    enum class Mood { Answers, Fails, LosesAnswer, IsFull, OtherInstance, Hangs };
+
+    PlainStandin(std::string id, std::uint16_t port);
+
+    void setMood(Mood mood) { this->mood = mood; }
+    std::string record(bool leaving = false) const;
+    /// Returns how often the request of this id ran.
+    std::size_t runs(const std::string &callerId) const;
+    std::size_t totalRuns() const;
+    std::size_t gone() const { return this->goneCount; }
+
+private:
+    void answer(const http::ServerRequest &request, const http::ExchangePtr &exchange);
+
+    const std::string id;
+    const std::uint16_t port;
+    std::atomic<Mood> mood {Mood::Answers};
+    std::atomic<std::size_t> goneCount {0};
+    mutable std::mutex mutex; ///< Guards the two below.
+    std::map<std::string, std::size_t> counts;
+    std::vector<http::ExchangePtr> hanging;
+    http::Server server;
+};
+
+/// Returns a configuration with a stream route `/draft/`, a resumable one `/check/`, and the plain
+/// routes `/order/` (unrepeatable) and `/look/` (idempotent), of the host `shop.example`.
+std::string platformConfiguration(std::uint64_t version, const std::string &extraRoutes = "");
+
+} // namespace azurespindle::tests
+
+#endif
--- /dev/null
+++ b/tests/platform/published_test.cpp
@@ -0,0 +1,136 @@
+#include "platform/published.h"
+
+#include "support/suite.h"
+
+#include <vector>
+
+namespace azurespindle::platform {
+namespace {
+
+const std::string goodServer
+    = R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":24,)"
+      R"("state":"ready","cold_left_ms":250,"sequence":4,"born":1781089075381,"new":true})";
+
+routing::PublishedFact readServer(const std::string &value)
+{
+    return readItem({"servers/i-1", value, 7, false});
+}
+
+std::string replaced(std::string text, const std::string &from, const std::string &to)
+{
+    const std::size_t at = text.find(from);
+    CPPUNIT_ASSERT_MESSAGE(from, at != std::string::npos);
+    return text.replace(at, from.size(), to);
+}
+
+const std::string configuration
+    = R"({"version":7,"routes":[{"name":"r","host":"h.example","path_prefix":"/a/",)"
+      R"("route_kind":"streaming","timeout_ms":39000,"target_latency_ms":1800,"priority":1,)"
+      R"("split":[{"service":"s","weight":90},{"service":"t","weight":10}],"max_attempts":1,)"
+      R"("public":false,"sticky":true,"resumable":true,"target_itl_ms":180},)"
+      R"({"name":"o","host":"h.example","path_prefix":"/b/","route_kind":"non_idempotent",)"
+      R"("timeout_ms":1000,"target_latency_ms":150,"priority":2,"service":"t","public":true}],)"
+      R"("services":[{"name":"s","health_path":"/healthz","max_conns":252,"cold_start_s":1.0,)"
+      R"("cold_per_s":27.0,"engine":{"slots":24,"kv_capacity":34218,"kv_bytes":262144,)"
+      R"("link_mbps":38000.0,"moves":true,"backups":true,"stride":4,"kv_handle_s":5.0}},)"
+      R"({"name":"t","max_conns":110}],"limits":{"max_header_bytes":16384,)"
+      R"("max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},)"
+      R"("tenants":[{"name":"w","api_keys":["a","b"],"priority":1},{"name":"x","api_keys":[]}]})";
+
+} // namespace
+
+class PublishedTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PublishedTest);
+    CPPUNIT_TEST(aServerIsReadAsItDescribesItself);
+    CPPUNIT_TEST(oddEntriesNameNoServer);
+    CPPUNIT_TEST(aConfigurationIsReadWhole);
+    CPPUNIT_TEST(aBrokenConfigurationIsNone);
+    CPPUNIT_TEST(evacuationsAndOtherKeysAreTold);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void aServerIsReadAsItDescribesItself()
+    {
+        const auto fact = readServer(goodServer);
+        const routing::UpstreamRecord expected {
+            "i-1", "s", "10.0.0.1:80", "z", 24, false, milliseconds(250), 1'781'089'075'381};
+        CPPUNIT_ASSERT(std::holds_alternative<routing::UpstreamRecord>(fact));
+        CPPUNIT_ASSERT(expected == std::get<routing::UpstreamRecord>(fact));
+        const auto leaving = readServer(replaced(goodServer, "\"ready\"", "\"draining\""));
+        CPPUNIT_ASSERT(std::get<routing::UpstreamRecord>(leaving).leaving);
+    }
+
+    void oddEntriesNameNoServer()
+    {
+        const std::vector<std::string> odd {
+            "",
+            "\x01\xff",
+            "[]",
+            "null",
+            replaced(goodServer, "\"ready\"", "\"resting\""),
+            replaced(goodServer, "\"ready\"", "3"),
+            replaced(goodServer, "\"service\":\"s\",", ""),
+            replaced(goodServer, "10.0.0.1:80", "localhost"),
+            replaced(goodServer, "10.0.0.1:80", "10.0.0.1:99999"),
+            replaced(goodServer, "\"slots\":24", "\"slots\":\"24\""),
+            replaced(goodServer, "\"slots\":24", "\"slots\":-1"),
+            replaced(goodServer, "1781089075381", "1781089075381.5"),
+            replaced(goodServer, "\"cold_left_ms\":250", "\"cold_left_ms\":null"),
+            replaced(goodServer, "\"zone\":\"z\"", "\"zone\":[]"),
+            goodServer.substr(0, 40),
+        };
+        for (const std::string &value : odd) {
+            CPPUNIT_ASSERT_MESSAGE(value, std::holds_alternative<Error>(readServer(value)));
+        }
+    }
+
+    void aConfigurationIsReadWhole()
+    {
+        const auto fact = readItem({"op/config", configuration, 7, false});
+        CPPUNIT_ASSERT(std::holds_alternative<routing::RoutingConfiguration>(fact));
+        const auto &read = std::get<routing::RoutingConfiguration>(fact);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), read.version);
+        const routing::Route &stream = read.routes.at(0);
+        CPPUNIT_ASSERT(stream.kind == routing::RouteKind::Streaming && stream.resumable);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), stream.services.size());
+        CPPUNIT_ASSERT_EQUAL(10.0, stream.services[1].weight);
+        CPPUNIT_ASSERT(stream.gapObjective == milliseconds(180));
+        const routing::Route &order = read.routes.at(1);
+        CPPUNIT_ASSERT(order.kind == routing::RouteKind::NonIdempotent && order.keyless);
+        CPPUNIT_ASSERT_EQUAL(1U, order.maxAttempts);
+        const routing::EngineTraits &engine = *read.services.at(0).engine;
+        CPPUNIT_ASSERT_EQUAL(34'218U, engine.memoryTokens);
+        CPPUNIT_ASSERT(engine.moves && engine.backups);
+        CPPUNIT_ASSERT(engine.copyLifetime == milliseconds(5'000));
+        CPPUNIT_ASSERT(!read.services.at(1).engine);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), read.workspaces.at(0).keys.size());
+        CPPUNIT_ASSERT_EQUAL(1U, read.workspaces.at(0).priority.value_or(9));
+        CPPUNIT_ASSERT(!read.workspaces.at(1).priority);
+        CPPUNIT_ASSERT(read.limits.idleTimeout == milliseconds(15'000));
+    }
+
+    void aBrokenConfigurationIsNone()
+    {
+        const std::vector<std::string> broken {
+            "{}", configuration.substr(0, 200),
+            replaced(configuration, "\"version\":7", "\"version\":\"7\""),
+            replaced(configuration, "\"path_prefix\":\"/a/\"", "\"path_prefix\":4")};
+        for (const std::string &value : broken) {
+            CPPUNIT_ASSERT_MESSAGE(
+                value, std::holds_alternative<Error>(readItem({"op/config", value, 7, false})));
+        }
+    }
+
+    void evacuationsAndOtherKeysAreTold()
+    {
+        const auto fact = readItem({"op/evacuate/north", "{}", 7, false});
+        CPPUNIT_ASSERT_EQUAL(std::string("north"), std::get<routing::EvacuatedZone>(fact).zone);
+        CPPUNIT_ASSERT(std::holds_alternative<routing::OfNoConcern>(
+            readItem({"op/other", "whatever", 7, false})));
+    }
+};
+
+REGISTER_SUITE(PublishedTest, "published");
+
+} // namespace azurespindle::platform
--- /dev/null
+++ b/tests/platform/store_client_test.cpp
@@ -0,0 +1,96 @@
+#include "platform/store_client.h"
+
+#include "http/server.h"
+#include "support/suite.h"
+
+#include <future>
+
+namespace azurespindle::platform {
+namespace {
+
+using routing::FeedStatus;
+
+http::TransferResult completed(int status)
+{
+    return {http::TransferEnd::Complete, status, ""};
+}
+
+} // namespace
+
+class StoreClientTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(StoreClientTest);
+    CPPUNIT_TEST(listingsAndChangesAreRead);
+    CPPUNIT_TEST(refusalsAreToldApart);
+    CPPUNIT_TEST(anAnswerThatCannotBeReadIsAFailure);
+    CPPUNIT_TEST(callsAskForWhatIsWanted);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void listingsAndChangesAreRead()
+    {
+        const auto page = readStoreAnswer(
+            completed(200), R"({"items":[{"key":"op/x","value":"bm9kZS0x","revision":412,)"
+                            R"("created":412,"lease":0}],"has_more":true,"at":530})");
+        CPPUNIT_ASSERT(page.status == FeedStatus::Answered && page.more);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(530), page.at);
+        CPPUNIT_ASSERT((routing::PublishedItem {"op/x", "node-1", 412, false}) == page.items.at(0));
+        const auto changes = readStoreAnswer(
+            completed(200), R"({"events":[{"key":"a","value":"eA==","revision":5},)"
+                            R"({"key":"b","revision":6,"deleted":true},)"
+                            R"({"key":"c","value":"","revision":7}],"at":7})");
+        CPPUNIT_ASSERT_EQUAL(std::string("x"), changes.items.at(0).value);
+        CPPUNIT_ASSERT(changes.items.at(1).deleted);
+        CPPUNIT_ASSERT_EQUAL(std::string(), changes.items.at(2).value);
+    }
+
+    void refusalsAreToldApart()
+    {
+        CPPUNIT_ASSERT(readStoreAnswer(completed(410), "").status == FeedStatus::HistoryGone);
+        CPPUNIT_ASSERT(readStoreAnswer(completed(429), "").status == FeedStatus::Refused);
+        CPPUNIT_ASSERT(readStoreAnswer(completed(503), "").status == FeedStatus::Refused);
+        CPPUNIT_ASSERT(readStoreAnswer(completed(500), "").status == FeedStatus::Failed);
+        CPPUNIT_ASSERT(readStoreAnswer({http::TransferEnd::TimedOut, 0, "t"}, "").status
+                       == FeedStatus::Failed);
+    }
+
+    void anAnswerThatCannotBeReadIsAFailure()
+    {
+        for (const char *body : {"", "{", "[]", R"({"at":1})", R"({"items":[],"at":"x"})",
+                                 R"({"items":[{"key":"a"}],"at":1})",
+                                 R"({"items":[{"key":"a","value":"#","revision":1}],"at":1})"}) {
+            CPPUNIT_ASSERT_MESSAGE(body, readStoreAnswer(completed(200), body).status
+                                             == FeedStatus::Failed);
+        }
+    }
+
+    void callsAskForWhatIsWanted()
+    {
+        std::promise<http::ServerRequest> listed;
+        std::promise<http::ServerRequest> watched;
+        http::Server server({"127.0.0.1", 0}, {}, 1,
+                            [&](const http::ServerRequest &request, const http::ExchangePtr &out) {
+                                (request.path == "/v1/kv-range" ? listed : watched)
+                                    .set_value(request);
+                                out->respond(200, {}, R"({"items":[],"at":1})");
+                            });
+        CPPUNIT_ASSERT(!server.start());
+        http::Client client;
+        metrics::Registry registry;
+        const auto calls = makeStoreCalls({"127.0.0.1", server.port()}, client, registry);
+        calls.list("servers/a b", [](const routing::FeedAnswer &) {});
+        const http::ServerRequest list = listed.get_future().get();
+        CPPUNIT_ASSERT_EQUAL(std::string("servers/a b"), list.queryField("after"));
+        calls.watch(41, milliseconds(1'500), [](const routing::FeedAnswer &) {});
+        const http::ServerRequest watch = watched.get_future().get();
+        CPPUNIT_ASSERT_EQUAL(std::string("41"), watch.queryField("after"));
+        CPPUNIT_ASSERT_EQUAL(std::string("1500"), watch.queryField("wait_ms"));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(2),
+                             registry.value(metrics::Counter::ConfigurationReads));
+        client.stop();
+    }
+};
+
+REGISTER_SUITE(StoreClientTest, "store_client");
+
+} // namespace azurespindle::platform
--- /dev/null
+++ b/tests/routing/feed_play.h
@@ -0,0 +1,93 @@
+#ifndef AZURESPINDLE_TESTS_ROUTING_FEED_PLAY_H
+#define AZURESPINDLE_TESTS_ROUTING_FEED_PLAY_H
+
+#include "routing/feed_reader.h"
+
+#include <deque>
+#include <mutex>
+#include <string>
+
+namespace azurespindle::tests {
+
+/// A publishing store of which each answer is given by hand.
+class FeedPlay
+{
+public:
+    /// One call that waits for its answer.
+    struct Call
+    {
+        bool lists = false;
+        std::string after;          ///< Of a listing.
+        std::uint64_t revision = 0; ///< Of a watch.
+        routing::FeedAnswerHandler handler;
+    };
+
+    routing::FeedCalls calls()
+    {
+        return {[this](const std::string &after, const routing::FeedAnswerHandler &handler) {
+                    this->add({true, after, 0, handler});
+                },
+                [this](std::uint64_t revision, milliseconds,
+                       const routing::FeedAnswerHandler &handler) {
+                    this->add({false, {}, revision, handler});
+                }};
+    }
+
+    /// Takes the call that waits, once there is one; \return an empty one after \a patience.
+    Call take(milliseconds patience = milliseconds(3'000))
+    {
+        const Instant until = monotonicNow() + patience;
+        while (monotonicNow() < until) {
+            {
+                const std::lock_guard lock(this->mutex);
+                if (!this->waiting.empty()) {
+                    Call call = this->waiting.front();
+                    this->waiting.pop_front();
+                    return call;
+                }
+            }
+            std::this_thread::sleep_for(milliseconds(2));
+        }
+        return {};
+    }
+
+    std::size_t callCount() const
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->made;
+    }
+
+private:
+    void add(Call call)
+    {
+        const std::lock_guard lock(this->mutex);
+        this->waiting.push_back(std::move(call));
+        this->made += 1;
+    }
+
+    mutable std::mutex mutex; ///< Guards the members below.
+    std::deque<Call> waiting;
+    std::size_t made = 0;
+};
+
+inline routing::FeedAnswer answered(std::uint64_t at, std::vector<routing::PublishedItem> items,
+                                    bool more = false)
+{
+    routing::FeedAnswer answer;
+    answer.status = routing::FeedStatus::Answered;
+    answer.at = at;
+    answer.items = std::move(items);
+    answer.more = more;
+    return answer;
+}
+
+inline routing::FeedAnswer endedAs(routing::FeedStatus status)
+{
+    routing::FeedAnswer answer;
+    answer.status = status;
+    return answer;
+}
+
+} // namespace azurespindle::tests
+
+#endif
--- /dev/null
+++ b/tests/routing/published_view_test.cpp
@@ -0,0 +1,226 @@
+#include "routing/published_view.h"
+
+#include "support/suite.h"
+
+#include <string>
+
+namespace azurespindle::routing {
+namespace {
+
+/// Reads `c VERSION`, `u ID [leaving]`, `z ZONE`; everything else is an error.
+PublishedFact readItem(const PublishedItem &item)
+{
+    const std::string rest = item.value.size() > 2 ? item.value.substr(2) : "";
+    if (item.value[0] == 'c') {
+        RoutingConfiguration configuration;
+        configuration.version = std::stoull(rest);
+        return configuration;
+    }
+    if (item.value[0] == 'u') {
+        UpstreamRecord record;
+        record.id = item.key;
+        record.leaving = rest == "leaving";
+        record.born = 1;
+        return record;
+    }
+    if (item.value[0] == 'z') {
+        return EvacuatedZone {rest};
+    }
+    return Error {ErrorCode::DocumentInvalid, item.value};
+}
+
+PublishedItem item(const std::string &key, const std::string &value, std::uint64_t revision)
+{
+    return {key, value, revision, false};
+}
+
+PublishedItem deleted(const std::string &key, std::uint64_t revision)
+{
+    return {key, {}, revision, true};
+}
+
+constexpr Instant start {seconds(100)};
+
+/// A view that knows a configuration and four upstreams, up to revision 10.
+PublishedView fullView()
+{
+    PublishedView view(readItem);
+    view.take({true,
+               0,
+               10,
+               {item("config", "c 5", 3), item("u1", "u", 4), item("u2", "u", 5),
+                item("u3", "u", 6), item("u4", "u", 7), item("u5", "u", 8)}},
+              start);
+    view.takeEntries();
+    return view;
+}
+
+std::size_t countOf(const std::vector<journal::Entry> &entries, journal::EventId id)
+{
+    std::size_t count = 0;
+    for (const journal::Entry &entry : entries) {
+        count += entry.id == id ? 1 : 0;
+    }
+    return count;
+}
+
+} // namespace
+
+class PublishedViewTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PublishedViewTest);
+    CPPUNIT_TEST(aListingAndItsChangesAreTakenOver);
+    CPPUNIT_TEST(theConfigurationNeverGoesBack);
+    CPPUNIT_TEST(anOddEntryNamesNothingAndTheOthersHold);
+    CPPUNIT_TEST(aGapIsNoticed);
+    CPPUNIT_TEST(changesAreTakenOnceInWhateverOrderTheyCome);
+    CPPUNIT_TEST(aListingDropsWhatIsNoMore);
+    CPPUNIT_TEST(recordsThatLapsedInAnOutageAreKeptForAMoment);
+    CPPUNIT_TEST(recordsThatVanishAllAtOnceAreKeptForAMoment);
+    CPPUNIT_TEST(oneThatVanishesAloneIsGone);
+    CPPUNIT_TEST(aPeerIsToldWhatItDoesNotKnow);
+    CPPUNIT_TEST(aNewLifeOfAnIdIsAnotherUpstream);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void aListingAndItsChangesAreTakenOver()
+    {
+        PublishedView view = fullView();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(5), view.state()->routes->configuration().version);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(5), view.state()->upstreams.size());
+        CPPUNIT_ASSERT(view.take({false, 10, 13, {item("u1", "u leaving", 12),
+                                                  item("zone", "z north", 13)}},
+                                 start));
+        CPPUNIT_ASSERT(view.state()->upstreams.at("u1").leaving);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), view.state()->evacuatedZones.count("north"));
+        CPPUNIT_ASSERT(view.take({false, 13, 14, {deleted("zone", 14)}}, start));
+        CPPUNIT_ASSERT(view.state()->evacuatedZones.empty());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(14), view.at());
+    }
+
+    void theConfigurationNeverGoesBack()
+    {
+        PublishedView view = fullView();
+        view.take({false, 10, 11, {item("config", "c 4", 11)}}, start);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(5), view.state()->routes->configuration().version);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                             countOf(view.takeEntries(), journal::EventId::ConfigurationStale));
+        view.take({false, 11, 12, {item("config", "c 9", 12)}}, start);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(9), view.state()->routes->configuration().version);
+    }
+
+    void anOddEntryNamesNothingAndTheOthersHold()
+    {
+        PublishedView view = fullView();
+        view.take({false, 10, 12, {item("u1", "?", 11), item("config", "?", 12)}}, start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), view.state()->upstreams.count("u1"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), view.state()->upstreams.size());
+        CPPUNIT_ASSERT(view.state()->routes != nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2),
+                             countOf(view.takeEntries(), journal::EventId::PublishedItemRefused));
+    }
+
+    void aGapIsNoticed()
+    {
+        PublishedView view = fullView();
+        CPPUNIT_ASSERT(!view.take({false, 11, 12, {item("u6", "u", 12)}}, start));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(10), view.at());
+    }
+
+    void changesAreTakenOnceInWhateverOrderTheyCome()
+    {
+        PublishedView view = fullView();
+        view.take({false, 10, 20, {item("u1", "u leaving", 15)}}, start);
+        view.take({false, 10, 14, {item("u1", "u", 14)}}, start);
+        CPPUNIT_ASSERT(view.state()->upstreams.at("u1").leaving);
+        view.take({true, 0, 21, {item("u1", "u", 14), item("config", "c 5", 3)}}, start);
+        CPPUNIT_ASSERT_MESSAGE("an old page does not undo a change",
+                               view.state()->upstreams.at("u1").leaving);
+        view.take({false, 21, 25, {deleted("u1", 13)}}, start);
+        CPPUNIT_ASSERT_MESSAGE("it was written again after that deletion",
+                               view.state()->upstreams.count("u1") == 1);
+    }
+
+    void aListingDropsWhatIsNoMore()
+    {
+        PublishedView view = fullView();
+        view.take({true,
+                   0,
+                   30,
+                   {item("config", "c 5", 3), item("u1", "u", 4), item("u2", "u", 5),
+                    item("u3", "u", 6), item("u4", "u", 7)}},
+                  start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), view.state()->upstreams.size());
+    }
+
+    void recordsThatLapsedInAnOutageAreKeptForAMoment()
+    {
+        PublishedView view = fullView();
+        view.noteOutageOver(start);
+        view.take({false, 10, 12, {deleted("u1", 11), deleted("u2", 12)}}, start + seconds(1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(5), view.state()->upstreams.size());
+        view.take({false, 12, 13, {item("u1", "u", 13)}}, start + seconds(2));
+        CPPUNIT_ASSERT(!view.passTime(start + milliseconds(2'800)));
+        CPPUNIT_ASSERT(view.passTime(start + milliseconds(2'950)));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("it came back", std::size_t(1),
+                                     view.state()->upstreams.count("u1"));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("it did not", std::size_t(0),
+                                     view.state()->upstreams.count("u2"));
+    }
+
+    void recordsThatVanishAllAtOnceAreKeptForAMoment()
+    {
+        PublishedView view = fullView();
+        view.take({false, 10, 13, {deleted("u1", 11), deleted("u2", 12), deleted("u3", 13)}},
+                  start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(5), view.state()->upstreams.size());
+        CPPUNIT_ASSERT(view.passTime(start + seconds(2)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), view.state()->upstreams.size());
+    }
+
+    void oneThatVanishesAloneIsGone()
+    {
+        PublishedView view = fullView();
+        view.take({false, 10, 11, {deleted("u1", 11)}}, start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), view.state()->upstreams.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                             countOf(view.takeEntries(), journal::EventId::UpstreamRemoved));
+    }
+
+    void aPeerIsToldWhatItDoesNotKnow()
+    {
+        PublishedView view = fullView();
+        view.take({false, 10, 12, {item("u1", "u leaving", 11), deleted("u2", 12)}}, start);
+        const ViewUpdate changes = view.changesAfter(10);
+        CPPUNIT_ASSERT(!changes.whole);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), changes.items.size());
+        PublishedView peer = fullView();
+        CPPUNIT_ASSERT(peer.take(changes, start));
+        CPPUNIT_ASSERT(peer.state()->upstreams == view.state()->upstreams);
+        PublishedView fresh(readItem);
+        const ViewUpdate all = view.changesAfter(0);
+        CPPUNIT_ASSERT(all.whole);
+        CPPUNIT_ASSERT(fresh.take(all, start));
+        CPPUNIT_ASSERT(fresh.state()->upstreams == view.state()->upstreams);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(5), fresh.state()->routes->configuration().version);
+    }
+
+    void aNewLifeOfAnIdIsAnotherUpstream()
+    {
+        PublishedView view([](const PublishedItem &read) -> PublishedFact {
+            UpstreamRecord record;
+            record.id = read.key;
+            record.born = std::stoull(read.value);
+            return record;
+        });
+        view.take({true, 0, 1, {item("u1", "100", 1)}}, start);
+        view.take({false, 1, 2, {item("u1", "200", 2)}}, start);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(200), view.state()->upstreams.at("u1").born);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2),
+                             countOf(view.takeEntries(), journal::EventId::UpstreamAdded));
+    }
+};
+
+REGISTER_SUITE(PublishedViewTest, "published_view");
+
+} // namespace azurespindle::routing
--- /dev/null
+++ b/tests/routing/route_table_test.cpp
@@ -0,0 +1,78 @@
+#include "routing/route_table.h"
+
+#include "support/suite.h"
+
+namespace azurespindle::routing {
+namespace {
+
+Route makeRoute(const std::string &host, const std::string &prefix)
+{
+    Route route;
+    route.name = host + prefix;
+    route.host = host;
+    route.pathPrefix = prefix;
+    return route;
+}
+
+RouteTable makeTable()
+{
+    RoutingConfiguration configuration;
+    configuration.routes = {makeRoute("a.example", "/"), makeRoute("a.example", "/orders/"),
+                            makeRoute("a.example", "/orders/new/"), makeRoute("b.example", "/b/")};
+    configuration.workspaces = {{"gates", {"k1", "k2"}, 1}, {"hinges", {"k3"}, std::nullopt}};
+    configuration.services = {{"desk", 10, 0.0, std::nullopt}};
+    return RouteTable(configuration);
+}
+
+std::string found(const RouteTable &table, const std::string &host, const std::string &path)
+{
+    const Route *route = table.find(host, path);
+    return route == nullptr ? "none" : route->name;
+}
+
+} // namespace
+
+class RouteTableTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RouteTableTest);
+    CPPUNIT_TEST(theLongestPrefixOfTheHostIsFound);
+    CPPUNIT_TEST(caseAndPortOfTheHostDoNotCount);
+    CPPUNIT_TEST(keysNameTheirWorkspace);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void theLongestPrefixOfTheHostIsFound()
+    {
+        const RouteTable table = makeTable();
+        const std::string host = "a.example";
+        CPPUNIT_ASSERT_EQUAL(host + "/", found(table, host, "/"));
+        CPPUNIT_ASSERT_EQUAL(host + "/", found(table, host, "/orders"));
+        CPPUNIT_ASSERT_EQUAL(host + "/orders/", found(table, host, "/orders/7"));
+        CPPUNIT_ASSERT_EQUAL(host + "/orders/", found(table, host, "/orders/new"));
+        CPPUNIT_ASSERT_EQUAL(host + "/orders/new/", found(table, host, "/orders/new/x/y"));
+        CPPUNIT_ASSERT_EQUAL(std::string("none"), found(table, "b.example", "/orders/7"));
+        CPPUNIT_ASSERT_EQUAL(std::string("none"), found(table, "b.example", "/"));
+        CPPUNIT_ASSERT_EQUAL(std::string("none"), found(table, "c.example", "/b/"));
+        CPPUNIT_ASSERT_EQUAL(std::string("none"), found(table, "b.example", ""));
+    }
+
+    void caseAndPortOfTheHostDoNotCount()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string("b.example/b/"),
+                             found(makeTable(), "B.Example:8080", "/b/1"));
+    }
+
+    void keysNameTheirWorkspace()
+    {
+        const RouteTable table = makeTable();
+        CPPUNIT_ASSERT_EQUAL(std::string("gates"), table.workspaceOf("k2")->name);
+        CPPUNIT_ASSERT_EQUAL(std::string("hinges"), table.workspaceOf("k3")->name);
+        CPPUNIT_ASSERT(table.workspaceOf("") == nullptr);
+        CPPUNIT_ASSERT(table.service("desk") != nullptr);
+        CPPUNIT_ASSERT(table.service("none") == nullptr);
+    }
+};
+
+REGISTER_SUITE(RouteTableTest, "route_table");
+
+} // namespace azurespindle::routing
--- /dev/null
+++ b/tests/routing/router_play.cpp
@@ -0,0 +1,204 @@
+#include "routing/router_play.h"
+
+namespace azurespindle::tests {
+namespace {
+
+using namespace routing;
+
+constexpr Tokens engineMemory = 34'000;
+constexpr Tokens longPrompt = 3'000;
+
+Route makeRoute(const std::string &name, RouteKind kind, const std::string &service)
+{
+    Route route;
+    route.name = name;
+    route.host = "shop.example";
+    route.pathPrefix = "/" + name + "/";
+    route.kind = kind;
+    route.services = {{service, 1.0}};
+    route.timeout = milliseconds(1'000);
+    route.latencyObjective = milliseconds(150);
+    return route;
+}
+
+RoutingConfiguration sampleConfiguration()
+{
+    RoutingConfiguration configuration;
+    configuration.version = 1;
+    Route longer = makeRoute("long", RouteKind::Streaming, "models");
+    longer.timeout = milliseconds(39'000);
+    longer.latencyObjective = milliseconds(1'800);
+    longer.priority = 1;
+    Route shorter = longer;
+    shorter.name = "short";
+    shorter.pathPrefix = "/short/";
+    shorter.resumable = true;
+    shorter.maxAttempts = 2;
+    Route look = makeRoute("look", RouteKind::Idempotent, "desk");
+    look.maxAttempts = 2;
+    Route open = makeRoute("open", RouteKind::Idempotent, "desk");
+    open.keyless = true;
+    configuration.routes = {longer, shorter, look, open,
+                            makeRoute("order", RouteKind::NonIdempotent, "desk")};
+    EngineTraits engine {24, engineMemory, 262'144.0, 38'000.0, 4, true, true, milliseconds(5'000)};
+    configuration.services = {{"models", 252, 27.0, engine}, {"desk", 110, 0.0, std::nullopt}};
+    configuration.workspaces = {{"gates", {"k1"}, std::nullopt}, {"urgent", {"k2"}, 0}};
+    return configuration;
+}
+
+} // namespace
+
+RouterPlay::RouterPlay(const std::string &zone) : router({zone, 1, {0.2, 58.0, seconds(10)}})
+{ }
+
+void RouterPlay::publish()
+{
+    this->state.revision += 1;
+    this->handle(StateChanged {std::make_shared<FleetState>(this->state)});
+}
+
+void RouterPlay::configure()
+{
+    this->state.routes = std::make_shared<RouteTable>(sampleConfiguration());
+    this->publish();
+}
+
+void RouterPlay::addEngine(const std::string &id, const std::string &zone)
+{
+    this->state.upstreams[id] = {id, "models", "10.0.0.1:" + id.substr(1), zone, 24, false, {}, 1};
+    this->publish();
+}
+
+void RouterPlay::addPlain(const std::string &id, const std::string &zone)
+{
+    this->state.upstreams[id] = {id, "desk", "10.0.1.1:" + id.substr(1), zone, 6, false, {}, 1};
+    this->publish();
+}
+
+void RouterPlay::setLeaving(const std::string &id)
+{
+    this->state.upstreams.at(id).leaving = true;
+    this->publish();
+}
+
+void RouterPlay::remove(const std::string &id)
+{
+    this->state.upstreams.erase(id);
+    this->publish();
+}
+
+void RouterPlay::setCold(const std::string &id, milliseconds left)
+{
+    this->state.upstreams.at(id).coldLeft = left;
+    this->publish();
+}
+
+void RouterPlay::evacuate(const std::string &zone)
+{
+    this->state.evacuatedZones.insert(zone);
+    this->publish();
+}
+
+RequestId RouterPlay::arrive(const std::string &path, const std::string &key,
+                             const std::string &body)
+{
+    this->lastRequest += 1;
+    auto request = std::make_shared<RoutedRequest>();
+    request->callerId = "c" + std::to_string(this->lastRequest);
+    request->host = "shop.example:80";
+    request->method = "POST";
+    request->target = path;
+    request->path = path;
+    request->key = key;
+    request->body = body.empty() ? request->callerId : body;
+    const bool engine = path.rfind("/long/", 0) == 0 || path.rfind("/short/", 0) == 0;
+    request->promptTokens = engine ? longPrompt : 0;
+    request->maxOutputTokens = engine ? 2'204 : 0;
+    this->handle(RequestArrived {this->lastRequest, request});
+    return this->lastRequest;
+}
+
+void RouterPlay::handle(const RouterEvent &event)
+{
+    for (RouterEffect &effect : this->router.handle(event, this->time)) {
+        if (const auto *start = std::get_if<StartAttempt>(&effect)) {
+            this->started.push_back(start->attempt);
+        }
+        this->effects.push_back(std::move(effect));
+    }
+}
+
+void RouterPlay::pass(milliseconds passed)
+{
+    const Instant until = this->time + passed;
+    while (this->time < until) {
+        this->time = std::min(until, this->time + Router::tickInterval);
+        this->handle(TimePassed {});
+    }
+}
+
+AttemptId RouterPlay::present(RequestId request) const
+{
+    for (auto each = this->started.rbegin(); each != this->started.rend(); ++each) {
+        if (each->request == request) {
+            return *each;
+        }
+    }
+    return {request, 0};
+}
+
+void RouterPlay::beginStream(RequestId request)
+{
+    AnswerHead head;
+    head.status = 200;
+    head.genuine = true;
+    head.eventStream = true;
+    this->handle(HeadArrived {this->present(request), head});
+}
+
+void RouterPlay::events(RequestId request, std::uint32_t count)
+{
+    static constexpr std::uint64_t unknownId = 0;
+    std::uint64_t lastId = unknownId;
+    for (const RouterEffect &effect : this->effects) {
+        if (const auto *start = std::get_if<StartAttempt>(&effect)) {
+            if (start->attempt == this->present(request)) {
+                lastId = start->plan.afterEvent.value_or(0);
+            }
+        }
+    }
+    this->handle(EventsArrived {this->present(request), count, lastId + count});
+}
+
+void RouterPlay::end(RequestId request, AttemptEnd end, int status, bool notRun)
+{
+    const AttemptId attempt = this->present(request);
+    if (status != 0) {
+        AnswerHead head;
+        head.status = status;
+        head.genuine = !notRun;
+        head.notRun = notRun;
+        this->handle(HeadArrived {attempt, head});
+    }
+    this->handle(AttemptEnded {attempt, end, "played"});
+}
+
+void RouterPlay::answerMove(RequestId request, bool final, MoveStatus status,
+                            const std::string &handle)
+{
+    this->handle(MoveAnswered {this->present(request), final, {status, handle, 0}});
+}
+
+std::string RouterPlay::startedOn() const
+{
+    const auto start = this->last<StartAttempt>();
+    return start ? start->plan.upstream.id : "none";
+}
+
+int RouterPlay::answered() const
+{
+    const auto answer = this->last<AnswerOwn>();
+    return answer ? answer->answer.status : 0;
+}
+
+} // namespace azurespindle::tests
--- /dev/null
+++ b/tests/serving/routing_process_test.cpp
@@ -0,0 +1,445 @@
+#include "serving/routing_process.h"
+
+#include "platform/platform_standins.h"
+#include "platform/port.h"
+#include "support/raw_connection.h"
+#include "support/suite.h"
+
+#include <future>
+#include <thread>
+
+namespace azurespindle::serving {
+namespace {
+
+using tests::EngineStandin;
+using tests::PlainStandin;
+using tests::StoreStandin;
+
+constexpr std::uint16_t storePort = 21'900;
+constexpr std::uint16_t firstUpstreamPort = 21'910;
+constexpr std::uint16_t firstProcessPort = 21'950;
+constexpr std::uint16_t portsEach = 4;
+constexpr milliseconds patience {10'000};
+
+bool eventually(const std::function<bool()> &condition)
+{
+    const Instant until = monotonicNow() + patience;
+    while (monotonicNow() < until) {
+        if (condition()) {
+            return true;
+        }
+        std::this_thread::sleep_for(milliseconds(5));
+    }
+    return false;
+}
+
+settings::Address address(std::uint16_t port)
+{
+    return {"127.0.0.1", port};
+}
+
+settings::RoutingSettings settingsOf(std::uint16_t index, std::uint16_t store = storePort)
+{
+    const auto base = static_cast<std::uint16_t>(firstProcessPort + index * portsEach);
+    settings::RoutingSettings settings;
+    settings.name = "entry-" + std::to_string(index);
+    settings.zone = "north";
+    settings.callerAddress = address(base);
+    settings.readyAddress = address(static_cast<std::uint16_t>(base + 1));
+    settings.memberAddress = address(static_cast<std::uint16_t>(base + 2));
+    settings.metricsAddress = address(static_cast<std::uint16_t>(base + 3));
+    settings.publisherAddress = address(store);
+    settings.seeds = {address(firstProcessPort + 2)};
+    settings.bounds.retryAllowance = 58.0;
+    settings.bounds.stopTime = milliseconds(6'000);
+    return settings;
+}
+
+std::unique_ptr<RoutingProcess> startProcess(std::uint16_t index, std::uint16_t store = storePort)
+{
+    auto process = std::make_unique<RoutingProcess>(settingsOf(index, store), platform::makePort);
+    CPPUNIT_ASSERT(!process->start());
+    return process;
+}
+
+/// An answer as a caller saw it.
+struct Answer
+{
+    int status = 0;
+    http::Headers headers;
+    std::string body;
+    http::TransferEnd end = http::TransferEnd::Lost;
+};
+
+std::atomic<int> callerNumber {0};
+
+std::future<Answer> send(http::Client &client, std::uint16_t process, const std::string &path,
+                         const std::string &body, const std::string &callerId,
+                         const std::string &method = "POST")
+{
+    auto answer = std::make_shared<Answer>();
+    auto done = std::make_shared<std::promise<Answer>>();
+    http::ClientRequest request;
+    request.method = method;
+    request.url
+        = "http://127.0.0.1:" + std::to_string(firstProcessPort + process * portsEach) + path;
+    request.headers = {{"Host", "shop.example"},
+                       {"Azurespindle-Attempt-Id", callerId},
+                       {"Azurespindle-Key", "k1"}};
+    if (path.rfind("/draft/", 0) == 0 || path.rfind("/check/", 0) == 0) {
+        request.headers["Azurespindle-Token-Usage"] = "3000,2000";
+    }
+    request.body = body;
+    request.totalTimeout = patience;
+    http::TransferCallbacks callbacks;
+    callbacks.onStatus = [answer](int status, const http::Headers &headers) {
+        answer->status = status;
+        answer->headers = headers;
+    };
+    callbacks.onData = [answer](std::string_view bytes) {
+        answer->body += bytes;
+        return true;
+    };
+    callbacks.onDone = [answer, done](const http::TransferResult &result) {
+        answer->end = result.end;
+        answer->status = result.status;
+        done->set_value(*answer);
+    };
+    client.start(std::move(request), std::move(callbacks));
+    return done->get_future();
+}
+
+Answer call(http::Client &client, std::uint16_t process, const std::string &path,
+            const std::string &body = "", const std::string &method = "POST")
+{
+    const std::string id = "c" + std::to_string(callerNumber += 1);
+    return send(client, process, path, body, id, method).get();
+}
+
+/// Returns what is wrong with a stream of so many events of one request, or an empty text.
+std::string streamFault(const Answer &answer, const std::string &callerId, std::uint64_t events)
+{
+    if (answer.end != http::TransferEnd::Complete) {
+        return "the stream does not end as complete";
+    }
+    std::string expected;
+    for (std::uint64_t number = 1; number <= events; ++number) {
+        expected += "id: " + std::to_string(number) + "\ndata: " + callerId + ":"
+            + std::to_string(number) + "\n\n";
+    }
+    return answer.body == expected ? "" : "expected\n" + expected + "but got\n" + answer.body;
+}
+
+} // namespace
+
+class RoutingProcessTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RoutingProcessTest);
+    CPPUNIT_TEST(everyKindOfRequestIsServed);
+    CPPUNIT_TEST(withoutAStoreItAnswersNotYet);
+    CPPUNIT_TEST(generationsOnALeavingEngineArriveWholeFromOneSeal);
+    CPPUNIT_TEST(generationsOnADyingEngineArriveWhole);
+    CPPUNIT_TEST(anUnrepeatableCallRunsOnceWhateverItsUpstreamDoes);
+    CPPUNIT_TEST(aCallerThatHangsUpFreesTheUpstream);
+    CPPUNIT_TEST(whatTheStoreWillNotTellAPeerDoes);
+    CPPUNIT_TEST(aHistoryThatIsGoneLosesNoChange);
+    CPPUNIT_TEST(aGracefulStopCutsNothing);
+    CPPUNIT_TEST(waitingRequestsOfOneConnectionAreAnsweredInOrder);
+    CPPUNIT_TEST(metricsAndReadinessAreServed);
+    CPPUNIT_TEST(aCrashIsToldWithoutADeadlock);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        this->store = std::make_unique<StoreStandin>(storePort);
+        this->client = std::make_unique<http::Client>();
+        this->store->put("op/config", tests::platformConfiguration(1));
+        for (std::uint16_t index = 0; index < 3; ++index) {
+            const std::string id = "e" + std::to_string(index);
+            this->engines.push_back(std::make_unique<EngineStandin>(
+                id, static_cast<std::uint16_t>(firstUpstreamPort + index)));
+            this->store->put("servers/" + id, this->engines.back()->record());
+        }
+        for (std::uint16_t index = 0; index < 2; ++index) {
+            const std::string id = "p" + std::to_string(index);
+            this->plains.push_back(std::make_unique<PlainStandin>(
+                id, static_cast<std::uint16_t>(firstUpstreamPort + 10 + index)));
+            this->store->put("servers/" + id, this->plains.back()->record());
+        }
+    }
+
+    void tearDown() override
+    {
+        this->processes.clear();
+        this->client.reset();
+        this->engines.clear();
+        this->plains.clear();
+        this->store.reset();
+    }
+
+    void everyKindOfRequestIsServed()
+    {
+        this->startReady(1);
+        const Answer order = call(*this->client, 0, "/order/a%2fb?x=%41&y", "two hinges");
+        CPPUNIT_ASSERT_EQUAL(200, order.status);
+        CPPUNIT_ASSERT_EQUAL(std::string("ran POST /order/a%2fb?x=%41&y two hinges"), order.body);
+        CPPUNIT_ASSERT(order.headers.at("azurespindle-server-seal").rfind("seal-of-p", 0) == 0);
+        CPPUNIT_ASSERT_EQUAL(200, call(*this->client, 0, "/look/1", "", "GET").status);
+        const Answer draft = send(*this->client, 0, "/draft/1", "events=40", "d1").get();
+        CPPUNIT_ASSERT_EQUAL(std::string(), streamFault(draft, "d1", 40));
+        CPPUNIT_ASSERT_EQUAL(404, call(*this->client, 0, "/none/1").status);
+    }
+
+    void withoutAStoreItAnswersNotYet()
+    {
+        this->store->refuseWith(503);
+        this->processes.push_back(startProcess(0));
+        const Answer answer = call(*this->client, 0, "/order/1");
+        CPPUNIT_ASSERT_EQUAL(503, answer.status);
+        CPPUNIT_ASSERT(answer.headers.count("retry-after") > 0);
+        CPPUNIT_ASSERT(!this->processes[0]->ready());
+        this->store->refuseWith(0);
+        CPPUNIT_ASSERT(eventually([&] { return this->processes[0]->ready(); }));
+    }
+
+    void generationsOnALeavingEngineArriveWholeFromOneSeal()
+    {
+        this->startReady(1);
+        std::vector<std::future<Answer>> answers;
+        for (int draft = 0; draft < 6; ++draft) {
+            answers.push_back(send(*this->client, 0, "/draft/1", "events=500",
+                                   "l" + std::to_string(draft)));
+        }
+        CPPUNIT_ASSERT(eventually([&] { return this->allRunning() == 6; }));
+        std::this_thread::sleep_for(milliseconds(700));
+        EngineStandin &leaving = this->busiest();
+        leaving.setLeavesIn(milliseconds(1'000));
+        this->store->put("servers/" + this->idOf(leaving), leaving.record(true));
+        CPPUNIT_ASSERT_MESSAGE("it is empty before it is gone",
+                               eventually([&] { return leaving.running() == 0; }));
+        leaving.die();
+        for (int draft = 0; draft < 6; ++draft) {
+            const Answer answer = answers[static_cast<std::size_t>(draft)].get();
+            CPPUNIT_ASSERT_EQUAL(std::string(),
+                                 streamFault(answer, "l" + std::to_string(draft), 500));
+            CPPUNIT_ASSERT(answer.headers.count("azurespindle-server-seal") > 0);
+        }
+        CPPUNIT_ASSERT(this->allTakenOver() > 0);
+    }
+
+    void generationsOnADyingEngineArriveWhole()
+    {
+        this->startReady(1);
+        std::vector<std::future<Answer>> answers;
+        for (int draft = 0; draft < 4; ++draft) {
+            answers.push_back(send(*this->client, 0, "/draft/1", "events=400",
+                                   "x" + std::to_string(draft)));
+        }
+        CPPUNIT_ASSERT(eventually([&] { return this->allRunning() == 4; }));
+        std::this_thread::sleep_for(milliseconds(800));
+        this->busiest().die();
+        for (int draft = 0; draft < 4; ++draft) {
+            const Answer answer = answers[static_cast<std::size_t>(draft)].get();
+            CPPUNIT_ASSERT_EQUAL(std::string(),
+                                 streamFault(answer, "x" + std::to_string(draft), 400));
+        }
+    }
+
+    void anUnrepeatableCallRunsOnceWhateverItsUpstreamDoes()
+    {
+        using Mood = PlainStandin::Mood;
+        this->startReady(1);
+        for (const Mood first : {Mood::Answers, Mood::Fails, Mood::LosesAnswer, Mood::IsFull,
+                                 Mood::OtherInstance}) {
+            for (const auto &plain : this->plains) {
+                plain->setMood(first);
+            }
+            const std::string id = "o" + std::to_string(callerNumber += 1);
+            const Answer answer = send(*this->client, 0, "/order/1", "", id).get();
+            const std::size_t runs = this->plains[0]->runs(id) + this->plains[1]->runs(id);
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(answer.status), runs <= 1);
+            const bool promised = answer.status == 503;
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(answer.status), promised, runs == 0);
+            std::this_thread::sleep_for(milliseconds(600));
+        }
+    }
+
+    void aCallerThatHangsUpFreesTheUpstream()
+    {
+        this->startReady(1);
+        for (const auto &plain : this->plains) {
+            plain->setMood(PlainStandin::Mood::Hangs);
+        }
+        Instant hungUp;
+        {
+            const tests::RawConnection caller(firstProcessPort);
+            caller.send("POST /order/1 HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 0\r\n"
+                        "Azurespindle-Attempt-Id: gone\r\nAzurespindle-Key: k1\r\n\r\n");
+            CPPUNIT_ASSERT(eventually([&] {
+                return this->plains[0]->runs("gone") + this->plains[1]->runs("gone") == 1;
+            }));
+            hungUp = monotonicNow();
+        }
+        CPPUNIT_ASSERT(
+            eventually([&] { return this->plains[0]->gone() + this->plains[1]->gone() == 1; }));
+        CPPUNIT_ASSERT(monotonicNow() - hungUp < milliseconds(500));
+    }
+
+    /// The store turns one process away and serves the others.
+    void whatTheStoreWillNotTellAPeerDoes()
+    {
+        StoreStandin turnedAway(storePort + 1);
+        turnedAway.refuseWith(503);
+        this->startReady(1);
+        this->processes.push_back(startProcess(1, storePort + 1));
+        CPPUNIT_ASSERT(eventually([&] { return this->processes[1]->ready(); }));
+        CPPUNIT_ASSERT_EQUAL(200, call(*this->client, 1, "/order/1").status);
+        this->store->put("op/config",
+                         tests::platformConfiguration(
+                             2, R"(,{"name":"new","host":"shop.example","path_prefix":"/new/",)"
+                                R"("route_kind":"idempotent","service":"desk","timeout_ms":1000,)"
+                                R"("target_latency_ms":150,"priority":0,"max_attempts":2})"));
+        const Instant published = monotonicNow();
+        CPPUNIT_ASSERT(
+            eventually([&] { return call(*this->client, 1, "/new/1").status == 200; }));
+        CPPUNIT_ASSERT(monotonicNow() - published < milliseconds(2'000));
+    }
+
+    void aHistoryThatIsGoneLosesNoChange()
+    {
+        this->startReady(1);
+        this->store->forgetHistory();
+        this->store->remove("servers/p0");
+        const Instant gone = monotonicNow();
+        CPPUNIT_ASSERT(eventually([&] {
+            const std::size_t before = this->plains[0]->totalRuns();
+            for (int round = 0; round < 8; ++round) {
+                call(*this->client, 0, "/look/1", "", "GET");
+            }
+            return this->plains[0]->totalRuns() == before;
+        }));
+        CPPUNIT_ASSERT(monotonicNow() - gone < milliseconds(2'000));
+    }
+
+    void aGracefulStopCutsNothing()
+    {
+        this->startReady(1);
+        auto draft = send(*this->client, 0, "/draft/1", "events=300", "stop");
+        CPPUNIT_ASSERT(eventually([&] { return this->allRunning() == 1; }));
+        std::size_t cut = 1;
+        std::thread stopping([&] { cut = this->processes[0]->stopGracefully(); });
+        CPPUNIT_ASSERT(eventually([&] { return !this->processes[0]->ready(); }));
+        CPPUNIT_ASSERT_EQUAL(200, call(*this->client, 0, "/order/1").status);
+        CPPUNIT_ASSERT_EQUAL(503, call(*this->client, 0, "/draft/1", "events=3").status);
+        CPPUNIT_ASSERT_EQUAL(std::string(), streamFault(draft.get(), "stop", 300));
+        stopping.join();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), cut);
+    }
+
+    /// A request that waits behind another one on its connection used to be left unanswered.
+    void waitingRequestsOfOneConnectionAreAnsweredInOrder()
+    {
+        this->startReady(1);
+        const tests::RawConnection caller(firstProcessPort);
+        const std::string head = " HTTP/1.1\r\nHost: shop.example\r\nAzurespindle-Key: k1\r\n"
+                                 "Azurespindle-Attempt-Id: ";
+        caller.send("POST /order/1" + head + "w1\r\nContent-Length: 2\r\n\r\nab" + "POST /order/2"
+                    + head + "w2\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nc\r\n0\r\n\r\n"
+                    + "GET /look/3" + head + "w3\r\n\r\n");
+        const std::string answers = caller.readUntil("/look/3 ", patience);
+        const std::size_t first = answers.find("ran POST /order/1 ab");
+        const std::size_t second = answers.find("ran POST /order/2 c");
+        CPPUNIT_ASSERT_MESSAGE(answers, first < second && second != std::string::npos);
+        CPPUNIT_ASSERT_MESSAGE(answers, answers.find("ran GET /look/3") > second);
+    }
+
+    void metricsAndReadinessAreServed()
+    {
+        this->startReady(1);
+        call(*this->client, 0, "/order/1");
+        http::ClientRequest request;
+        std::string body;
+        request.url = "http://127.0.0.1:" + std::to_string(firstProcessPort + 3) + "/metrics";
+        CPPUNIT_ASSERT_EQUAL(200, http::fetch(request, body).status);
+        CPPUNIT_ASSERT_MESSAGE(body, body.find("azurespindle_requests_total 1\n")
+                                         != std::string::npos);
+        CPPUNIT_ASSERT_MESSAGE(body, body.find("workspace=\"gates\"") != std::string::npos);
+        request.url = "http://127.0.0.1:" + std::to_string(firstProcessPort + 1) + "/readyz";
+        CPPUNIT_ASSERT_EQUAL(200, http::fetch(request, body).status);
+        request.url = "http://127.0.0.1:" + std::to_string(firstProcessPort + 1) + "/other";
+        CPPUNIT_ASSERT_EQUAL(404, http::fetch(request, body).status);
+    }
+
+    /// Found by a hunted day (a ready process that served nobody): telling the peers of a crash
+    /// came back to the router under the lock it was told with.
+    void aCrashIsToldWithoutADeadlock()
+    {
+        this->startReady(1);
+        for (const auto &plain : this->plains) {
+            plain->setMood(PlainStandin::Mood::LosesAnswer);
+        }
+        CPPUNIT_ASSERT_EQUAL(502, call(*this->client, 0, "/order/1").status);
+        this->store->remove("servers/p0");
+        this->store->remove("servers/p1");
+        std::this_thread::sleep_for(milliseconds(300));
+        auto later = send(*this->client, 0, "/order/2", "", "later");
+        CPPUNIT_ASSERT(later.wait_for(seconds(4)) == std::future_status::ready);
+    }
+
+private:
+    void startReady(std::uint16_t count)
+    {
+        for (std::uint16_t index = 0; index < count; ++index) {
+            this->processes.push_back(startProcess(index));
+        }
+        for (const auto &process : this->processes) {
+            CPPUNIT_ASSERT(eventually([&] { return process->ready(); }));
+        }
+    }
+
+    std::size_t allRunning() const
+    {
+        std::size_t running = 0;
+        for (const auto &engine : this->engines) {
+            running += engine->running();
+        }
+        return running;
+    }
+
+    std::size_t allTakenOver() const
+    {
+        std::size_t taken = 0;
+        for (const auto &engine : this->engines) {
+            taken += engine->takenOver();
+        }
+        return taken;
+    }
+
+    EngineStandin &busiest()
+    {
+        return **std::max_element(
+            this->engines.begin(), this->engines.end(),
+            [](const auto &a, const auto &b) { return a->running() < b->running(); });
+    }
+
+    std::string idOf(const EngineStandin &wanted) const
+    {
+        for (std::size_t index = 0; index < this->engines.size(); ++index) {
+            if (this->engines[index].get() == &wanted) {
+                return "e" + std::to_string(index);
+            }
+        }
+        return "none";
+    }
+
+    std::unique_ptr<StoreStandin> store;
+    std::unique_ptr<http::Client> client;
+    std::vector<std::unique_ptr<EngineStandin>> engines;
+    std::vector<std::unique_ptr<PlainStandin>> plains;
+    std::vector<std::unique_ptr<RoutingProcess>> processes;
+};
+
+REGISTER_SUITE(RoutingProcessTest, "routing_process");
+
+} // namespace azurespindle::serving
