--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -2,6 +2,7 @@
 
 #include "base/text_file.h"
 #include "cli/fleet_explain.h"
+#include "cli/log_explain.h"
 #include "configuration/document.h"
 #include "configuration/vm_list.h"
 #include "http/client.h"
@@ -15,6 +16,7 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <fstream>
 #include <functional>
 #include <iostream>
 #include <map>
@@ -43,6 +45,7 @@
   --upstream NAME         with configuration
   --zone NAME             with configuration
   --fleet                 with explain: ask every live member, and string their events together
+  --logs FILE             with explain: read this log (again for more; - reads standard input)
   --verbose               with serve: log debug events too
   --help, --version
 
@@ -52,6 +55,7 @@
   azurespindle status --address 127.0.0.1:8080
   azurespindle explain e3 --address 127.0.0.1:8080
   azurespindle explain e3 --fleet
+  azurespindle explain 9c41d07be2a35f68 --logs entry-1.log --logs entry-2.log
   azurespindle configuration --workspace acme
 
 Exit codes: 0 done, 1 a fault was found, 2 wrong usage, 3 no answer, 4 start failed.
@@ -243,6 +247,27 @@
     return ExitOk;
 }
 
+int explainLogs(const std::vector<std::string> &files, const std::string &id)
+{
+    std::vector<LogLine> lines;
+    for (const std::string &file : files) {
+        std::ifstream opened;
+        if (file != "-") {
+            opened.open(file);
+        }
+        if (file != "-" && !opened) {
+            std::cerr << "azurespindle: cannot read " << file << "\n";
+            return ExitFault;
+        }
+        for (LogLine &line : readLog(file == "-" ? std::cin : opened)) {
+            line.position = lines.size();
+            lines.push_back(std::move(line));
+        }
+    }
+    std::cout << explainFromLogs(std::move(lines), id);
+    return ExitOk;
+}
+
 int explain(const std::string &address, const std::vector<std::string> &arguments, bool fleet)
 {
     if (arguments.size() != 1) {
@@ -288,6 +313,11 @@
     if (command == "check") {
         return check(arguments);
     }
+    if (command == "explain" && options.count("logs") > 0) {
+        return arguments.size() == 1
+            ? explainLogs(options["logs"].as<std::vector<std::string>>(), arguments.front())
+            : usageError("explain takes one ID");
+    }
     if (command == "explain") {
         return explain(address, arguments, options.count("fleet") > 0);
     }
@@ -316,6 +346,7 @@
     add("upstream", "", cxxopts::value<std::string>());
     add("zone", "", cxxopts::value<std::string>());
     add("fleet", "");
+    add("logs", "", cxxopts::value<std::vector<std::string>>());
     add("verbose", "");
     add("help", "");
     add("version", "");
--- a/src/decision/engine_choice.h
+++ b/src/decision/engine_choice.h
@@ -14,12 +14,12 @@
 struct ChoiceCandidate
 {
     std::string upstream;
-    Claim claimed;            ///< By all processes, without this request.
-    std::uint32_t slots = 1;  ///< Attempts that it works on at once.
-    Tokens memory = 0;        ///< KV tokens that it holds; 0 for a plain service.
-    Tokens cachedTokens = 0;  ///< Of the request's prompt, probably.
+    Claim claimed;           ///< By all processes, without this request.
+    std::uint32_t slots = 1; ///< Attempts that it works on at once.
+    Tokens memory = 0;       ///< KV tokens that it holds; 0 for a plain service.
+    Tokens cachedTokens = 0; ///< Of the request's prompt, probably.
     bool sameZone = true;
-    bool troubled = false;    ///< Lately failed or refused requests.
+    bool troubled = false; ///< Lately failed or refused requests.
 };
 
 /// What a request takes of an engine.
@@ -37,8 +37,8 @@
     double attemptMs = 12.0;         ///< Each attempt that runs there slows all others.
     double otherZoneMs = 60.0;       ///< Bytes between zones, and what a cut would take along.
     double troubledMs = 400.0;
-    double memoryMs = 250.0;         ///< An engine that is just full; grows with the square.
-    double memoryLimit = 0.92;       ///< Part of the memory that is planned with.
+    double memoryMs = 250.0;   ///< An engine that is just full; grows with the square.
+    double memoryLimit = 0.92; ///< Part of the memory that is planned with.
 };
 
 /// Chooses the engine at which the request is expected to do best and to harm others least.
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -112,9 +112,8 @@
 void suppressDefaults(Transfer &transfer)
 {
     for (const char *added : {"Accept", "Content-Type"}) {
-        const auto same = [added](const auto &field) {
-            return strcasecmp(field.first.c_str(), added) == 0;
-        };
+        const auto same
+            = [added](const auto &field) { return strcasecmp(field.first.c_str(), added) == 0; };
         const HeaderFields &fields = transfer.request.fields;
         if (std::none_of(fields.begin(), fields.end(), same)) {
             const std::string line = std::string(added) + ":";
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -25,8 +25,8 @@
     /// Never sent on a connection that was used before. The library sends a request again by
     /// itself when a reused connection turns out dead, which an unrepeatable call must not risk.
     bool freshConnection = false;
-    HeaderFields fields; ///< Sent after the headers, as they are.
-    std::string target;  ///< Path and query to send as they are; empty: those of the URL.
+    HeaderFields fields {}; ///< Sent after the headers, as they are.
+    std::string target {};  ///< Path and query to send as they are; empty: those of the URL.
 };
 
 /// How a transfer ended.
--- a/src/http/internal/connection_exchange.cpp
+++ b/src/http/internal/connection_exchange.cpp
@@ -62,7 +62,8 @@
     this->respondWith(status, HeaderFields(headers.begin(), headers.end()), body);
 }
 
-void ConnectionExchange::respondWith(int status, const HeaderFields &fields, const std::string &body)
+void ConnectionExchange::respondWith(int status, const HeaderFields &fields,
+                                     const std::string &body)
 {
     const std::string framing = "content-length: " + std::to_string(body.size());
     this->append(this->head(status, fields, framing) + body, true);
--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -4,12 +4,12 @@
 #include <boost/log/attributes/constant.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
-#include <boost/log/sources/global_logger_storage.hpp>
-#include <boost/log/sources/record_ostream.hpp>
-#include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/sinks/async_frontend.hpp>
 #include <boost/log/sinks/bounded_fifo_queue.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sources/global_logger_storage.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/support/date_time.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
 #include <boost/log/utility/setup/console.hpp>
--- a/src/json/object_reader.cpp
+++ b/src/json/object_reader.cpp
@@ -81,6 +81,17 @@
     this->faults.push_back({this->pathOf(name), shown(this->find(name)), allowed});
 }
 
+std::vector<std::string> ObjectReader::names() const
+{
+    std::vector<std::string> all;
+    if (this->value.is_object()) {
+        for (const auto &field : this->value.items()) {
+            all.push_back(field.key());
+        }
+    }
+    return all;
+}
+
 bool ObjectReader::has(const std::string &name)
 {
     return this->find(name) != nullptr;
--- a/src/json/object_reader.h
+++ b/src/json/object_reader.h
@@ -76,6 +76,8 @@
     /// Calls \a read with each element of the list at \a name, in order.
     void objectList(const std::string &name, const std::function<void(ObjectReader &)> &read);
 
+    /// Returns the names of all fields, in their order.
+    std::vector<std::string> names() const;
     /// Returns true if there is a field \a name, and counts it as asked for.
     bool has(const std::string &name);
     /// Adds a fault about the field \a name.
--- a/src/members/coordinator.cpp
+++ b/src/members/coordinator.cpp
@@ -10,8 +10,7 @@
 
 constexpr std::uint64_t seedTurns = 4; ///< Heartbeats between two tries of the seeds.
 
-WatchCallbacks watchCallbacks(Coordinator &owner, DocumentKind kind,
-                                        journal::Journal &journal)
+WatchCallbacks watchCallbacks(Coordinator &owner, DocumentKind kind, journal::Journal &journal)
 {
     return {[&owner, kind](const std::string &text) { owner.offer(kind, text, "service"); },
             [&journal, kind] {
--- a/src/members/messages.h
+++ b/src/members/messages.h
@@ -146,9 +146,9 @@
 /// What a router has under way and counted, told to the others when it changes.
 struct RouterReport
 {
-    bool whole = false;          ///< \a claims is everything.
-    std::uint64_t viewAt = 0;    ///< Revision up to which the sender knows what is published.
-    bool reads = false;          ///< It reads the store itself, and gets answers.
+    bool whole = false;       ///< \a claims is everything.
+    std::uint64_t viewAt = 0; ///< Revision up to which the sender knows what is published.
+    bool reads = false;       ///< It reads the store itself, and gets answers.
     std::vector<decision::UpstreamClaim> claims;
     std::vector<decision::ArrivalCount> arrivals;
     std::vector<routing::UpstreamNote> notes;
--- a/src/routing/published_view.cpp
+++ b/src/routing/published_view.cpp
@@ -107,12 +107,12 @@
         const std::uint64_t before
             = this->routes == nullptr ? 0 : this->routes->configuration().version;
         const bool newer = this->routes == nullptr || configuration->version > before;
-        this->entries.push_back({newer ? journal::EventId::ConfigurationAccepted
-                                       : journal::EventId::ConfigurationStale,
-                                 {{"version", std::to_string(configuration->version)},
-                                  {"before", std::to_string(before)},
-                                  {"revision", std::to_string(item.revision)},
-                                  {"routes", std::to_string(configuration->routes.size())}}});
+        this->entries.push_back(
+            {newer ? journal::EventId::ConfigurationAccepted : journal::EventId::ConfigurationStale,
+             {{"version", std::to_string(configuration->version)},
+              {"before", std::to_string(before)},
+              {"revision", std::to_string(item.revision)},
+              {"routes", std::to_string(configuration->routes.size())}}});
         if (newer) {
             this->routes = std::make_shared<RouteTable>(std::move(*configuration));
         }
--- a/src/routing/published_view.h
+++ b/src/routing/published_view.h
@@ -48,7 +48,7 @@
 /// What is in force: taken over whole by the decisions.
 struct FleetState
 {
-    std::shared_ptr<const RouteTable> routes; ///< nullptr until a configuration is known.
+    std::shared_ptr<const RouteTable> routes;        ///< nullptr until a configuration is known.
     std::map<std::string, UpstreamRecord> upstreams; ///< By id.
     std::set<std::string> evacuatedZones;
     std::uint64_t revision = 0;
@@ -119,7 +119,7 @@
     std::uint64_t known = 0;
     std::uint64_t forgotten = 0; ///< Changes up to this revision are not remembered one by one.
     std::map<std::string, Held> held;
-    std::deque<PublishedItem> recent; ///< In the order of revisions.
+    std::deque<PublishedItem> recent;      ///< In the order of revisions.
     std::map<std::string, Instant> lapsed; ///< Keys of vanished upstreams that are kept so long.
     std::shared_ptr<const RouteTable> routes;
     std::shared_ptr<const FleetState> current = std::make_shared<FleetState>();
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -244,6 +244,7 @@
 {
     this->budget.setProcesses(event.count);
     this->coldShare.setProcesses(event.count);
+    this->hearsOtherZones = event.hearsOtherZones;
 }
 
 void Router::on(const StopRequested &)
@@ -271,9 +272,8 @@
             this->checkSilence(*each);
         }
     }
-    std::erase_if(this->leavingSince, [this](const auto &entry) {
-        return this->now - entry.second > leavingMemory;
-    });
+    std::erase_if(this->leavingSince,
+                  [this](const auto &entry) { return this->now - entry.second > leavingMemory; });
     std::erase_if(this->leaving, [this](const auto &entry) {
         return this->now - entry.second.noticed > leavingMemory;
     });
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -19,7 +19,8 @@
 
 struct RouterOptions
 {
-    std::string zone;       ///< Of this process.
+    std::string zone; ///< Of this process.
+    std::map<std::string, std::string> regionOfZone;
     std::uint64_t seed = 0; ///< Spreads the choices of processes that know the same.
     decision::ArrivalLimits arrivals;
 };
@@ -86,7 +87,7 @@
         Instant finalDue;
         Instant stoppedAt;
         std::string handle;
-        bool stopAtOnce = false;  ///< No copy while it runs: nothing is heard of it anyway.
+        bool stopAtOnce = false; ///< No copy while it runs: nothing is heard of it anyway.
         bool sourceEnded = false;
         bool sourceComplete = false;
         std::uint32_t failures = 0;
@@ -111,6 +112,7 @@
         const Service *service = nullptr;
         std::string serviceName;
         std::string workspace;
+        std::vector<std::string> workspaceRegions;
         std::uint32_t urgency = 0;
         std::uint64_t fingerprint = 0;
         Instant arrived;
@@ -190,7 +192,11 @@
     void unqueue(Open &open);
     bool tryPlace(Open &open);
     std::vector<decision::ChoiceCandidate> candidatesFor(const Open &open) const;
+    /// Takes upstreams of other zones to be as busy as those here, where nothing is heard of them.
+    void assumeOtherZonesBusy(std::vector<decision::ChoiceCandidate> &candidates) const;
     bool usable(const Open &open, const UpstreamRecord &record) const;
+    /// Returns true if the homes of route and workspace let the request go to the upstream's zone.
+    bool isHome(const Open &open, const UpstreamRecord &record) const;
     void refuseHopeless();
     milliseconds retryAfter(const Open &open) const;
 
@@ -270,12 +276,13 @@
     std::shared_ptr<const FleetState> state = std::make_shared<FleetState>();
     std::map<std::string, Instant> coldUntil; ///< By upstream.
     std::unordered_map<std::string, Instant> troubledUntil;
-    std::unordered_map<std::string, Leaving> leaving; ///< Engines known to leave.
+    std::unordered_map<std::string, Leaving> leaving;      ///< Engines known to leave.
     std::unordered_map<std::string, Instant> leavingSince; ///< By upstream, as published.
     std::unordered_map<std::string, Instant> refusingUntil;
     std::unordered_map<std::string, Instant> reportAsked;
     std::vector<std::pair<Instant, UpstreamNote>> notes;
     bool publisherAway = false;
+    bool hearsOtherZones = true;
     std::unordered_map<RequestId, Open> open;
     std::vector<RequestId> queue; ///< In the order in which they are tried.
     decision::LoadTable loads;
--- a/src/routing/router_admission.cpp
+++ b/src/routing/router_admission.cpp
@@ -31,8 +31,8 @@
 
 std::uint64_t fingerprintOf(const RoutedRequest &request)
 {
-    const std::string text = request.method + "\n" + request.target + "\n" + request.key + "\n"
-        + request.body;
+    const std::string text
+        = request.method + "\n" + request.target + "\n" + request.key + "\n" + request.body;
     return XXH3_64bits(text.data(), text.size());
 }
 
@@ -97,6 +97,7 @@
     }
     if (workspace != nullptr) {
         arrived.workspace = workspace->name;
+        arrived.workspaceRegions = workspace->regions;
         arrived.urgency = workspace->priority.value_or(route.priority);
     }
     arrived.serviceName = pickService(route, this->nextTurn());
@@ -124,8 +125,7 @@
     const auto before = [this](RequestId a, RequestId b) {
         const Open &first = this->open.at(a);
         const Open &second = this->open.at(b);
-        return std::pair(first.urgency, first.arrived)
-            < std::pair(second.urgency, second.arrived);
+        return std::pair(first.urgency, first.arrived) < std::pair(second.urgency, second.arrived);
     };
     const auto place = std::upper_bound(this->queue.begin(), this->queue.end(), open.id, before);
     this->queue.insert(place, open.id);
@@ -154,11 +154,21 @@
     }
 }
 
+bool Router::isHome(const Open &open, const UpstreamRecord &record) const
+{
+    const auto found = this->options.regionOfZone.find(record.zone);
+    const std::string region = found == this->options.regionOfZone.end() ? "" : found->second;
+    const auto lets = [&](const std::vector<std::string> &regions) {
+        return regions.empty() || contains(regions, region);
+    };
+    return lets(open.route->regions) && lets(open.workspaceRegions);
+}
+
 bool Router::usable(const Open &open, const UpstreamRecord &record) const
 {
     if (record.service != open.serviceName || this->goesAway(record)
         || this->state->evacuatedZones.count(record.zone) > 0 || contains(open.avoided, record.id)
-        || contains(open.ranOn, record.id)) {
+        || contains(open.ranOn, record.id) || !this->isHome(open, record)) {
         return false;
     }
     const auto cold = this->coldUntil.find(record.id);
@@ -182,13 +192,35 @@
         candidate.memory = engine ? open.service->engine->memoryTokens : 0;
         candidate.sameZone = record.zone == this->options.zone;
         const auto trouble = this->troubledUntil.find(id);
-        candidate.troubled
-            = trouble != this->troubledUntil.end() && trouble->second > this->now;
+        candidate.troubled = trouble != this->troubledUntil.end() && trouble->second > this->now;
         candidates.push_back(std::move(candidate));
     }
+    this->assumeOtherZonesBusy(candidates);
     return candidates;
 }
 
+void Router::assumeOtherZonesBusy(std::vector<decision::ChoiceCandidate> &candidates) const
+{
+    if (this->hearsOtherZones) {
+        return;
+    }
+    decision::Claim sum;
+    std::uint32_t near = 0;
+    for (const decision::ChoiceCandidate &each : candidates) {
+        if (each.sameZone) {
+            sum += each.claimed;
+            near += 1;
+        }
+    }
+    for (decision::ChoiceCandidate &each : candidates) {
+        if (!each.sameZone && near > 0) {
+            each.claimed.attempts = std::max(each.claimed.attempts, sum.attempts / near);
+            each.claimed.memory = std::max(each.claimed.memory, sum.memory / near);
+            each.claimed.prefill = std::max(each.claimed.prefill, sum.prefill / near);
+        }
+    }
+}
+
 Tokens Router::expectedOutput(const Open &open, Tokens made) const
 {
     // A caller's own estimate is right at the median but far off for most; what was learned of
@@ -235,14 +267,12 @@
     const std::vector<RequestId> waiting = this->queue;
     for (const RequestId id : waiting) {
         Open *each = this->find(id);
-        const auto patience = std::chrono::duration_cast<microseconds>(
-            each->route->latencyObjective * waitPart);
-        const bool listed
-            = std::any_of(this->state->upstreams.begin(), this->state->upstreams.end(),
-                          [&](const auto &entry) {
-                              return entry.second.service == each->serviceName
-                                  && !entry.second.leaving;
-                          });
+        const auto patience
+            = std::chrono::duration_cast<microseconds>(each->route->latencyObjective * waitPart);
+        const bool listed = std::any_of(
+            this->state->upstreams.begin(), this->state->upstreams.end(), [&](const auto &entry) {
+                return entry.second.service == each->serviceName && !entry.second.leaving;
+            });
         if (listed && this->now - each->queuedAt < patience) {
             continue;
         }
--- a/src/routing/router_attempts.cpp
+++ b/src/routing/router_attempts.cpp
@@ -51,8 +51,8 @@
 {
     AttemptPlan plan;
     plan.upstream = upstream;
-    plan.timeLeft = std::max(
-        milliseconds(1), std::chrono::duration_cast<milliseconds>(open.deadline - this->now));
+    plan.timeLeft = std::max(milliseconds(1),
+                             std::chrono::duration_cast<milliseconds>(open.deadline - this->now));
     plan.workspace = open.workspace;
     plan.engine = open.service != nullptr && open.service->engine;
     plan.urgency = std::clamp(open.urgency, mostUrgent, leastUrgent);
@@ -314,8 +314,8 @@
                        {"tookMs", millisecondsSince(open.started, this->now)},
                        {"detail", detail}});
     }
-    const bool begun = open.headSeen && open.relaying && open.head.eventStream
-        && open.head.status == statusOk;
+    const bool begun
+        = open.headSeen && open.relaying && open.head.eventStream && open.head.status == statusOk;
     if (open.isTakeover && !begun) {
         this->concludeTakeover(open, end, detail);
     } else if (begun) {
@@ -394,8 +394,8 @@
         this->crashes.clear(open.fingerprint);
         this->cancel(open);
         this->dropMove(open, true);
-        const bool whole = !open.request->lastEventId && open.service != nullptr
-            && open.service->engine;
+        const bool whole
+            = !open.request->lastEventId && open.service != nullptr && open.service->engine;
         if (whole) {
             this->forecast.observe("", open.route->name,
                                    static_cast<Tokens>(open.events)
@@ -445,8 +445,9 @@
     }
     const bool mayHaveRun = open.running || !open.ranOn.empty();
     const bool queuedOnly = open.queued && !mayHaveRun;
-    this->answer(open, {queuedOnly ? statusUnavailable : statusGatewayTimeout, milliseconds(0),
-                        "the time ran out"});
+    this->answer(open,
+                 {queuedOnly ? statusUnavailable : statusGatewayTimeout, milliseconds(0),
+                  "the time ran out"});
 }
 
 void Router::checkSilence(Open &open)
--- a/src/routing/router_events.h
+++ b/src/routing/router_events.h
@@ -28,10 +28,10 @@
 
 /// How a transfer to an upstream ended.
 enum class AttemptEnd {
-    Complete,  ///< A whole answer arrived.
-    NotSent,   ///< No byte left this process.
-    Refused,   ///< Nothing listens there; no byte left this process.
-    Lost,      ///< The connection ended early, or what came is no answer.
+    Complete, ///< A whole answer arrived.
+    NotSent,  ///< No byte left this process.
+    Refused,  ///< Nothing listens there; no byte left this process.
+    Lost,     ///< The connection ended early, or what came is no answer.
     TimedOut,
 };
 
@@ -52,7 +52,7 @@
 struct MoveAnswer
 {
     MoveStatus status = MoveStatus::Failed;
-    std::string handle; ///< Names the copy; may be there though there was no room.
+    std::string handle;        ///< Names the copy; may be there though there was no room.
     std::uint64_t created = 0; ///< Events generated so far.
     bool operator==(const MoveAnswer &other) const = default;
 };
@@ -146,6 +146,8 @@
 struct ProcessesChanged
 {
     std::size_t count = 1; ///< Processes that may send to the same upstreams.
+    /// What processes of other zones have under way is heard, too.
+    bool hearsOtherZones = true;
 };
 
 struct TimePassed
@@ -154,9 +156,10 @@
 struct StopRequested
 { };
 
-using RouterEvent = std::variant<RequestArrived, CallerLeft, HeadArrived, EventsArrived,
-                                 AttemptEnded, MoveAnswered, ReportArrived, StateChanged, PublisherChanged, PeerTold,
-                                 CrashTold, ProcessesChanged, TimePassed, StopRequested>;
+using RouterEvent
+    = std::variant<RequestArrived, CallerLeft, HeadArrived, EventsArrived, AttemptEnded,
+                   MoveAnswered, ReportArrived, StateChanged, PublisherChanged, PeerTold, CrashTold,
+                   ProcessesChanged, TimePassed, StopRequested>;
 
 // Effects: what is to be done. --------------------------------------------------------------
 
--- a/src/routing/router_moves.cpp
+++ b/src/routing/router_moves.cpp
@@ -63,8 +63,7 @@
 
 decision::Claim Router::movedClaim(const Open &open) const
 {
-    const Tokens made
-        = static_cast<Tokens>(open.events) * open.service->engine->tokensPerEvent;
+    const Tokens made = static_cast<Tokens>(open.events) * open.service->engine->tokensPerEvent;
     const Tokens remaining = this->expectedOutput(open, made);
     const auto held = static_cast<Tokens>(remainingPart * remaining);
     return {1, open.request->promptTokens + made + held, 0};
@@ -101,15 +100,15 @@
     const UpstreamRecord *best = nullptr;
     double bestCost = backupLimit + farBackupCost;
     for (const auto &[id, record] : this->state->upstreams) {
-        if (id == upstream.id || !this->usable(open, record)) {
+        const bool unheard = !this->hearsOtherZones && record.zone != this->options.zone;
+        if (id == upstream.id || unheard || !this->usable(open, record)) {
             continue;
         }
         const auto trouble = this->troubledUntil.find(id);
         const bool troubled = trouble != this->troubledUntil.end() && trouble->second > this->now;
         const double part = (this->loads.total(id).memory + claim.memory) / capacity;
         // A copy near this process survives a cut of its zone, where the run itself is elsewhere.
-        const bool near
-            = upstream.zone == this->options.zone || record.zone == this->options.zone;
+        const bool near = upstream.zone == this->options.zone || record.zone == this->options.zone;
         const double cost = part + (near ? 0.0 : farBackupCost);
         if (!troubled && part < backupLimit && cost < bestCost) {
             best = &record;
@@ -246,7 +245,7 @@
     std::vector<decision::ChoiceCandidate> candidates;
     for (const auto &[id, record] : this->state->upstreams) {
         const bool fits = record.service == open.serviceName && !this->goesAway(record)
-            && id != open.upstream.id && !contains(move.refusedBy, id)
+            && this->isHome(open, record) && id != open.upstream.id && !contains(move.refusedBy, id)
             && this->state->evacuatedZones.count(record.zone) == 0;
         if (!fits) {
             continue;
@@ -264,6 +263,7 @@
         candidate.troubled = trouble != this->troubledUntil.end() && trouble->second > this->now;
         candidates.push_back(std::move(candidate));
     }
+    this->assumeOtherZonesBusy(candidates);
     const decision::Claim claim = this->movedClaim(open);
     const auto chosen = decision::chooseEngine(
         candidates, {open.request->promptTokens, claim.memory, true}, this->nextTurn());
@@ -424,7 +424,8 @@
     const auto source = std::find_if(
         this->state->upstreams.begin(), this->state->upstreams.end(),
         [&](const auto &entry) { return entry.second.address == open.takeoverOrigin; });
-    const bool unrun = end == AttemptEnd::NotSent || end == AttemptEnd::Refused || (end == AttemptEnd::Complete && open.head.notRun);
+    const bool unrun = end == AttemptEnd::NotSent || end == AttemptEnd::Refused
+        || (end == AttemptEnd::Complete && open.head.notRun);
     if (unrun && first && source != this->state->upstreams.end()
         && this->mayReceive(source->second)) {
         const UpstreamRecord back = source->second;
--- a/src/routing/types.h
+++ b/src/routing/types.h
@@ -45,6 +45,7 @@
     std::uint32_t priority = 0;        ///< 0 is the most urgent.
     bool keyless = false;              ///< Needs no API key.
     bool resumable = false;            ///< Its streams may go on at another upstream.
+    std::vector<std::string> regions;  ///< Only upstreams there may get it; empty: anywhere.
     bool operator==(const Route &other) const = default;
 };
 
@@ -86,6 +87,7 @@
     std::string name;
     std::vector<std::string> keys;
     std::optional<std::uint32_t> priority; ///< Takes precedence over the route's.
+    std::vector<std::string> regions;      ///< As Route::regions; where both say, both bind.
     bool operator==(const Workspace &other) const = default;
 };
 
@@ -153,8 +155,8 @@
 {
     UpstreamRecord upstream;
     milliseconds timeLeft {0};
-    std::string workspace;       ///< Empty on a keyless route.
-    std::uint32_t urgency = 0;   ///< 0 to 9, 0 first; only for engines.
+    std::string workspace;     ///< Empty on a keyless route.
+    std::uint32_t urgency = 0; ///< 0 to 9, 0 first; only for engines.
     bool engine = false;
     std::optional<std::uint64_t> afterEvent; ///< Go on after this event.
     std::optional<Takeover> takeover;
@@ -166,10 +168,10 @@
 struct AnswerHead
 {
     int status = 0;
-    bool notRun = false;    ///< The upstream states that it did not run the request.
+    bool notRun = false;        ///< The upstream states that it did not run the request.
     bool otherInstance = false; ///< Another upstream has the address now.
-    bool genuine = false;   ///< Bears the upstream's signature, and the id of this request.
-    bool foreign = false;   ///< Bears the id of another request.
+    bool genuine = false;       ///< Bears the upstream's signature, and the id of this request.
+    bool foreign = false;       ///< Bears the id of another request.
     bool eventStream = false;
     http::HeaderFields fields; ///< For the caller.
 };
--- a/src/serving/routed_calls.cpp
+++ b/src/serving/routed_calls.cpp
@@ -55,7 +55,7 @@
     routing::ReadRequest read = this->port.readRequest(request);
     if (const auto *refusal = std::get_if<routing::OwnAnswer>(&read)) {
         exchange->respondWith(refusal->status, this->port.writeOwnHead("", *refusal),
-                          ownBody(*refusal));
+                              ownBody(*refusal));
         return;
     }
     Session session;
@@ -212,9 +212,8 @@
     };
     callbacks.onData
         = [this, attempt](std::string_view bytes) { return this->onData(attempt, bytes); };
-    callbacks.onDone = [this, attempt](const http::TransferResult &result) {
-        this->onDone(attempt, result);
-    };
+    callbacks.onDone
+        = [this, attempt](const http::TransferResult &result) { this->onDone(attempt, result); };
     Transfer transfer;
     transfer.attempt = attempt.number;
     transfer.id = this->client.start(this->port.writeAttempt(*session.request, effect.plan),
@@ -274,8 +273,8 @@
     this->registry.count(metrics::Counter::Refusals);
     const Session &session = this->sessions.at(effect.request);
     session.exchange->respondWith(effect.answer.status,
-                              this->port.writeOwnHead(session.request->callerId, effect.answer),
-                              ownBody(effect.answer));
+                                  this->port.writeOwnHead(session.request->callerId, effect.answer),
+                                  ownBody(effect.answer));
 }
 
 void RoutedCalls::execute(const routing::AskMove &effect)
--- a/src/serving/routing_process.cpp
+++ b/src/serving/routing_process.cpp
@@ -74,7 +74,9 @@
 {
     const settings::FleetBounds &bounds = settings.bounds;
     std::random_device random;
-    return {settings.zone, random(),
+    return {settings.zone,
+            settings.regionOfZone,
+            random(),
             {bounds.retryShare, bounds.retryAllowance, bounds.retryWindow}};
 }
 
@@ -225,8 +227,7 @@
 {
     const bool now = this->ready();
     if (this->wasReady.exchange(now) != now) {
-        this->journal.record(
-            {journal::EventId::ReadinessChanged, {{"ready", now ? "yes" : "no"}}});
+        this->journal.record({journal::EventId::ReadinessChanged, {{"ready", now ? "yes" : "no"}}});
     }
 }
 
@@ -290,8 +291,9 @@
     this->calls.handle(routing::PublisherChanged {this->view.publisherAway()});
     const std::size_t known = this->coordinator.known().size();
     const bool joining = monotonicNow() - this->started < joinTime;
+    const bool hearsAll = this->coordinator.active().size() <= tellAllMembers;
     this->calls.handle(
-        routing::ProcessesChanged {joining ? std::max(known, unknownProcesses) : known});
+        routing::ProcessesChanged {joining ? std::max(known, unknownProcesses) : known, hearsAll});
     if (const std::uint64_t dropped = journal::takeDroppedLines()) {
         this->journal.record(
             {journal::EventId::LogLinesDropped, {{"count", std::to_string(dropped)}}});
@@ -338,9 +340,8 @@
     }
     // What arrives between the last answer and the exit is refused rather than cut.
     this->calls.refuseFurther();
-    const auto answering = [&] {
-        return this->calls.status().open > 0 || this->callers.openExchanges() > 0;
-    };
+    const auto answering
+        = [&] { return this->calls.status().open > 0 || this->callers.openExchanges() > 0; };
     while (answering() && monotonicNow() < latest) {
         std::this_thread::sleep_for(stopPoll);
     }
--- a/src/serving/routing_process.h
+++ b/src/serving/routing_process.h
@@ -75,7 +75,7 @@
     const routing::PlatformPort port;
     std::atomic<bool> stopping {false};
     std::atomic<bool> wasReady {false};
-    std::uint64_t reports = 0; ///< Touched by the timer's thread only.
+    std::uint64_t reports = 0;            ///< Touched by the timer's thread only.
     routing::RequestLimits limitsInForce; ///< Touched while a state is taken over only.
     RoutedCalls calls;
     members::Coordinator coordinator;
--- a/src/serving/view_keeper.cpp
+++ b/src/serving/view_keeper.cpp
@@ -16,23 +16,25 @@
     : journal(journal), hooks(std::move(hooks)), view(std::move(read)),
       reader(std::make_shared<routing::FeedReader>(
           std::move(calls),
-          routing::FeedHooks {
-              [this](const routing::ViewUpdate &update) {
-                  const bool taken = this->update(update);
-                  if (taken && !update.items.empty() && !update.whole) {
-                      this->hooks.tellZone({update});
-                  }
-                  return taken;
-              },
-              [this] { this->journal.record({journal::EventId::PublisherLost, {}}); },
-              [this](microseconds away) {
-                  this->journal.record({journal::EventId::PublisherBack,
-                                        {{"awayMs", std::to_string(away.count() / 1'000)}}});
-                  if (away >= lapsingOutage) {
-                      const std::lock_guard lock(this->mutex);
-                      this->view.noteOutageOver(monotonicNow());
-                  }
-              }},
+          routing::FeedHooks {[this](const routing::ViewUpdate &update) {
+                                  const bool taken = this->update(update);
+                                  if (taken && !update.items.empty() && !update.whole) {
+                                      this->hooks.tellZone({update});
+                                  }
+                                  return taken;
+                              },
+                              [this] {
+                                  this->journal.record({journal::EventId::PublisherLost, {}});
+                              },
+                              [this](microseconds away) {
+                                  this->journal.record(
+                                      {journal::EventId::PublisherBack,
+                                       {{"awayMs", std::to_string(away.count() / 1'000)}}});
+                                  if (away >= lapsingOutage) {
+                                      const std::lock_guard lock(this->mutex);
+                                      this->view.noteOutageOver(monotonicNow());
+                                  }
+                              }},
           timers))
 { }
 
@@ -95,8 +97,8 @@
             const auto heard = this->readers.find(member);
             reads = reads && (heard == this->readers.end() || now - heard->second >= readerTime);
         }
-        const bool behind = this->behindSince != Instant::max()
-            && now - this->behindSince >= 2 * behindTime;
+        const bool behind
+            = this->behindSince != Instant::max() && now - this->behindSince >= 2 * behindTime;
         reads = reads || behind;
     }
     this->reader->setActive(reads);
@@ -122,8 +124,7 @@
         }
         this->behindSince = std::min(this->behindSince, now);
         // A member that knows as little does not make this process any less behind.
-        const bool due = viewAt > known
-            && now - this->behindSince >= behindTime
+        const bool due = viewAt > known && now - this->behindSince >= behindTime
             && (this->asked == Instant::min() || now - this->asked >= behindTime);
         if (!due) {
             return;
--- a/src/settings/routing_settings.cpp
+++ b/src/settings/routing_settings.cpp
@@ -7,8 +7,7 @@
 
 constexpr double millisecondsPerSecond = 1'000.0;
 
-milliseconds readSeconds(json::ObjectReader &reader, const std::string &name,
-                         milliseconds fallback)
+milliseconds readSeconds(json::ObjectReader &reader, const std::string &name, milliseconds fallback)
 {
     const double given = reader.number(
         name, {0.1, 86'400.0}, static_cast<double>(fallback.count()) / millisecondsPerSecond);
@@ -47,6 +46,11 @@
         settings.metricsAddress = readAddress(reader, "metricsAddress");
     }
     settings.seeds = readSeeds(reader);
+    reader.object("regionOfZone", [&](json::ObjectReader &regions) {
+        for (const std::string &zone : regions.names()) {
+            settings.regionOfZone[zone] = regions.requiredText(zone);
+        }
+    });
     const std::string format = reader.choice("logFormat", {"text", "json"}, "json");
     settings.logFormat = format == "json" ? LogFormat::Json : LogFormat::Text;
     settings.descriptors = readSize(reader, "descriptors", {64, 10'000'000}, settings.descriptors);
--- a/src/settings/routing_settings.h
+++ b/src/settings/routing_settings.h
@@ -3,6 +3,7 @@
 
 #include "settings/settings.h"
 
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -32,6 +33,7 @@
     std::optional<Address> metricsAddress;
     Address publisherAddress; ///< The store that the configuration is published in.
     std::vector<Address> seeds;
+    std::map<std::string, std::string> regionOfZone; ///< Of all zones.
     LogFormat logFormat = LogFormat::Json;
     std::size_t descriptors = 4'096; ///< Sockets that the process may have open.
     FleetBounds bounds;
--- a/src/upstreams/event_splitter.cpp
+++ b/src/upstreams/event_splitter.cpp
@@ -33,8 +33,7 @@
             std::size_t begin = line + 3;
             begin += event[begin] == ' ' ? 1 : 0;
             std::uint64_t id = 0;
-            const auto [rest, code]
-                = std::from_chars(event.data() + begin, event.data() + end, id);
+            const auto [rest, code] = std::from_chars(event.data() + begin, event.data() + end, id);
             return code == std::errc() ? std::optional(id) : std::nullopt;
         }
         line = end + 1;
--- a/tests/decision/engine_choice_test.cpp
+++ b/tests/decision/engine_choice_test.cpp
@@ -45,10 +45,10 @@
 public:
     void promptsAreSpreadBeforeAnythingElse()
     {
-        CPPUNIT_ASSERT_EQUAL(std::string("idle"),
-                             chosenOf({engine("reading", {1, 3'500, 3'000}),
-                                       engine("idle", {4, 14'000, 0})},
-                                      longDraft));
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("idle"),
+            chosenOf({engine("reading", {1, 3'500, 3'000}), engine("idle", {4, 14'000, 0})},
+                     longDraft));
     }
 
     void memoryThatWouldOverflowIsNoChoice()
@@ -69,10 +69,10 @@
 
     void theOwnZoneGoesFirstAmongEquals()
     {
-        CPPUNIT_ASSERT_EQUAL(std::string("near"),
-                             chosenOf({engine("far", {1, 3'500, 0}, false),
-                                       engine("near", {2, 7'000, 0})},
-                                      longDraft));
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("near"),
+            chosenOf({engine("far", {1, 3'500, 0}, false), engine("near", {2, 7'000, 0})},
+                     longDraft));
     }
 
     void aTroubledEngineIsTheLastChoiceButOne()
@@ -97,8 +97,8 @@
 
     void plainUpstreamsAreChosenByLoad()
     {
-        std::vector<ChoiceCandidate> plain {engine("near", {3, 0, 0}), engine("far", {0, 0, 0},
-                                                                              false)};
+        std::vector<ChoiceCandidate> plain {engine("near", {3, 0, 0}),
+                                            engine("far", {0, 0, 0}, false)};
         plain[0].slots = 6;
         plain[1].slots = 6;
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), *choosePlain(plain, 0));
@@ -119,10 +119,10 @@
             CPPUNIT_ASSERT(chosen);
             engines[*chosen].claimed += {1, longDraft.memory, longDraft.promptTokens};
         }
-        const auto [least, most] = std::minmax_element(
-            engines.begin(), engines.end(), [](const auto &a, const auto &b) {
-                return a.claimed.attempts < b.claimed.attempts;
-            });
+        const auto [least, most]
+            = std::minmax_element(engines.begin(), engines.end(), [](const auto &a, const auto &b) {
+                  return a.claimed.attempts < b.claimed.attempts;
+              });
         CPPUNIT_ASSERT(most->claimed.attempts - least->claimed.attempts <= 1);
     }
 };
--- a/tests/http/request_reader_test.cpp
+++ b/tests/http/request_reader_test.cpp
@@ -65,9 +65,10 @@
 
     void targetFieldsAndBodyStayAsTheyWereSent()
     {
-        const ReadOutcome outcome = read("PUT /a//b/../c%2f?x=%41&y=+&x=2 HTTP/1.1\r\nHoSt: shop\r\n"
-                                         "X-One: 1\r\nX-One:  2 \r\nContent-Length: 3\r\n\r\n\0\1\2"
-                                         "rest");
+        const ReadOutcome outcome
+            = read("PUT /a//b/../c%2f?x=%41&y=+&x=2 HTTP/1.1\r\nHoSt: shop\r\n"
+                   "X-One: 1\r\nX-One:  2 \r\nContent-Length: 3\r\n\r\n\0\1\2"
+                   "rest");
         CPPUNIT_ASSERT_EQUAL(std::string("incomplete"), describe(outcome));
         const std::string bytes("PUT /a//b/../c%2f?x=%41&y=+ HTTP/1.1\r\nHoSt: shop\r\n"
                                 "X-One: 1\r\nX-One:  2 \r\nContent-Length: 3\r\n\r\n\0\1\2",
@@ -139,8 +140,7 @@
         const std::string long_ = "X: " + std::string(300, 'x') + "\r\n\r\n";
         CPPUNIT_ASSERT_EQUAL(std::string("431"), describe(read(head + long_, limits)).substr(0, 3));
         const std::string large = "Content-Length: 1001\r\n\r\n";
-        CPPUNIT_ASSERT_EQUAL(std::string("413"),
-                             describe(read(head + large, limits)).substr(0, 3));
+        CPPUNIT_ASSERT_EQUAL(std::string("413"), describe(read(head + large, limits)).substr(0, 3));
     }
 };
 
--- a/tests/journal/journal_test.cpp
+++ b/tests/journal/journal_test.cpp
@@ -2,7 +2,12 @@
 
 #include "support/suite.h"
 
+#include <unistd.h>
+
+#include <array>
+#include <iostream>
 #include <string>
+#include <thread>
 
 namespace azurespindle::journal {
 
@@ -10,6 +15,7 @@
 {
     CPPUNIT_TEST_SUITE(JournalTest);
     CPPUNIT_TEST(onlyTheMostRecentEventsAreKept);
+    CPPUNIT_TEST(aLogThatNobodyReadsHoldsNobodyUp);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -25,6 +31,33 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1),
                              journal.concerning("m" + std::to_string(count - 1)).size());
     }
+
+    /// A pipe that is full, as when whoever collects the log has stopped.
+    void aLogThatNobodyReadsHoldsNobodyUp()
+    {
+        std::array<int, 2> ends {};
+        CPPUNIT_ASSERT_EQUAL(0, pipe(ends.data()));
+        const int standardOutput = dup(STDOUT_FILENO);
+        std::cout.flush();
+        dup2(ends[1], STDOUT_FILENO);
+        openBoundedLog(settings::LogFormat::Json, "full", Severity::Info);
+        Journal journal;
+        const Instant begun = monotonicNow();
+        constexpr int lines = 12'000;
+        for (int index = 0; index < lines; ++index) {
+            journal.record({EventId::RequestFinished, {{"request", std::to_string(index)}}});
+        }
+        const microseconds took = monotonicNow() - begun;
+        const std::uint64_t dropped = takeDroppedLines();
+        dup2(standardOutput, STDOUT_FILENO);
+        // The log's thread is let go on: what it still writes is read and thrown away.
+        std::thread([end = ends[0]] {
+            std::array<char, 4'096> bytes {};
+            while (read(end, bytes.data(), bytes.size()) > 0) { }
+        }).detach();
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(inSeconds(took)), took < seconds(5));
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(dropped), dropped > 1'000);
+    }
 };
 
 REGISTER_SUITE(JournalTest, "journal");
--- a/tests/members/messages_test.cpp
+++ b/tests/members/messages_test.cpp
@@ -31,7 +31,15 @@
             LeaseGrants {{grant}},
             CrashNote {"p", 1, "e", 2, CrashVerdict::Acquitted},
             PermitRequests {{{"s#1", "p", "e", 3, decision::OrderPhase::Draining, true, true}}},
-            PermitAnswers {{{"e", 3, true, true, milliseconds(5), "why"}}}};
+            PermitAnswers {{{"e", 3, true, true, milliseconds(5), "why"}}},
+            RouterReport {true,
+                          9,
+                          true,
+                          {{"e", {1, 2, 3}}},
+                          {{"s", 4, 5}},
+                          {{"e", 6, routing::UpstreamNote::Kind::Leaving, milliseconds(7)}}},
+            ViewWanted {8},
+            ViewNews {{true, 1, 2, {{"k", std::string("\0v", 2), 2, false}, {"d", "", 3, true}}}}};
 }
 
 /// Changes, drops and inserts a few bytes.
--- a/tests/platform/ingress_test.cpp
+++ b/tests/platform/ingress_test.cpp
@@ -154,7 +154,8 @@
         CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.2:80/h"), valueOf(out.fields, "Kv-From"));
         CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.3:80"),
                              valueOf(out.fields, "Azurespindle-Kv-Backup"));
-        CPPUNIT_ASSERT_EQUAL(std::string("1"), valueOf(out.fields, "Azurespindle-Request-Priority"));
+        CPPUNIT_ASSERT_EQUAL(std::string("1"),
+                             valueOf(out.fields, "Azurespindle-Request-Priority"));
     }
 
     void headsSayWhoAnswered()
--- a/tests/platform/platform_standins.cpp
+++ b/tests/platform/platform_standins.cpp
@@ -120,8 +120,8 @@
             return true;
         }
         if (monotonicNow() >= watch.until) {
-            watch.exchange->respond(200, jsonHeaders,
-                                    json {{"events", json::array()}, {"at", this->revision}}.dump());
+            watch.exchange->respond(
+                200, jsonHeaders, json {{"events", json::array()}, {"at", this->revision}}.dump());
             return true;
         }
         return false;
@@ -193,9 +193,14 @@
 
 std::string EngineStandin::record(bool leaving) const
 {
-    return json {{"service", "models"}, {"address", this->address()}, {"zone", "north"},
-                 {"slots", 24}, {"state", leaving ? "draining" : "ready"}, {"cold_left_ms", 0},
-                 {"born", 100 + this->port}, {"sequence", 1}}
+    return json {{"service", "models"},
+                 {"address", this->address()},
+                 {"zone", "north"},
+                 {"slots", 24},
+                 {"state", leaving ? "draining" : "ready"},
+                 {"cold_left_ms", 0},
+                 {"born", 100 + this->port},
+                 {"sequence", 1}}
         .dump();
 }
 
@@ -287,9 +292,10 @@
     const std::string last = headerOf(request, "last-event-id");
     run.made = last.empty() ? 0 : std::stoull(last);
     this->startCount += 1;
-    exchange->beginStream(200, {{"content-type", "text/event-stream"},
-                                {"azurespindle-attempt-id", callerId},
-                                {"azurespindle-server-seal", "seal-of-" + this->id}});
+    exchange->beginStream(200,
+                          {{"content-type", "text/event-stream"},
+                           {"azurespindle-attempt-id", callerId},
+                           {"azurespindle-server-seal", "seal-of-" + this->id}});
     {
         const std::lock_guard lock(this->mutex);
         this->runs[callerId] = run;
@@ -339,9 +345,14 @@
 
 std::string PlainStandin::record(bool leaving) const
 {
-    return json {{"service", "desk"}, {"address", "127.0.0.1:" + std::to_string(this->port)},
-                 {"zone", "north"}, {"slots", 6}, {"state", leaving ? "draining" : "ready"},
-                 {"cold_left_ms", 0}, {"born", 100 + this->port}, {"sequence", 1}}
+    return json {{"service", "desk"},
+                 {"address", "127.0.0.1:" + std::to_string(this->port)},
+                 {"zone", "north"},
+                 {"slots", 6},
+                 {"state", leaving ? "draining" : "ready"},
+                 {"cold_left_ms", 0},
+                 {"born", 100 + this->port},
+                 {"sequence", 1}}
         .dump();
 }
 
--- a/tests/platform/published_test.cpp
+++ b/tests/platform/published_test.cpp
@@ -27,7 +27,7 @@
     = R"({"version":7,"routes":[{"name":"r","host":"h.example","path_prefix":"/a/",)"
       R"("route_kind":"streaming","timeout_ms":39000,"target_latency_ms":1800,"priority":1,)"
       R"("split":[{"service":"s","weight":90},{"service":"t","weight":10}],"max_attempts":1,)"
-      R"("public":false,"sticky":true,"resumable":true,"target_itl_ms":180},)"
+      R"("public":false,"sticky":true,"resumable":true,"allowed_regions":["here"],"target_itl_ms":180},)"
       R"({"name":"o","host":"h.example","path_prefix":"/b/","route_kind":"non_idempotent",)"
       R"("timeout_ms":1000,"target_latency_ms":150,"priority":2,"service":"t","public":true}],)"
       R"("services":[{"name":"s","health_path":"/healthz","max_conns":252,"cold_start_s":1.0,)"
@@ -53,8 +53,8 @@
     void aServerIsReadAsItDescribesItself()
     {
         const auto fact = readServer(goodServer);
-        const routing::UpstreamRecord expected {
-            "i-1", "s", "10.0.0.1:80", "z", 24, false, milliseconds(250), 1'781'089'075'381};
+        const routing::UpstreamRecord expected {"i-1", "s",   "10.0.0.1:80",     "z",
+                                                24,    false, milliseconds(250), 1'781'089'075'381};
         CPPUNIT_ASSERT(std::holds_alternative<routing::UpstreamRecord>(fact));
         CPPUNIT_ASSERT(expected == std::get<routing::UpstreamRecord>(fact));
         const auto leaving = readServer(replaced(goodServer, "\"ready\"", "\"draining\""));
@@ -96,7 +96,9 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), stream.services.size());
         CPPUNIT_ASSERT_EQUAL(10.0, stream.services[1].weight);
         CPPUNIT_ASSERT(stream.gapObjective == milliseconds(180));
+        CPPUNIT_ASSERT(stream.regions == std::vector<std::string>({"here"}));
         const routing::Route &order = read.routes.at(1);
+        CPPUNIT_ASSERT(order.regions.empty());
         CPPUNIT_ASSERT(order.kind == routing::RouteKind::NonIdempotent && order.keyless);
         CPPUNIT_ASSERT_EQUAL(1U, order.maxAttempts);
         const routing::EngineTraits &engine = *read.services.at(0).engine;
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -29,16 +29,18 @@
 public:
     void listingsAndChangesAreRead()
     {
-        const auto page = readStoreAnswer(
-            completed(200), R"({"items":[{"key":"op/x","value":"bm9kZS0x","revision":412,)"
-                            R"("created":412,"lease":0}],"has_more":true,"at":530})");
+        const auto page
+            = readStoreAnswer(completed(200),
+                              R"({"items":[{"key":"op/x","value":"bm9kZS0x","revision":412,)"
+                              R"("created":412,"lease":0}],"has_more":true,"at":530})");
         CPPUNIT_ASSERT(page.status == FeedStatus::Answered && page.more);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(530), page.at);
         CPPUNIT_ASSERT((routing::PublishedItem {"op/x", "node-1", 412, false}) == page.items.at(0));
-        const auto changes = readStoreAnswer(
-            completed(200), R"({"events":[{"key":"a","value":"eA==","revision":5},)"
-                            R"({"key":"b","revision":6,"deleted":true},)"
-                            R"({"key":"c","value":"","revision":7}],"at":7})");
+        const auto changes
+            = readStoreAnswer(completed(200),
+                              R"({"events":[{"key":"a","value":"eA==","revision":5},)"
+                              R"({"key":"b","revision":6,"deleted":true},)"
+                              R"({"key":"c","value":"","revision":7}],"at":7})");
         CPPUNIT_ASSERT_EQUAL(std::string("x"), changes.items.at(0).value);
         CPPUNIT_ASSERT(changes.items.at(1).deleted);
         CPPUNIT_ASSERT_EQUAL(std::string(), changes.items.at(2).value);
@@ -59,8 +61,8 @@
         for (const char *body : {"", "{", "[]", R"({"at":1})", R"({"items":[],"at":"x"})",
                                  R"({"items":[{"key":"a"}],"at":1})",
                                  R"({"items":[{"key":"a","value":"#","revision":1}],"at":1})"}) {
-            CPPUNIT_ASSERT_MESSAGE(body, readStoreAnswer(completed(200), body).status
-                                             == FeedStatus::Failed);
+            CPPUNIT_ASSERT_MESSAGE(
+                body, readStoreAnswer(completed(200), body).status == FeedStatus::Failed);
         }
     }
 
@@ -68,12 +70,12 @@
     {
         std::promise<http::ServerRequest> listed;
         std::promise<http::ServerRequest> watched;
-        http::Server server({"127.0.0.1", 0}, {}, 1,
-                            [&](const http::ServerRequest &request, const http::ExchangePtr &out) {
-                                (request.path == "/v1/kv-range" ? listed : watched)
-                                    .set_value(request);
-                                out->respond(200, {}, R"({"items":[],"at":1})");
-                            });
+        http::Server server(
+            {"127.0.0.1", 0}, {}, 1,
+            [&](const http::ServerRequest &request, const http::ExchangePtr &out) {
+                (request.path == "/v1/kv-range" ? listed : watched).set_value(request);
+                out->respond(200, {}, R"({"items":[],"at":1})");
+            });
         CPPUNIT_ASSERT(!server.start());
         http::Client client;
         metrics::Registry registry;
--- a/tests/routing/feed_reader_test.cpp
+++ b/tests/routing/feed_reader_test.cpp
@@ -17,14 +17,14 @@
 struct Reading
 {
     explicit Reading(bool keepsUp = true)
-        : reader(std::make_shared<FeedReader>(
-            store.calls(),
-            FeedHooks {[this, keepsUp](const ViewUpdate &update) {
-                           updates.push_back(update);
-                           return keepsUp;
-                       },
-                       [this] { lost += 1; }, [this](microseconds) { back += 1; }},
-            timers))
+        : reader(std::make_shared<FeedReader>(store.calls(),
+                                              FeedHooks {[this, keepsUp](const ViewUpdate &update) {
+                                                             updates.push_back(update);
+                                                             return keepsUp;
+                                                         },
+                                                         [this] { lost += 1; },
+                                                         [this](microseconds) { back += 1; }},
+                                              timers))
     {
         timers.start();
     }
--- a/tests/routing/published_view_test.cpp
+++ b/tests/routing/published_view_test.cpp
@@ -88,9 +88,8 @@
         PublishedView view = fullView();
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(5), view.state()->routes->configuration().version);
         CPPUNIT_ASSERT_EQUAL(std::size_t(5), view.state()->upstreams.size());
-        CPPUNIT_ASSERT(view.take({false, 10, 13, {item("u1", "u leaving", 12),
-                                                  item("zone", "z north", 13)}},
-                                 start));
+        CPPUNIT_ASSERT(view.take(
+            {false, 10, 13, {item("u1", "u leaving", 12), item("zone", "z north", 13)}}, start));
         CPPUNIT_ASSERT(view.state()->upstreams.at("u1").leaving);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), view.state()->evacuatedZones.count("north"));
         CPPUNIT_ASSERT(view.take({false, 13, 14, {deleted("zone", 14)}}, start));
--- a/tests/routing/route_table_test.cpp
+++ b/tests/routing/route_table_test.cpp
@@ -19,7 +19,8 @@
     RoutingConfiguration configuration;
     configuration.routes = {makeRoute("a.example", "/"), makeRoute("a.example", "/orders/"),
                             makeRoute("a.example", "/orders/new/"), makeRoute("b.example", "/b/")};
-    configuration.workspaces = {{"gates", {"k1", "k2"}, 1}, {"hinges", {"k3"}, std::nullopt}};
+    configuration.workspaces
+        = {{"gates", {"k1", "k2"}, 1, {}}, {"hinges", {"k3"}, std::nullopt, {}}};
     configuration.services = {{"desk", 10, 0.0, std::nullopt}};
     return RouteTable(configuration);
 }
--- a/tests/routing/router_play.cpp
+++ b/tests/routing/router_play.cpp
@@ -38,17 +38,25 @@
     look.maxAttempts = 2;
     Route open = makeRoute("open", RouteKind::Idempotent, "desk");
     open.keyless = true;
-    configuration.routes = {longer, shorter, look, open,
-                            makeRoute("order", RouteKind::NonIdempotent, "desk")};
+    Route home = makeRoute("home", RouteKind::Idempotent, "desk");
+    home.regions = {"here"};
+    configuration.routes
+        = {longer, shorter, look, open, home, makeRoute("order", RouteKind::NonIdempotent, "desk")};
     EngineTraits engine {24, engineMemory, 262'144.0, 38'000.0, 4, true, true, milliseconds(5'000)};
     configuration.services = {{"models", 252, 27.0, engine}, {"desk", 110, 0.0, std::nullopt}};
-    configuration.workspaces = {{"gates", {"k1"}, std::nullopt}, {"urgent", {"k2"}, 0}};
+    configuration.workspaces = {{"gates", {"k1"}, std::nullopt, {}},
+                                {"urgent", {"k2"}, 0, {}},
+                                {"abroad", {"k3"}, std::nullopt, {"there"}}};
     return configuration;
 }
 
 } // namespace
 
-RouterPlay::RouterPlay(const std::string &zone) : router({zone, 1, {0.2, 58.0, seconds(10)}})
+RouterPlay::RouterPlay(const std::string &zone)
+    : router({zone,
+              {{"north", "here"}, {"south", "here"}, {"far", "there"}},
+              1,
+              {0.2, 58.0, seconds(10)}})
 { }
 
 void RouterPlay::publish()
--- a/tests/routing/router_test.cpp
+++ b/tests/routing/router_test.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST_SUITE(RouterTest);
     CPPUNIT_TEST(withoutAConfigurationNothingIsRefusedForGood);
     CPPUNIT_TEST(pathsAndKeysDecideWhoIsServed);
+    CPPUNIT_TEST(aRequestStaysInItsHomeRegions);
     CPPUNIT_TEST(anIdempotentCallIsTriedOnceMoreElsewhere);
     CPPUNIT_TEST(anUnrepeatableCallThatMayHaveRunIsNeverSentAgain);
     CPPUNIT_TEST(whatDidNotRunIsSentElsewhere);
@@ -26,6 +27,7 @@
     CPPUNIT_TEST(leavingAndEvacuatedUpstreamsGetNothing);
     CPPUNIT_TEST(anUpstreamThatRefusesConnectionsGetsNothingForAWhile);
     CPPUNIT_TEST(aColdUpstreamGetsNoMoreThanItsShare);
+    CPPUNIT_TEST(whereOtherZonesAreNotHeardTheyAreNoSink);
     CPPUNIT_TEST(aRequestWaitsForRoomAndIsRefusedEarly);
     CPPUNIT_TEST(withNoUpstreamInServiceARequestIsRefusedAtOnce);
     CPPUNIT_TEST(moreUrgentRequestsGoFirst);
@@ -60,6 +62,24 @@
         CPPUNIT_ASSERT_EQUAL(std::string("gates"), play.last<StartAttempt>()->plan.workspace);
     }
 
+    void aRequestStaysInItsHomeRegions()
+    {
+        RouterPlay play;
+        play.configure();
+        play.addPlain("p1", "north");
+        play.addPlain("p2", "far");
+        for (int call = 0; call < 6; ++call) {
+            play.arrive("/home/1");
+            CPPUNIT_ASSERT_EQUAL(std::string("p1"), play.startedOn());
+            play.arrive("/order/1", "k3");
+            CPPUNIT_ASSERT_EQUAL(std::string("p2"), play.startedOn());
+        }
+        const std::size_t started = play.count<StartAttempt>();
+        play.arrive("/home/1", "k3");
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("both bind, and leave nowhere", started,
+                                     play.count<StartAttempt>());
+    }
+
     void anIdempotentCallIsTriedOnceMoreElsewhere()
     {
         RouterPlay play;
@@ -274,6 +294,25 @@
         CPPUNIT_ASSERT_MESSAGE(std::to_string(sent), sent >= 4);
     }
 
+    /// Load: a fleet so large that claims stay in their zone. Engines of other zones look empty to
+    /// every process, and all would send there.
+    void whereOtherZonesAreNotHeardTheyAreNoSink()
+    {
+        RouterPlay play;
+        play.configure();
+        play.handle(ProcessesChanged {90, false});
+        for (const char *id : {"e1", "e2", "e3"}) {
+            play.addEngine(id);
+        }
+        play.addEngine("e4", "south");
+        std::size_t south = 0;
+        for (int call = 0; call < 15; ++call) {
+            play.arrive("/long/1");
+            south += play.startedOn() == "e4" ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(south), south <= 4);
+    }
+
     void aRequestWaitsForRoomAndIsRefusedEarly()
     {
         RouterPlay play;
--- a/tests/serving/routing_process_test.cpp
+++ b/tests/serving/routing_process_test.cpp
@@ -208,8 +208,8 @@
         this->startReady(1);
         std::vector<std::future<Answer>> answers;
         for (int draft = 0; draft < 6; ++draft) {
-            answers.push_back(send(*this->client, 0, "/draft/1", "events=500",
-                                   "l" + std::to_string(draft)));
+            answers.push_back(
+                send(*this->client, 0, "/draft/1", "events=500", "l" + std::to_string(draft)));
         }
         CPPUNIT_ASSERT(eventually([&] { return this->allRunning() == 6; }));
         std::this_thread::sleep_for(milliseconds(700));
@@ -233,8 +233,8 @@
         this->startReady(1);
         std::vector<std::future<Answer>> answers;
         for (int draft = 0; draft < 4; ++draft) {
-            answers.push_back(send(*this->client, 0, "/draft/1", "events=400",
-                                   "x" + std::to_string(draft)));
+            answers.push_back(
+                send(*this->client, 0, "/draft/1", "events=400", "x" + std::to_string(draft)));
         }
         CPPUNIT_ASSERT(eventually([&] { return this->allRunning() == 4; }));
         std::this_thread::sleep_for(milliseconds(800));
@@ -250,8 +250,8 @@
     {
         using Mood = PlainStandin::Mood;
         this->startReady(1);
-        for (const Mood first : {Mood::Answers, Mood::Fails, Mood::LosesAnswer, Mood::IsFull,
-                                 Mood::OtherInstance}) {
+        for (const Mood first :
+             {Mood::Answers, Mood::Fails, Mood::LosesAnswer, Mood::IsFull, Mood::OtherInstance}) {
             for (const auto &plain : this->plains) {
                 plain->setMood(first);
             }
@@ -297,12 +297,12 @@
         CPPUNIT_ASSERT_EQUAL(200, call(*this->client, 1, "/order/1").status);
         this->store->put("op/config",
                          tests::platformConfiguration(
-                             2, R"(,{"name":"new","host":"shop.example","path_prefix":"/new/",)"
-                                R"("route_kind":"idempotent","service":"desk","timeout_ms":1000,)"
-                                R"("target_latency_ms":150,"priority":0,"max_attempts":2})"));
+                             2,
+                             R"(,{"name":"new","host":"shop.example","path_prefix":"/new/",)"
+                             R"("route_kind":"idempotent","service":"desk","timeout_ms":1000,)"
+                             R"("target_latency_ms":150,"priority":0,"max_attempts":2})"));
         const Instant published = monotonicNow();
-        CPPUNIT_ASSERT(
-            eventually([&] { return call(*this->client, 1, "/new/1").status == 200; }));
+        CPPUNIT_ASSERT(eventually([&] { return call(*this->client, 1, "/new/1").status == 200; }));
         CPPUNIT_ASSERT(monotonicNow() - published < milliseconds(2'000));
     }
 
@@ -362,8 +362,8 @@
         std::string body;
         request.url = "http://127.0.0.1:" + std::to_string(firstProcessPort + 3) + "/metrics";
         CPPUNIT_ASSERT_EQUAL(200, http::fetch(request, body).status);
-        CPPUNIT_ASSERT_MESSAGE(body, body.find("azurespindle_requests_total 1\n")
-                                         != std::string::npos);
+        CPPUNIT_ASSERT_MESSAGE(body,
+                               body.find("azurespindle_requests_total 1\n") != std::string::npos);
         CPPUNIT_ASSERT_MESSAGE(body, body.find("workspace=\"gates\"") != std::string::npos);
         request.url = "http://127.0.0.1:" + std::to_string(firstProcessPort + 1) + "/readyz";
         CPPUNIT_ASSERT_EQUAL(200, http::fetch(request, body).status);
--- /dev/null
+++ b/tests/serving/view_keeper_test.cpp
@@ -0,0 +1,139 @@
+#include "serving/view_keeper.h"
+
+#include "routing/feed_play.h"
+#include "support/suite.h"
+
+namespace azurespindle::serving {
+namespace {
+
+using tests::answered;
+using tests::endedAs;
+using tests::FeedPlay;
+
+/// A keeper over a store that is played by hand.
+struct Keeping
+{
+    Keeping()
+        : keeper([](const routing::PublishedItem &) { return routing::OfNoConcern {}; },
+                 store.calls(), timers, journal,
+                 {[](const auto &) {},
+                  [this](const std::string &member, const members::Message &message) {
+                      sent.emplace_back(member, message);
+                  },
+                  [this](const members::ViewNews &news) { told.push_back(news); }})
+    {
+        timers.start();
+    }
+
+    ~Keeping()
+    {
+        keeper.stop();
+        timers.stop();
+    }
+
+    FeedPlay store;
+    timer::TimerService timers;
+    journal::Journal journal;
+    std::vector<std::pair<std::string, members::Message>> sent;
+    std::vector<members::ViewNews> told;
+    ViewKeeper keeper;
+};
+
+members::RouterReport reportOf(std::uint64_t viewAt, bool reads)
+{
+    members::RouterReport report;
+    report.viewAt = viewAt;
+    report.reads = reads;
+    return report;
+}
+
+const std::vector<std::string> zone {"a", "b", "c"};
+
+} // namespace
+
+class ViewKeeperTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ViewKeeperTest);
+    CPPUNIT_TEST(whatWasReadIsToldToTheZone);
+    CPPUNIT_TEST(theFirstOfTheZoneThatGetsAnswersReads);
+    CPPUNIT_TEST(whoKnowsLessAsksAndThenReadsItself);
+    CPPUNIT_TEST(twoThatAreBehindDoNotTakeEachOtherForUpToDate);
+    CPPUNIT_TEST(aMemberIsToldWhatItAsksFor);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void whatWasReadIsToldToTheZone()
+    {
+        Keeping keeping;
+        keeping.keeper.start();
+        keeping.store.take().handler(answered(10, {}));
+        keeping.store.take().handler(answered(11, {{"a", "1", 11, false}}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), keeping.told.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(10), keeping.told[0].update.after);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(11), keeping.keeper.at());
+    }
+
+    void theFirstOfTheZoneThatGetsAnswersReads()
+    {
+        Keeping keeping;
+        keeping.keeper.noteMember("a", reportOf(0, true));
+        keeping.keeper.chooseReader(zone, "b");
+        CPPUNIT_ASSERT(!keeping.store.take(milliseconds(100)).handler);
+        keeping.keeper.noteMember("a", reportOf(0, false));
+        keeping.keeper.chooseReader(zone, "b");
+        CPPUNIT_ASSERT(keeping.store.take().handler);
+        Keeping silent;
+        silent.keeper.noteMember("a", reportOf(0, true));
+        std::this_thread::sleep_for(ViewKeeper::readerTime);
+        silent.keeper.chooseReader(zone, "b");
+        CPPUNIT_ASSERT_MESSAGE("the reader is silent", silent.store.take().handler);
+    }
+
+    void whoKnowsLessAsksAndThenReadsItself()
+    {
+        Keeping keeping;
+        keeping.keeper.noteMember("a", reportOf(20, true));
+        CPPUNIT_ASSERT(keeping.sent.empty());
+        std::this_thread::sleep_for(ViewKeeper::behindTime);
+        keeping.keeper.noteMember("a", reportOf(20, true));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), keeping.sent.size());
+        CPPUNIT_ASSERT(std::get<members::ViewWanted>(keeping.sent[0].second).after == 0);
+        keeping.keeper.take({{true, 0, 20, {}}});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(20), keeping.keeper.at());
+        keeping.keeper.noteMember("a", reportOf(30, true));
+        std::this_thread::sleep_for(2 * ViewKeeper::behindTime);
+        keeping.keeper.noteMember("a", reportOf(30, true));
+        keeping.keeper.chooseReader(zone, "b");
+        CPPUNIT_ASSERT_MESSAGE("nobody answered", keeping.store.take().handler);
+    }
+
+    /// Found by a played day (CONFIG): two processes back from a cut reported the same old
+    /// revision to each other, which each took for being up to date.
+    void twoThatAreBehindDoNotTakeEachOtherForUpToDate()
+    {
+        Keeping keeping;
+        keeping.keeper.noteMember("a", reportOf(20, true));
+        for (int report = 0; report < 6; ++report) {
+            keeping.keeper.noteMember("c", reportOf(0, false));
+            std::this_thread::sleep_for(milliseconds(100));
+            keeping.keeper.noteMember("a", reportOf(20, true));
+        }
+        keeping.keeper.chooseReader(zone, "b");
+        CPPUNIT_ASSERT(keeping.store.take().handler);
+    }
+
+    void aMemberIsToldWhatItAsksFor()
+    {
+        Keeping keeping;
+        keeping.keeper.take({{true, 0, 20, {{"x", "1", 5, false}}}});
+        keeping.keeper.answer("c", {0});
+        CPPUNIT_ASSERT_EQUAL(std::string("c"), keeping.sent.at(0).first);
+        const auto &news = std::get<members::ViewNews>(keeping.sent.at(0).second);
+        CPPUNIT_ASSERT(news.update.whole);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), news.update.items.size());
+    }
+};
+
+REGISTER_SUITE(ViewKeeperTest, "view_keeper");
+
+} // namespace azurespindle::serving
