--- a/src/decision/arrival_budget.cpp
+++ b/src/decision/arrival_budget.cpp
@@ -78,7 +78,7 @@
     const ArrivalCount mine = this->own(service, now);
     const double part = generation ? 1.0 : retryPart;
     const double own = ownPart
-        * (this->limits.allowance / static_cast<double>(this->processes)
+        * (this->limits.burst / static_cast<double>(this->processes)
            + this->limits.share * mine.requests);
     if (mine.repeats + 1 <= part * own) {
         return true;
@@ -91,7 +91,7 @@
         return false;
     }
     const ArrivalCount all = this->fleet(service, now);
-    const double whole = this->limits.allowance + this->limits.share * all.requests;
+    const double whole = this->limits.burst + this->limits.share * all.requests;
     return all.repeats + 1 <= borrowPart * whole;
 }
 
--- a/src/decision/arrival_budget.h
+++ b/src/decision/arrival_budget.h
@@ -15,8 +15,8 @@
 /// How many arrivals beyond the first of each request one service may get, from all processes.
 struct ArrivalLimits
 {
-    double share = 0.2;     ///< Of the requests for the service.
-    double allowance = 0.0; ///< Beside that, in each window.
+    double share = 0.2; ///< Of the requests for the service.
+    double burst = 0.0; ///< Beside that, in each window.
     milliseconds window {10'000};
     bool operator==(const ArrivalLimits &other) const = default;
 };
@@ -33,7 +33,7 @@
 /// Bounds, over the whole fleet, how often requests are sent once more: retries, and generations
 /// that go on elsewhere.
 ///
-/// Each process has its part of the allowance and its own requests' share, so that the sum holds
+/// Each process has its part of the burst and its own requests' share, so that the sum holds
 /// without a word between them. Beyond its part it may go while its peers say that most of the
 /// fleet's budget is unused; what peers said counts only while it is fresh.
 class ArrivalBudget
@@ -50,7 +50,7 @@
     // Commands
 
     void setLimits(const ArrivalLimits &limits) { this->limits = limits; }
-    /// Sets the number of processes that the allowance is divided by.
+    /// Sets the number of processes that the burst is divided by.
     void setProcesses(std::size_t count) { this->processes = count == 0 ? 1 : count; }
     /// Notes a request of a caller.
     void noteRequest(const std::string &service, Instant now);
--- a/src/routing/router_attempts.cpp
+++ b/src/routing/router_attempts.cpp
@@ -32,8 +32,6 @@
 /// A stream that has not begun is tried elsewhere after so long, if it may be.
 constexpr milliseconds silentStart {2'200};
 constexpr milliseconds rescueInterval {600};
-/// Pause after a takeover that was begun beside the run and failed.
-constexpr milliseconds besideRetry {300};
 /// The death of an upstream is blamed on what it ran, if it shows within this time.
 constexpr seconds blameTime {6};
 constexpr std::size_t maxLosses = 256;
@@ -121,81 +119,6 @@
                    {"revision", std::to_string(this->state->revision)}});
 }
 
-void Router::startBeside(Open &open)
-{
-    open.lastNumber += 1;
-    open.tries += 1;
-    open.arrivals += 1;
-    Beside beside {open.lastNumber, *open.backup, this->movedClaim(open)};
-    this->loads.add(beside.upstream.id, beside.claim);
-    this->budget.noteRepeat(open.serviceName, this->now);
-    AttemptPlan plan = this->planFor(open, beside.upstream);
-    plan.takeover = Takeover {beside.upstream.address + "/" + open.request->callerId};
-    plan.afterEvent = open.lastEventId;
-    this->journalPlaced(open, beside.number, plan);
-    this->emit(StartAttempt {{open.id, beside.number}, std::move(plan), true});
-    open.beside = std::move(beside);
-}
-
-void Router::promoteBeside(Open &open, const AnswerHead &head)
-{
-    const Beside beside = *open.beside;
-    open.beside.reset();
-    // The copy's claim ends with the run it was a copy of.
-    if (open.running) {
-        this->emit(CancelAttempt {{open.id, open.attempt}});
-    }
-    this->leaveUpstream(open);
-    this->dropMove(open, true);
-    open.backup.reset();
-    open.attempt = beside.number;
-    open.running = true;
-    open.upstream = beside.upstream;
-    open.claim = beside.claim;
-    open.started = this->now;
-    open.begun = this->now;
-    open.head = head;
-    open.headSeen = true;
-    open.isTakeover = true;
-    open.resuming = true;
-    open.takeoverOrigin.clear();
-    this->counts.movesDone += 1;
-    this->emit(RelayStream {{open.id, open.attempt}});
-}
-
-void Router::endBeside(Open &open, AttemptEnd end, const std::string &detail)
-{
-    this->journal(open, journal::EventId::AttemptFailed,
-                  {{"attempt", std::to_string(open.beside->number)},
-                   {"upstream", open.beside->upstream.id},
-                   {"end", name(end)},
-                   {"beside", "yes"},
-                   {"detail", detail}});
-    this->dropBeside(open);
-    open.besideNotBefore = this->now + besideRetry;
-    const bool unreachable = end == AttemptEnd::NotSent || end == AttemptEnd::TimedOut;
-    if (open.running && unreachable && !this->sourceLeaves(open)) {
-        return; // The path may come back, and the run itself may speak again.
-    }
-    if (open.running) {
-        this->loads.subtract(open.backup->id, open.backupClaim);
-        open.backup.reset();
-        return;
-    }
-    open.backup.reset();
-    if (!this->rescue(open, "no copy")) {
-        this->breakOff(open, "the generation could not go on elsewhere: " + detail);
-    }
-}
-
-void Router::dropBeside(Open &open)
-{
-    if (open.beside) {
-        this->loads.subtract(open.beside->upstream.id, open.beside->claim);
-        open.beside.reset();
-    }
-}
-
 void Router::leaveUpstream(Open &open)
 {
     if (std::exchange(open.running, false)) {
--- a/src/routing/router_moves.cpp
+++ b/src/routing/router_moves.cpp
@@ -19,14 +19,6 @@
 constexpr milliseconds longestHold {1'000};
 /// Time that is kept for the last part of a copy, before the engine is gone.
 constexpr milliseconds lastPartTime {350};
-/// Part of an engine's memory up to which copies are taken there beforehand. The rest is for runs.
-constexpr double backupLimit = 0.75;
-/// Part of an engine's memory that is as bad as a copy that a cut of the zone takes away.
-constexpr double farBackupCost = 0.25;
-/// A copy is sent several times a second; a younger run may have none yet.
-constexpr milliseconds backupSettleTime {600};
-/// How often an engine is asked whether it leaves, while the store cannot tell.
-constexpr milliseconds reportInterval {500};
 /// Copies between zones take twice as long; the first copies of an engine go to both kinds.
 constexpr double linkMargin = 1.4;
 constexpr double megabitsPerByte = 8.0 / 1e6;
@@ -88,81 +80,6 @@
     return leaving.gone ? *leaving.gone - lastPartTime : leaving.noticed + longestHold;
 }
 
-std::optional<UpstreamRecord> Router::chooseBackup(const Open &open, const UpstreamRecord &upstream,
-                                                   const decision::Claim &claim)
-{
-    const bool worthIt = open.route->kind == RouteKind::Streaming && !open.route->resumable
-        && open.service != nullptr && open.service->engine && open.service->engine->backups;
-    if (!worthIt) {
-        return std::nullopt;
-    }
-    const auto capacity = static_cast<double>(open.service->engine->memoryTokens);
-    const UpstreamRecord *best = nullptr;
-    double bestCost = backupLimit + farBackupCost;
-    for (const auto &[id, record] : this->state->upstreams) {
-        const bool unheard = !this->hearsOtherZones && record.zone != this->options.zone;
-        if (id == upstream.id || unheard || !this->usable(open, record)) {
-            continue;
-        }
-        const auto trouble = this->troubledUntil.find(id);
-        const bool troubled = trouble != this->troubledUntil.end() && trouble->second > this->now;
-        const double part = (this->loads.total(id).memory + claim.memory) / capacity;
-        // A copy near this process survives a cut of its zone, where the run itself is elsewhere.
-        const bool near = upstream.zone == this->options.zone || record.zone == this->options.zone;
-        const double cost = part + (near ? 0.0 : farBackupCost);
-        if (!troubled && part < backupLimit && cost < bestCost) {
-            best = &record;
-            bestCost = cost;
-        }
-    }
-    return best == nullptr ? std::nullopt : std::optional(*best);
-}
-
-bool Router::backupUsable(const Open &open) const
-{
-    if (!open.backup || open.events == 0) {
-        return false;
-    }
-    const UpstreamRecord *listed = this->record(open.backup->id);
-    return listed != nullptr && !this->goesAway(*listed) && listed->born == open.backup->born
-        && this->mayReceive(*listed) && !open.beside && this->now >= open.besideNotBefore;
-}
-
-bool Router::backupSettled(const Open &open) const
-{
-    return this->now - open.begun >= backupSettleTime;
-}
-
-void Router::watchWithoutPublisher(const Open &open)
-{
-    if (!this->publisherAway) {
-        return;
-    }
-    const auto [asked, fresh] = this->reportAsked.try_emplace(open.upstream.id, this->now);
-    if (fresh || this->now - asked->second >= reportInterval) {
-        asked->second = this->now;
-        this->emit(AskReport {open.upstream.id, open.upstream.address});
-    }
-}
-
-void Router::goOnFromBackup(Open &open)
-{
-    const UpstreamRecord backup = *open.backup;
-    this->counts.movesBegun += 1;
-    this->journal(open, journal::EventId::MoveBegun,
-                  {{"from", open.upstream.id},
-                   {"to", backup.id},
-                   {"reason", "backup"},
-                   {"events", std::to_string(open.events)}});
-    if (open.running) {
-        this->startBeside(open);
-        return;
-    }
-    open.takeoverOrigin.clear();
-    const std::string source = backup.address + "/" + open.request->callerId;
-    this->start(open, backup, this->movedClaim(open), Takeover {source});
-}
-
 void Router::beginMove(Open &open, const std::string &reason)
 {
     Move move;
@@ -402,45 +319,6 @@
     this->breakOff(open, "the engine could not hand the generation over");
 }
 
-void Router::takeOver(Open &open, const UpstreamRecord &to, const std::string &origin,
-                      const std::string &handle)
-{
-    if (!this->mayReceive(to)) {
-        this->breakOff(open, "its zone is evacuated, or the engine is long since leaving");
-        return;
-    }
-    const decision::Claim claim = this->movedClaim(open);
-    if (open.move) {
-        this->loads.subtract(open.move->to.id, open.move->claim);
-        open.move.reset();
-    }
-    open.takeoverOrigin = origin;
-    this->start(open, to, claim, Takeover {origin + "/" + handle});
-}
-
-void Router::concludeTakeover(Open &open, AttemptEnd end, const std::string &detail)
-{
-    const bool first = open.upstream.address != open.takeoverOrigin;
-    const auto source = std::find_if(
-        this->state->upstreams.begin(), this->state->upstreams.end(),
-        [&](const auto &entry) { return entry.second.address == open.takeoverOrigin; });
-    const bool unrun = end == AttemptEnd::NotSent || end == AttemptEnd::Refused
-        || (end == AttemptEnd::Complete && open.head.notRun);
-    if (unrun && first && source != this->state->upstreams.end()
-        && this->mayReceive(source->second)) {
-        const UpstreamRecord back = source->second;
-        const Takeover again = open.takeover;
-        this->start(open, back, this->movedClaim(open), again);
-        return;
-    }
-    if (this->mayRunAgain(open)) {
-        open.ranOn.push_back(open.upstream.id);
-        this->enqueue(open);
-        return;
-    }
-    this->breakOff(open, "the generation could not go on elsewhere: " + detail);
-}
-
 bool Router::rescue(Open &open, const std::string &reason)
 {
     if (!this->movable(open) || this->record(open.upstream.id) == nullptr
--- a/src/serving/routing_process.cpp
+++ b/src/serving/routing_process.cpp
@@ -77,7 +77,7 @@
     return {settings.zone,
             settings.regionOfZone,
             random(),
-            {bounds.retryShare, bounds.retryAllowance, bounds.retryWindow}};
+            {bounds.retryShare, bounds.retryBurst, bounds.retryWindow}};
 }
 
 settings::CallerLimits probeLimits()
--- a/src/settings/routing_settings.cpp
+++ b/src/settings/routing_settings.cpp
@@ -18,7 +18,7 @@
 {
     FleetBounds bounds;
     bounds.retryShare = reader.number("retryShare", {0.0, 10.0}, bounds.retryShare);
-    bounds.retryAllowance = reader.number("retryAllowance", {0.0, 1e6}, bounds.retryAllowance);
+    bounds.retryBurst = reader.number("retryBurst", {0.0, 1e6}, bounds.retryBurst);
     bounds.retryWindow = readSeconds(reader, "retryWindowSeconds", bounds.retryWindow);
     bounds.stopTime = readSeconds(reader, "stopSeconds", bounds.stopTime);
     return bounds;
--- a/src/settings/routing_settings.h
+++ b/src/settings/routing_settings.h
@@ -14,7 +14,7 @@
 struct FleetBounds
 {
     double retryShare = 0.2;           ///< Repeated sends, of the requests for a service.
-    double retryAllowance = 20.0;      ///< Repeated sends beside that, in each window.
+    double retryBurst = 20.0;          ///< Repeated sends beside that, in each window.
     milliseconds retryWindow {10'000}; ///< Window of both.
     milliseconds stopTime {8'000};     ///< From the stop signal until the process is killed.
 
--- a/tests/decision/arrival_budget_test.cpp
+++ b/tests/decision/arrival_budget_test.cpp
@@ -59,7 +59,7 @@
             }
             spent += spendAll(budget, true, Instant(seconds(20)));
         }
-        const double most = limits.share * static_cast<double>(requests) + limits.allowance;
+        const double most = limits.share * static_cast<double>(requests) + limits.burst;
         CPPUNIT_ASSERT_MESSAGE(std::to_string(spent) + " of " + std::to_string(most),
                                static_cast<double>(spent) <= most);
         CPPUNIT_ASSERT(static_cast<double>(spent) >= 0.6 * most);
@@ -104,8 +104,7 @@
             }
             now += milliseconds(200);
         }
-        CPPUNIT_ASSERT_MESSAGE(std::to_string(spent),
-                               static_cast<double>(spent) <= limits.allowance);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(spent), static_cast<double>(spent) <= limits.burst);
     }
 
     void whatPeersSaidLongAgoIsNotBorrowedFrom()
--- a/tests/serving/routing_process_test.cpp
+++ b/tests/serving/routing_process_test.cpp
@@ -51,7 +51,7 @@
     settings.metricsAddress = address(static_cast<std::uint16_t>(base + 3));
     settings.publisherAddress = address(store);
     settings.seeds = {address(firstProcessPort + 2)};
-    settings.bounds.retryAllowance = 58.0;
+    settings.bounds.retryBurst = 58.0;
     settings.bounds.stopTime = milliseconds(6'000);
     return settings;
 }
--- a/tests/settings/routing_settings_test.cpp
+++ b/tests/settings/routing_settings_test.cpp
@@ -21,7 +21,7 @@
             {"descriptors", 4'100},
             {"bounds",
              {{"retryShare", 0.2},
-              {"retryAllowance", 58},
+              {"retryBurst", 58},
               {"retryWindowSeconds", 10},
               {"stopSeconds", 8.5}}}};
 }
@@ -54,7 +54,7 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), settings.seeds.size());
         CPPUNIT_ASSERT(settings.metricsAddress.has_value());
         CPPUNIT_ASSERT_EQUAL(std::string("there"), settings.regionOfZone.at("south"));
-        CPPUNIT_ASSERT_EQUAL(58.0, settings.bounds.retryAllowance);
+        CPPUNIT_ASSERT_EQUAL(58.0, settings.bounds.retryBurst);
         CPPUNIT_ASSERT(settings.bounds.stopTime == milliseconds(8'500));
         CPPUNIT_ASSERT(settings.logFormat == LogFormat::Json);
     }
