Soak real processes under random faults, harmed from outside

The project had no fault soak of its own. azurespindle-soak starts real routing processes and harms them through loopback proxies (slow, silent, one way, reset), by signals (kill, pause, stop, reload), through the store (refusing, forgetful), engines (crash, silence, notice) and plain upstreams, with configurations and evacuations meanwhile. It checks what callers, upstreams and probes see: one whole answer of their own, at most once, true refusals, drain, evacuation, versions in force, recovery.

A process may now announce another address to members than the one it listens on, so that a proxy can stand between members.

--- a/src/settings/routing_settings.cpp
+++ b/src/settings/routing_settings.cpp
@@ -41,6 +41,9 @@
     settings.readyAddress = readAddress(reader, "readyAddress");
     settings.readyPath = reader.text("readyPath", settings.readyPath);
     settings.memberAddress = readAddress(reader, "memberAddress");
+    if (reader.has("announcedMemberAddress")) {
+        settings.announcedMemberAddress = readAddress(reader, "announcedMemberAddress");
+    }
     settings.publisherAddress = readAddress(reader, "publisherAddress");
     if (reader.has("metricsAddress")) {
         settings.metricsAddress = readAddress(reader, "metricsAddress");
--- a/src/settings/routing_settings.h
+++ b/src/settings/routing_settings.h
@@ -30,6 +30,8 @@
     Address readyAddress;
     std::string readyPath = "/readyz";
     Address memberAddress;
+    /// Where the members reach this process, if that is not where it listens.
+    std::optional<Address> announcedMemberAddress;
     std::optional<Address> metricsAddress;
     Address publisherAddress; ///< The store that the configuration is published in.
     std::vector<Address> seeds;
--- a/tests/platform/platform_standins.cpp
+++ b/tests/platform/platform_standins.cpp
@@ -188,14 +188,14 @@
 
 std::string EngineStandin::address() const
 {
-    return "127.0.0.1:" + std::to_string(this->port);
+    return this->announced.empty() ? "127.0.0.1:" + std::to_string(this->port) : this->announced;
 }
 
 std::string EngineStandin::record(bool leaving) const
 {
     return json {{"service", "models"},
                  {"address", this->address()},
-                 {"zone", "north"},
+                 {"zone", this->zone},
                  {"slots", 24},
                  {"state", leaving ? "draining" : "ready"},
                  {"cold_left_ms", 0},
@@ -204,10 +204,17 @@
         .dump();
 }
 
+std::size_t EngineStandin::runs(const std::string &callerId) const
+{
+    const std::lock_guard lock(this->mutex);
+    const auto found = this->counts.find(callerId);
+    return found == this->counts.end() ? 0 : found->second;
+}
+
 std::size_t EngineStandin::running() const
 {
     const std::lock_guard lock(this->mutex);
-    return this->runs.size();
+    return this->open.size();
 }
 
 void EngineStandin::die()
@@ -215,10 +222,10 @@
     this->dead = true;
     {
         const std::lock_guard lock(this->mutex);
-        for (auto &[callerId, run] : this->runs) {
+        for (auto &[callerId, run] : this->open) {
             run.exchange->abort();
         }
-        this->runs.clear();
+        this->open.clear();
     }
     std::this_thread::sleep_for(milliseconds(20));
     this->server->stop();
@@ -230,7 +237,7 @@
     if (this->dead || this->silent) {
         return;
     }
-    for (auto each = this->runs.begin(); each != this->runs.end();) {
+    for (auto each = this->open.begin(); each != this->open.end();) {
         Run &run = each->second;
         run.made += 1;
         run.exchange->send(eventText(run.made, each->first));
@@ -243,7 +250,7 @@
             continue;
         }
         run.exchange->finish();
-        each = this->runs.erase(each);
+        each = this->open.erase(each);
     }
 }
 
@@ -273,6 +280,7 @@
         exchange->respond(421, {}, "");
         return;
     }
+    this->arrivedAt = monotonicNow().time_since_epoch().count();
     Run run;
     run.exchange = exchange;
     run.backup = headerOf(request, "azurespindle-kv-backup");
@@ -298,11 +306,12 @@
                            {"azurespindle-server-seal", "seal-of-" + this->id}});
     {
         const std::lock_guard lock(this->mutex);
-        this->runs[callerId] = run;
+        this->counts[callerId] += source.empty() && last.empty() ? 1 : 0;
+        this->open[callerId] = run;
     }
     exchange->onGone([this, callerId] {
         const std::lock_guard lock(this->mutex);
-        this->runs.erase(callerId);
+        this->open.erase(callerId);
     });
 }
 
@@ -311,8 +320,8 @@
     const json asked = json::parse(request.body);
     const std::string callerId = asked.at("id");
     const std::lock_guard lock(this->mutex);
-    const auto run = this->runs.find(callerId);
-    if (run == this->runs.end()) {
+    const auto run = this->open.find(callerId);
+    if (run == this->open.end()) {
         exchange->respond(404, jsonHeaders, "{}");
         return;
     }
@@ -325,7 +334,7 @@
     exchange->respond(200, jsonHeaders, answer.dump());
     if (asked.at("final").get<bool>()) {
         run->second.exchange->abort();
-        this->runs.erase(run);
+        this->open.erase(run);
     }
 }
 
@@ -345,14 +354,16 @@
 
 std::string PlainStandin::record(bool leaving) const
 {
-    return json {{"service", "desk"},
-                 {"address", "127.0.0.1:" + std::to_string(this->port)},
-                 {"zone", "north"},
-                 {"slots", 6},
-                 {"state", leaving ? "draining" : "ready"},
-                 {"cold_left_ms", 0},
-                 {"born", 100 + this->port},
-                 {"sequence", 1}}
+    return json {
+        {"service", "desk"},
+        {"address",
+         this->announced.empty() ? "127.0.0.1:" + std::to_string(this->port) : this->announced},
+        {"zone", "north"},
+        {"slots", 6},
+        {"state", leaving ? "draining" : "ready"},
+        {"cold_left_ms", 0},
+        {"born", 100 + this->port},
+        {"sequence", 1}}
         .dump();
 }
 
--- a/tests/platform/platform_standins.h
+++ b/tests/platform/platform_standins.h
@@ -80,6 +80,9 @@
     void setLeavesIn(milliseconds time) { this->leavesIn = time.count(); }
     /// Streams stand still, their connections stay open.
     void setSilent(bool silent) { this->silent = silent; }
+    /// Sets where callers are told to reach it, if that is not where it listens. Call it first.
+    void announce(const std::string &address) { this->announced = address; }
+    void setZone(const std::string &zone) { this->zone = zone; }
 
     // Queries
 
@@ -89,6 +92,10 @@
     std::size_t running() const;
     std::size_t started() const { return this->startCount; }
     std::size_t takenOver() const { return this->takeoverCount; }
+    /// Returns how often the request of this id was begun here from its first event.
+    std::size_t runs(const std::string &callerId) const;
+    /// Returns when a request last arrived.
+    Instant lastArrival() const { return Instant(microseconds(this->arrivedAt.load())); }
 
 private:
     struct Run
@@ -106,13 +113,17 @@
 
     const std::string id;
     const std::uint16_t port;
+    std::string announced;
+    std::string zone = "north";
+    std::atomic<std::int64_t> arrivedAt {0}; ///< Microseconds on the monotonic clock.
     std::atomic<std::int64_t> leavesIn {0};
     std::atomic<bool> silent {false};
     std::atomic<bool> dead {false};
     std::atomic<std::size_t> startCount {0};
     std::atomic<std::size_t> takeoverCount {0};
-    mutable std::mutex mutex; ///< Guards runs.
-    std::map<std::string, Run> runs;
+    mutable std::mutex mutex; ///< Guards the two below.
+    std::map<std::string, Run> open;
+    std::map<std::string, std::size_t> counts;
     timer::TimerService timers;
     std::unique_ptr<http::Server> server;
 };
@@ -127,6 +138,8 @@
     PlainStandin(std::string id, std::uint16_t port);
 
     void setMood(Mood mood) { this->mood = mood; }
+    /// Sets where callers are told to reach it, if that is not where it listens. Call it first.
+    void announce(const std::string &address) { this->announced = address; }
     std::string record(bool leaving = false) const;
     /// Returns how often the request of this id ran.
     std::size_t runs(const std::string &callerId) const;
@@ -138,6 +151,7 @@
 
     const std::string id;
     const std::uint16_t port;
+    std::string announced;
     std::atomic<Mood> mood {Mood::Answers};
     std::atomic<std::size_t> goneCount {0};
     mutable std::mutex mutex; ///< Guards the two below.
--- /dev/null
+++ b/tests/soak/main.cpp
@@ -0,0 +1,218 @@
+// Runs real routing processes under random faults and checks what callers and upstreams see:
+// azurespindle-soak --binary build/azurespindle --seed 7 --seconds 20
+
+#include "fault_script.h"
+#include "journal/journal.h"
+#include "soak_caller.h"
+#include "version_prober.h"
+
+#include <cxxopts.hpp>
+
+#include <csignal>
+#include <filesystem>
+#include <iostream>
+#include <thread>
+
+namespace azurespindle::soak {
+namespace {
+
+constexpr int exitSound = 0;
+constexpr int exitFindings = 1;
+constexpr int exitUsage = 2;
+constexpr int statusOk = 200;
+
+constexpr std::size_t callersOfEachKind = 4;
+constexpr seconds startTime {15};
+/// After the last fault every process serves everything again within this time.
+constexpr seconds recoveryTime {12};
+/// A request that was refused would have run by then, had the refusal been a lie.
+constexpr milliseconds lateRuns {1'500};
+constexpr milliseconds pollInterval {100};
+/// Of the requests that are unanswered at their route's timeout, half may take so much longer.
+constexpr milliseconds timeoutMargin {500};
+constexpr milliseconds plainTimeout {1'500};
+constexpr std::size_t leastTimeouts = 8;
+
+bool promisesNotRun(int status)
+{
+    return status == 503 || status == 429 || status == 408 || status == 421;
+}
+
+/// Returns true once the process serves one request of a kind.
+bool serves(const SoakFleet &fleet, std::size_t process, RequestKind kind, int number)
+{
+    constexpr std::uint64_t events = 20;
+    const tests::RawConnection connection(fleet.directPort(process));
+    if (!connection.connected()) {
+        return false;
+    }
+    const std::string id = "after-" + std::string(name(kind)) + "-" + std::to_string(process) + "-"
+        + std::to_string(number);
+    const std::string target = "/" + std::string(name(kind)) + "/" + id;
+    const Seen seen = exchangeOn(connection, kind, id, target, events, milliseconds(1'000));
+    return seen.whole && seen.status == statusOk && faultOf(seen).empty();
+}
+
+/// Waits until every process serves every kind of request.
+/// \return the first process that does not, and the kind; nothing if all do.
+std::optional<std::string> waitForService(const SoakFleet &fleet, seconds patience)
+{
+    const Instant until = monotonicNow() + patience;
+    constexpr RequestKind kinds[]
+        = {RequestKind::Draft, RequestKind::Check, RequestKind::Order, RequestKind::Look};
+    int number = 0;
+    for (std::size_t process = 0; process < fleet.settings().processes; ++process) {
+        for (const RequestKind kind : kinds) {
+            while (!serves(fleet, process, kind, number++)) {
+                if (monotonicNow() >= until) {
+                    return "entry-" + std::to_string(process) + " does not serve " + name(kind);
+                }
+                std::this_thread::sleep_for(pollInterval);
+            }
+        }
+    }
+    return std::nullopt;
+}
+
+void checkRuns(const SoakFleet &fleet, const Seen &seen, Findings &findings)
+{
+    const bool once = seen.kind == RequestKind::Order || seen.kind == RequestKind::Draft;
+    if (!once) {
+        return;
+    }
+    const std::size_t runs = seen.kind == RequestKind::Order ? fleet.plainRuns(seen.callerId)
+                                                             : fleet.engineRuns(seen.callerId);
+    if (runs > 1) {
+        findings.add("at most once",
+                     seen.callerId + " ran " + std::to_string(runs) + " times, expected at most 1");
+    }
+    if (promisesNotRun(seen.status) && runs > 0) {
+        findings.add("not run",
+                     seen.callerId + " was answered " + std::to_string(seen.status) + " and ran "
+                         + std::to_string(runs) + " times, expected 0");
+    }
+}
+
+/// Counts the plain calls that were still unanswered at their route's timeout, at calm processes.
+void checkTimeouts(SoakFleet &fleet, const std::vector<Seen> &answers, Findings &findings)
+{
+    std::size_t unanswered = 0;
+    std::size_t late = 0;
+    for (const Seen &seen : answers) {
+        const bool plain = seen.kind == RequestKind::Order || seen.kind == RequestKind::Look;
+        const microseconds took = seen.ended - seen.sent;
+        if (!plain || took < plainTimeout || !fleet.calm().calmSince(seen.process, seen.sent)) {
+            continue;
+        }
+        unanswered += 1;
+        late += took > plainTimeout + timeoutMargin ? 1 : 0;
+    }
+    if (late >= leastTimeouts && late * 2 > unanswered) {
+        findings.add("timeout",
+                     std::to_string(late) + " of " + std::to_string(unanswered)
+                         + " calls had no answer half a second after their timeout");
+    }
+}
+
+void play(SoakFleet &fleet, Findings &findings)
+{
+    if (const auto missing = waitForService(fleet, startTime)) {
+        findings.add("start", *missing);
+        return;
+    }
+    VersionProber prober(fleet, findings);
+    std::vector<std::unique_ptr<SoakCaller>> callers;
+    std::uint64_t number = 0;
+    for (std::size_t each = 0; each < callersOfEachKind; ++each) {
+        for (const RequestKind kind :
+             {RequestKind::Draft, RequestKind::Check, RequestKind::Order, RequestKind::Look}) {
+            callers.push_back(std::make_unique<SoakCaller>(fleet, findings, kind, number));
+            number += 1;
+        }
+    }
+    FaultScript script(fleet, prober);
+    script.play(fleet.settings().duration);
+    if (const auto missing = waitForService(fleet, recoveryTime)) {
+        findings.add("recovery",
+                     *missing + " " + std::to_string(recoveryTime.count())
+                         + " s after the last fault");
+    }
+    prober.stop();
+    std::size_t served = 0;
+    std::size_t total = 0;
+    std::vector<Seen> answers;
+    for (const auto &caller : callers) {
+        caller->stop();
+        answers.insert(answers.end(), caller->answers().begin(), caller->answers().end());
+    }
+    std::this_thread::sleep_for(lateRuns);
+    for (const Seen &seen : answers) {
+        checkRuns(fleet, seen, findings);
+        served += seen.whole && seen.status == statusOk ? 1 : 0;
+        total += 1;
+    }
+    checkTimeouts(fleet, answers, findings);
+    std::cout << "seed " << fleet.settings().seed << ": " << total << " requests, " << served
+              << " served whole, " << prober.probes() << " probes, " << script.played().size()
+              << " faults, " << findings.all().size() << " findings\n";
+    if (!findings.all().empty()) {
+        for (const std::string &line : script.played()) {
+            std::cout << "  " << line << "\n";
+        }
+    }
+}
+
+int run(const SoakOptions &options)
+{
+    Findings findings;
+    std::filesystem::create_directories(options.folder);
+    {
+        SoakFleet fleet(options, findings);
+        play(fleet, findings);
+    }
+    for (const Finding &finding : findings.all()) {
+        std::cout << "FINDING seed " << options.seed << " " << finding.promise << ": "
+                  << finding.detail << "\n";
+    }
+    if (findings.all().empty()) {
+        std::filesystem::remove_all(options.folder);
+        return exitSound;
+    }
+    std::cout << "logs are kept in " << options.folder << "\n";
+    return exitFindings;
+}
+
+} // namespace
+} // namespace azurespindle::soak
+
+int main(int count, char **values)
+{
+    using namespace azurespindle;
+    std::signal(SIGPIPE, SIG_IGN);
+    cxxopts::Options description("azurespindle-soak", "Random faults on real processes.");
+    description.add_options()("binary", "the azurespindle program", cxxopts::value<std::string>())(
+        "seed", "draws the faults", cxxopts::value<std::uint64_t>()->default_value("1"))(
+        "seconds", "time with faults", cxxopts::value<int>()->default_value("20"))(
+        "processes", "routing processes", cxxopts::value<std::size_t>()->default_value("4"))(
+        "port", "first of 500 ports", cxxopts::value<std::uint16_t>()->default_value("23000"))(
+        "folder", "for settings and logs", cxxopts::value<std::string>())("help", "prints this");
+    try {
+        const auto given = description.parse(count, values);
+        if (given.count("help") > 0) {
+            std::cout << description.help();
+            return soak::exitSound;
+        }
+        soak::SoakOptions options;
+        options.seed = given["seed"].as<std::uint64_t>();
+        options.duration = seconds(given["seconds"].as<int>());
+        options.processes = given["processes"].as<std::size_t>();
+        options.firstPort = given["port"].as<std::uint16_t>();
+        options.binary = given["binary"].as<std::string>();
+        options.folder = given["folder"].as<std::string>();
+        journal::openLog(settings::LogFormat::Text, "/dev/null", "soak", journal::Severity::Error);
+        return soak::run(options);
+    } catch (const std::exception &error) {
+        std::cerr << "azurespindle-soak: " << error.what() << "\n" << description.help();
+        return soak::exitUsage;
+    }
+}
--- /dev/null
+++ b/tests/soak/soak_caller.cpp
@@ -0,0 +1,251 @@
+#include "soak_caller.h"
+
+#include <boost/beast/http.hpp>
+
+#include <optional>
+
+namespace azurespindle::soak {
+namespace {
+
+namespace beast = boost::beast::http;
+
+constexpr int statusOk = 200;
+constexpr milliseconds pauseBetween {15};
+constexpr milliseconds reconnectPause {60};
+/// Beyond its deadline a caller waits so long for an answer before it hangs up.
+constexpr milliseconds hangUpMargin {1'000};
+constexpr milliseconds readStep {100};
+constexpr milliseconds plainDeadline {1'500};
+constexpr milliseconds checkDeadline {6'000};
+constexpr milliseconds draftDeadline {20'000};
+constexpr std::uint64_t leastEvents = 20;
+constexpr std::uint64_t mostDraftEvents = 500;
+constexpr std::uint64_t mostCheckEvents = 60;
+
+bool isGeneration(RequestKind kind)
+{
+    return kind == RequestKind::Draft || kind == RequestKind::Check;
+}
+
+std::string methodOf(RequestKind kind)
+{
+    return kind == RequestKind::Look ? "GET" : "POST";
+}
+
+milliseconds deadlineOf(RequestKind kind)
+{
+    switch (kind) {
+    case RequestKind::Draft:
+        return draftDeadline;
+    case RequestKind::Check:
+        return checkDeadline;
+    default:
+        return plainDeadline;
+    }
+}
+
+std::string requestText(RequestKind kind, const std::string &callerId, const std::string &target,
+                        std::uint64_t events, milliseconds deadline)
+{
+    const std::string body = isGeneration(kind) ? "events=" + std::to_string(events)
+        : kind == RequestKind::Order            ? "order " + callerId
+                                                : "";
+    std::string text = methodOf(kind) + " " + target + " HTTP/1.1\r\nHost: shop.example\r\n"
+        + "Azurespindle-Attempt-Id: " + callerId + "\r\nAzurespindle-Key: k1\r\n"
+        + "Azurespindle-Deadline-Ms: " + std::to_string(deadline.count()) + "\r\n";
+    if (isGeneration(kind)) {
+        text += "Azurespindle-Token-Usage: 3000,2000\r\n";
+    }
+    return text + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string expectedEvents(const std::string &callerId, std::uint64_t count)
+{
+    std::string text;
+    for (std::uint64_t number = 1; number <= count; ++number) {
+        text += "id: " + std::to_string(number) + "\ndata: " + callerId + ":"
+            + std::to_string(number) + "\n\n";
+    }
+    return text;
+}
+
+/// Returns where two texts part, with a few characters of both.
+std::string difference(const std::string &expected, const std::string &got)
+{
+    constexpr std::size_t shown = 40;
+    std::size_t at = 0;
+    while (at < expected.size() && at < got.size() && expected[at] == got[at]) {
+        ++at;
+    }
+    return "at byte " + std::to_string(at) + " expected '" + expected.substr(at, shown)
+        + "' but got '" + got.substr(at, shown) + "'";
+}
+
+std::string bodyFault(const Seen &seen)
+{
+    if (seen.status != statusOk) {
+        return "";
+    }
+    if (isGeneration(seen.kind)) {
+        const std::string all = expectedEvents(seen.callerId, seen.events);
+        const std::string expected = seen.whole ? all : all.substr(0, seen.body.size());
+        return seen.body == expected ? "" : difference(expected, seen.body);
+    }
+    const bool mine = seen.body.find(seen.callerId) != std::string::npos;
+    return mine || !seen.whole ? "" : "expected its own answer but got '" + seen.body + "'";
+}
+
+} // namespace
+
+const char *name(RequestKind kind)
+{
+    switch (kind) {
+    case RequestKind::Draft:
+        return "draft";
+    case RequestKind::Check:
+        return "check";
+    case RequestKind::Order:
+        return "order";
+    case RequestKind::Look:
+        return "look";
+    }
+    return "unknown";
+}
+
+Seen exchangeOn(const tests::RawConnection &connection, RequestKind kind,
+                const std::string &callerId, const std::string &target, std::uint64_t events,
+                milliseconds deadline)
+{
+    Seen seen;
+    seen.kind = kind;
+    seen.callerId = callerId;
+    seen.events = events;
+    seen.sent = monotonicNow();
+    connection.send(requestText(kind, callerId, target, events, deadline));
+    beast::response_parser<beast::string_body> parser;
+    parser.eager(true);
+    parser.body_limit(boost::none);
+    std::string unread;
+    const Instant hangUp = seen.sent + deadline + hangUpMargin;
+    while (!parser.is_done() && monotonicNow() < hangUp) {
+        const std::optional<std::string> bytes = connection.readSome(readStep);
+        if (!bytes) {
+            continue;
+        }
+        boost::system::error_code error;
+        if (bytes->empty()) {
+            break; // Every answer has a length or chunks: one that is cut is not whole.
+        }
+        unread += *bytes;
+        const std::size_t used = parser.put(boost::asio::buffer(unread), error);
+        unread.erase(0, used);
+        if (error && error != beast::error::need_more) {
+            seen.parseError = error.message();
+            break;
+        }
+    }
+    seen.ended = monotonicNow();
+    seen.whole = parser.is_done();
+    if (parser.is_header_done()) {
+        seen.status = static_cast<int>(parser.get().result_int());
+        seen.echoedId = std::string(parser.get()["azurespindle-attempt-id"]);
+        seen.body = parser.get().body();
+    }
+    if (seen.whole && !unread.empty()) {
+        seen.parseError = "bytes follow the answer: " + unread;
+    }
+    return seen;
+}
+
+std::string faultOf(const Seen &seen)
+{
+    if (!seen.parseError.empty()) {
+        return "the bytes are no answer: " + seen.parseError;
+    }
+    if (!seen.echoedId.empty() && seen.echoedId != seen.callerId) {
+        return "expected the answer to " + seen.callerId + " but got that to " + seen.echoedId;
+    }
+    const bool turnedAway = seen.status >= 400 && seen.status < 500 && seen.status != 408
+        && seen.status != 421 && seen.status != 429;
+    if (turnedAway) {
+        return "a proper request was turned away with " + std::to_string(seen.status);
+    }
+    return bodyFault(seen);
+}
+
+SoakCaller::SoakCaller(SoakFleet &fleet, Findings &findings, RequestKind kind, std::uint64_t number)
+    : fleet(fleet), findings(findings), kind(kind), number(number),
+      random(fleet.settings().seed * 1'000 + number), thread([this] { this->run(); })
+{ }
+
+SoakCaller::~SoakCaller()
+{
+    this->stop();
+}
+
+void SoakCaller::stop()
+{
+    this->stopping = true;
+    if (this->thread.joinable()) {
+        this->thread.join();
+    }
+}
+
+void SoakCaller::run()
+{
+    while (!this->stopping) {
+        if (this->connection == nullptr && !this->connect()) {
+            std::this_thread::sleep_for(reconnectPause);
+            continue;
+        }
+        this->sendOne();
+        std::this_thread::sleep_for(pauseBetween);
+    }
+}
+
+/// Connects to a process that says it is ready, as the platform's balancer would.
+bool SoakCaller::connect()
+{
+    this->process = this->random() % this->fleet.settings().processes;
+    const tests::RawConnection probe(this->fleet.readyPort(this->process));
+    probe.send("GET /readyz HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");
+    const std::optional<std::string> answer = probe.readSome(readStep);
+    if (!answer || answer->find(" 200 ") == std::string::npos) {
+        return false;
+    }
+    const std::uint16_t port = this->fleet.callerPort(this->process);
+    this->connection = std::make_unique<tests::RawConnection>(port);
+    if (!this->connection->connected()) {
+        this->connection.reset();
+    }
+    return this->connection != nullptr;
+}
+
+void SoakCaller::sendOne()
+{
+    this->sent += 1;
+    const std::string id = std::string(name(this->kind)) + "-" + std::to_string(this->number) + "-"
+        + std::to_string(this->sent);
+    const std::uint64_t most = this->kind == RequestKind::Draft ? mostDraftEvents : mostCheckEvents;
+    const std::uint64_t events
+        = isGeneration(this->kind) ? leastEvents + this->random() % (most - leastEvents) : 0;
+    const std::string target = "/" + std::string(name(this->kind)) + "/" + id;
+    Seen answer
+        = exchangeOn(*this->connection, this->kind, id, target, events, deadlineOf(this->kind));
+    answer.process = this->process;
+    const std::string fault = faultOf(answer);
+    if (!fault.empty()) {
+        this->findings.add("answer",
+                           id + " at entry-" + std::to_string(this->process) + ": " + fault);
+    }
+    const bool usable = answer.whole && this->connection->readSome(milliseconds(0)) == std::nullopt;
+    if (!usable) {
+        this->connection.reset();
+    }
+    if (answer.status == statusOk) {
+        answer.body.clear(); // Checked; thousands of them would fill the memory.
+    }
+    this->seen.push_back(std::move(answer));
+}
+
+} // namespace azurespindle::soak
--- /dev/null
+++ b/tests/soak/soak_fleet.cpp
@@ -0,0 +1,320 @@
+#include "soak_fleet.h"
+
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <cstdio>
+#include <fcntl.h>
+#include <fstream>
+#include <spawn.h>
+#include <stdexcept>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+
+namespace azurespindle::soak {
+namespace {
+
+using nlohmann::json;
+
+// Offsets in the block of ports of one process.
+constexpr std::size_t callerPortOffset = 0;
+constexpr std::size_t readyPortOffset = 1;
+constexpr std::size_t memberPortOffset = 2;
+constexpr std::size_t metricsPortOffset = 3;
+constexpr std::size_t callerLinkOffset = 4;
+constexpr std::size_t memberLinkOffset = 5;
+constexpr std::size_t storeLinkOffset = 6;
+constexpr std::size_t portsEach = 8;
+
+constexpr std::uint16_t upstreamPortOffset = 200;
+constexpr std::uint16_t upstreamPortPairs = 140;
+constexpr std::uint16_t storePortOffset = 499;
+/// Until the store shows that a dead engine is gone.
+constexpr milliseconds heartbeatLapse {1'000};
+/// A leaving engine gets nothing after this time, from processes that are calm.
+constexpr milliseconds drainBound {2'000};
+constexpr milliseconds endPoll {10};
+
+std::string loopback(std::uint16_t port)
+{
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+std::string zoneOf(std::size_t index)
+{
+    return index % 2 == 0 ? "north" : "south";
+}
+
+} // namespace
+
+SoakFleet::SoakFleet(SoakOptions given, Findings &findings)
+    : options(std::move(given)), findings(findings), calmness(this->options.processes)
+{
+    const auto storePort = static_cast<std::uint16_t>(this->options.firstPort + storePortOffset);
+    this->storeStandin = std::make_unique<tests::StoreStandin>(storePort);
+    this->publishConfiguration();
+    this->engines.resize(this->options.engines);
+    for (std::size_t index = 0; index < this->options.engines; ++index) {
+        this->addEngine(index);
+    }
+    for (std::size_t index = 0; index < this->options.plains; ++index) {
+        const std::uint16_t port = this->nextUpstreamPort();
+        const auto linkPort = static_cast<std::uint16_t>(port + 1);
+        const std::string id = "p" + std::to_string(index);
+        Plain plain;
+        plain.standin = std::make_unique<tests::PlainStandin>(id, port);
+        plain.standin->announce(loopback(linkPort));
+        plain.link = std::make_unique<LinkProxy>(this->links, linkPort, port);
+        this->storeStandin->put("servers/" + id, plain.standin->record());
+        this->plains.push_back(std::move(plain));
+    }
+    this->processes.resize(this->options.processes);
+    for (std::size_t index = 0; index < this->options.processes; ++index) {
+        Process &process = this->processes[index];
+        process.callerLink = std::make_unique<LinkProxy>(
+            this->links, this->callerPort(index), this->processPort(index, callerPortOffset));
+        process.memberLink
+            = std::make_unique<LinkProxy>(this->links, this->processPort(index, memberLinkOffset),
+                                          this->processPort(index, memberPortOffset));
+        process.storeLink = std::make_unique<LinkProxy>(
+            this->links, this->processPort(index, storeLinkOffset), storePort);
+        this->writeSettings(index);
+        this->startProcess(index);
+    }
+}
+
+SoakFleet::~SoakFleet()
+{
+    for (std::size_t index = 0; index < this->processes.size(); ++index) {
+        if (this->processes[index].id > 0) {
+            this->signalProcess(index, SIGCONT);
+            this->endProcess(index, SIGKILL, seconds(5));
+        }
+    }
+}
+
+std::uint16_t SoakFleet::processPort(std::size_t process, std::size_t offset) const
+{
+    return static_cast<std::uint16_t>(this->options.firstPort + process * portsEach + offset);
+}
+
+std::uint16_t SoakFleet::callerPort(std::size_t process) const
+{
+    return this->processPort(process, callerLinkOffset);
+}
+
+std::uint16_t SoakFleet::directPort(std::size_t process) const
+{
+    return this->processPort(process, callerPortOffset);
+}
+
+std::uint16_t SoakFleet::readyPort(std::size_t process) const
+{
+    return this->processPort(process, readyPortOffset);
+}
+
+std::uint16_t SoakFleet::nextUpstreamPort()
+{
+    const auto pair = static_cast<std::uint16_t>(this->upstreamPorts % upstreamPortPairs);
+    this->upstreamPorts += 1;
+    return static_cast<std::uint16_t>(this->options.firstPort + upstreamPortOffset + 2 * pair);
+}
+
+void SoakFleet::writeSettings(std::size_t process) const
+{
+    const json settings {
+        {"name", "entry-" + std::to_string(process)},
+        {"zone", zoneOf(process)},
+        {"callerAddress", loopback(this->processPort(process, callerPortOffset))},
+        {"readyAddress", loopback(this->processPort(process, readyPortOffset))},
+        {"memberAddress", loopback(this->processPort(process, memberPortOffset))},
+        {"announcedMemberAddress", loopback(this->processPort(process, memberLinkOffset))},
+        {"metricsAddress", loopback(this->processPort(process, metricsPortOffset))},
+        {"publisherAddress", loopback(this->processPort(process, storeLinkOffset))},
+        {"seeds",
+         {loopback(this->processPort(0, memberLinkOffset)),
+          loopback(this->processPort(1, memberLinkOffset))}},
+        {"bounds", {{"retryBurst", 58}, {"stopSeconds", 6}}}};
+    std::ofstream(this->options.folder + "/entry-" + std::to_string(process) + ".json")
+        << settings.dump(2);
+}
+
+void SoakFleet::startProcess(std::size_t index)
+{
+    Process &process = this->processes[index];
+    process.lives += 1;
+    const std::string base = this->options.folder + "/entry-" + std::to_string(index);
+    const std::string log = base + "-" + std::to_string(process.lives) + ".log";
+    std::string settings = base + ".json";
+    std::string binary = this->options.binary;
+    std::string verb = "serve";
+    char *const arguments[] = {binary.data(), verb.data(), settings.data(), nullptr};
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT,
+                                     0644);
+    posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    const int error
+        = posix_spawn(&process.id, binary.c_str(), &actions, nullptr, arguments, environ);
+    posix_spawn_file_actions_destroy(&actions);
+    if (error != 0) {
+        process.id = 0;
+        throw std::runtime_error(binary + " could not be started");
+    }
+}
+
+void SoakFleet::signalProcess(std::size_t process, int signal)
+{
+    if (this->processes[process].id > 0) {
+        kill(this->processes[process].id, signal);
+    }
+}
+
+void SoakFleet::endProcess(std::size_t index, int signal, milliseconds patience)
+{
+    Process &process = this->processes[index];
+    this->signalProcess(index, signal);
+    const Instant until = monotonicNow() + patience;
+    int status = 0;
+    while (waitpid(process.id, &status, WNOHANG) == 0) {
+        if (monotonicNow() >= until) {
+            this->findings.add("stop",
+                               "entry-" + std::to_string(index) + " did not end within "
+                                   + std::to_string(patience.count()) + " ms");
+            kill(process.id, SIGKILL);
+            waitpid(process.id, &status, 0);
+            break;
+        }
+        std::this_thread::sleep_for(endPoll);
+    }
+    const bool crashed = WIFSIGNALED(status) && WTERMSIG(status) != SIGKILL;
+    if (crashed || (WIFEXITED(status) && WEXITSTATUS(status) != 0)) {
+        this->findings.add("exit",
+                           "entry-" + std::to_string(index) + " life "
+                               + std::to_string(process.lives) + " ended with status "
+                               + std::to_string(status));
+    }
+    process.id = 0;
+}
+
+std::uint64_t SoakFleet::publishConfiguration()
+{
+    this->version += 1;
+    const std::string name = "v" + std::to_string(this->version);
+    const json route {{"name", name},
+                      {"host", "shop.example"},
+                      {"path_prefix", "/" + name + "/"},
+                      {"route_kind", "idempotent"},
+                      {"service", "desk"},
+                      {"timeout_ms", 1000},
+                      {"target_latency_ms", 150},
+                      {"priority", 0},
+                      {"max_attempts", 2}};
+    this->storeStandin->put("op/config",
+                            tests::platformConfiguration(this->version, "," + route.dump()));
+    return this->version;
+}
+
+void SoakFleet::evacuate(const std::string &zone, bool out)
+{
+    if (out) {
+        this->storeStandin->put("op/evacuate/" + zone, "{}");
+    } else {
+        this->storeStandin->remove("op/evacuate/" + zone);
+    }
+}
+
+void SoakFleet::addEngine(std::size_t index)
+{
+    const std::uint16_t port = this->nextUpstreamPort();
+    const auto linkPort = static_cast<std::uint16_t>(port + 1);
+    Engine engine;
+    engine.id = "e" + std::to_string(this->engineNumber);
+    engine.zone = zoneOf(index);
+    this->engineNumber += 1;
+    engine.standin = std::make_unique<tests::EngineStandin>(engine.id, port);
+    engine.standin->announce(loopback(linkPort));
+    engine.standin->setZone(engine.zone);
+    engine.link = std::make_unique<LinkProxy>(this->links, linkPort, port);
+    this->storeStandin->put("servers/" + engine.id, engine.standin->record());
+    this->engines[index] = std::move(engine);
+}
+
+void SoakFleet::replaceEngine(std::size_t index)
+{
+    Engine &engine = this->engines[index];
+    this->storeStandin->remove("servers/" + engine.id);
+    this->goneEngines.push_back(std::move(engine.standin));
+    this->addEngine(index);
+}
+
+void SoakFleet::crashEngine(std::size_t index)
+{
+    this->engines[index].standin->die();
+    std::this_thread::sleep_for(heartbeatLapse);
+    this->replaceEngine(index);
+}
+
+void SoakFleet::announceLeaving(std::size_t index, milliseconds notice)
+{
+    Engine &engine = this->engines[index];
+    engine.leaving = true;
+    engine.noticed = monotonicNow();
+    engine.standin->setLeavesIn(notice);
+    this->storeStandin->put("servers/" + engine.id, engine.standin->record(true));
+}
+
+void SoakFleet::finishLeaving(std::size_t index)
+{
+    this->checkLeaving(this->engines[index]);
+    this->engines[index].standin->die();
+    this->replaceEngine(index);
+}
+
+void SoakFleet::checkLeaving(const Engine &engine)
+{
+    const microseconds late = engine.standin->lastArrival() - engine.noticed;
+    if (late > drainBound && this->calmness.allCalmSince(engine.noticed)) {
+        this->findings.add("drain",
+                           engine.id + " got a request " + std::to_string(late.count() / 1'000)
+                               + " ms after its notice, expected none after "
+                               + std::to_string(drainBound.count()) + " ms");
+    }
+}
+
+void SoakFleet::checkEvacuated(const std::string &zone, Instant since, milliseconds bound)
+{
+    for (const Engine &engine : this->engines) {
+        const microseconds late = engine.standin->lastArrival() - since;
+        if (engine.zone == zone && late > bound && this->calmness.allCalmSince(since)) {
+            this->findings.add("evacuation",
+                               engine.id + " got a request " + std::to_string(late.count() / 1'000)
+                                   + " ms after its zone was evacuated, expected none after "
+                                   + std::to_string(bound.count()) + " ms");
+        }
+    }
+}
+
+std::size_t SoakFleet::plainRuns(const std::string &callerId) const
+{
+    std::size_t runs = 0;
+    for (const Plain &plain : this->plains) {
+        runs += plain.standin->runs(callerId);
+    }
+    return runs;
+}
+
+std::size_t SoakFleet::engineRuns(const std::string &callerId) const
+{
+    std::size_t runs = 0;
+    for (const Engine &engine : this->engines) {
+        runs += engine.standin->runs(callerId);
+    }
+    for (const auto &gone : this->goneEngines) {
+        runs += gone->runs(callerId);
+    }
+    return runs;
+}
+
+} // namespace azurespindle::soak
--- /dev/null
+++ b/tests/soak/soak_fleet.h
@@ -0,0 +1,131 @@
+#ifndef AZURESPINDLE_TESTS_SOAK_SOAK_FLEET_H
+#define AZURESPINDLE_TESTS_SOAK_SOAK_FLEET_H
+
+#include "calm.h"
+#include "findings.h"
+#include "link_proxy.h"
+#include "platform/platform_standins.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <sys/types.h>
+#include <vector>
+
+namespace azurespindle::soak {
+
+struct SoakOptions
+{
+    std::uint64_t seed = 1;
+    seconds duration {20};
+    std::size_t processes = 4;
+    std::size_t engines = 5;
+    std::size_t plains = 3;
+    std::uint16_t firstPort = 23'000;
+    std::string binary; ///< Path of the azurespindle program.
+    std::string folder; ///< For settings and logs.
+};
+
+/// Real routing processes, and stand-ins of the platform behind links that can be harmed.
+///
+/// Commands that change upstreams or processes are for one thread, the one that plays the faults;
+/// callers use the queries only. Ends only the processes that it started, by their ids.
+class SoakFleet
+{
+public:
+    SoakFleet(SoakOptions options, Findings &findings);
+    ~SoakFleet();
+    SoakFleet(const SoakFleet &) = delete;
+    SoakFleet &operator=(const SoakFleet &) = delete;
+
+    // Commands
+
+    void startProcess(std::size_t process);
+    /// Sends a signal; the process stays in the fleet.
+    void signalProcess(std::size_t process, int signal);
+    /// Sends a signal that ends the process, and waits for its end at most \a patience.
+    void endProcess(std::size_t process, int signal, milliseconds patience);
+    /// Publishes the next version of the configuration. \return its number.
+    std::uint64_t publishConfiguration();
+    void evacuate(const std::string &zone, bool out);
+    /// Cuts all runs of an engine; another one takes its place.
+    void crashEngine(std::size_t engine);
+    /// Says that an engine leaves and is gone after \a notice.
+    void announceLeaving(std::size_t engine, milliseconds notice);
+    /// Ends an engine whose notice is over; another one takes its place.
+    void finishLeaving(std::size_t engine);
+    /// Checks that the engines of a zone got nothing later than \a bound after its evacuation.
+    void checkEvacuated(const std::string &zone, Instant since, milliseconds bound);
+
+    // Queries
+
+    const SoakOptions &settings() const { return this->options; }
+    Calm &calm() { return this->calmness; }
+    tests::StoreStandin &store() { return *this->storeStandin; }
+    tests::EngineStandin &engine(std::size_t index) { return *this->engines[index].standin; }
+    tests::PlainStandin &plain(std::size_t index) { return *this->plains[index].standin; }
+    const std::string &engineZone(std::size_t index) const { return this->engines[index].zone; }
+    LinkProxy &engineLink(std::size_t index) { return *this->engines[index].link; }
+    LinkProxy &plainLink(std::size_t index) { return *this->plains[index].link; }
+    LinkProxy &callerLink(std::size_t process) { return *this->processes[process].callerLink; }
+    LinkProxy &memberLink(std::size_t process) { return *this->processes[process].memberLink; }
+    LinkProxy &storeLink(std::size_t process) { return *this->processes[process].storeLink; }
+    bool leaving(std::size_t engine) const { return this->engines[engine].leaving; }
+    /// Returns the port at which callers reach a process, through its link.
+    std::uint16_t callerPort(std::size_t process) const;
+    /// Returns the port at which a process listens to callers.
+    std::uint16_t directPort(std::size_t process) const;
+    std::uint16_t readyPort(std::size_t process) const;
+    /// Returns how often a call ran on the plain upstreams.
+    std::size_t plainRuns(const std::string &callerId) const;
+    /// Returns how often a generation was begun from its first event, on all engines ever.
+    std::size_t engineRuns(const std::string &callerId) const;
+
+private:
+    struct Process
+    {
+        pid_t id = 0;
+        int lives = 0;
+        std::unique_ptr<LinkProxy> callerLink;
+        std::unique_ptr<LinkProxy> memberLink;
+        std::unique_ptr<LinkProxy> storeLink;
+    };
+    struct Engine
+    {
+        std::string id;
+        std::string zone;
+        std::unique_ptr<tests::EngineStandin> standin;
+        std::unique_ptr<LinkProxy> link;
+        bool leaving = false;
+        Instant noticed;
+    };
+    struct Plain
+    {
+        std::unique_ptr<tests::PlainStandin> standin;
+        std::unique_ptr<LinkProxy> link;
+    };
+
+    void writeSettings(std::size_t process) const;
+    std::uint16_t processPort(std::size_t process, std::size_t offset) const;
+    std::uint16_t nextUpstreamPort();
+    void addEngine(std::size_t index);
+    void replaceEngine(std::size_t index);
+    void checkLeaving(const Engine &engine);
+
+    const SoakOptions options;
+    Findings &findings;
+    Calm calmness;
+    LinkThread links;
+    std::unique_ptr<tests::StoreStandin> storeStandin;
+    std::vector<Process> processes;
+    std::vector<Engine> engines;
+    std::vector<Plain> plains;
+    std::vector<std::unique_ptr<tests::EngineStandin>> goneEngines; ///< They know what ran there.
+    std::uint64_t version = 0;
+    std::uint16_t upstreamPorts = 0; ///< Used so far.
+    std::size_t engineNumber = 0;
+};
+
+} // namespace azurespindle::soak
+
+#endif
--- a/tests/support/raw_connection.cpp
+++ b/tests/support/raw_connection.cpp
@@ -1,5 +1,6 @@
 #include "support/raw_connection.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <poll.h>
@@ -38,6 +39,16 @@
     return ::poll(&waited, 1, static_cast<int>(patience.count())) > 0;
 }
 
+std::optional<std::string> RawConnection::readSome(milliseconds patience) const
+{
+    if (!this->waitReadable(patience)) {
+        return std::nullopt;
+    }
+    char buffer[65'536];
+    const ssize_t count = ::recv(this->socket, buffer, sizeof(buffer), 0);
+    return std::string(buffer, static_cast<std::size_t>(std::max<ssize_t>(count, 0)));
+}
+
 std::string RawConnection::readUntil(const std::string &end, milliseconds patience) const
 {
     std::string text;
--- a/tests/support/raw_connection.h
+++ b/tests/support/raw_connection.h
@@ -4,6 +4,7 @@
 #include "base/time_types.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace azurespindle::tests {
@@ -19,6 +20,9 @@
 
     bool connected() const { return this->socket >= 0; }
     void send(const std::string &bytes) const;
+    /// Reads what is there. \return nothing if none came for \a patience; no bytes once the other
+    /// side has closed or reset.
+    std::optional<std::string> readSome(milliseconds patience) const;
     /// Reads until the other side closes, or nothing came for \a patience.
     std::string readAll(milliseconds patience) const;
     /// Reads until \a end was read, or nothing came for \a patience.
