--- a/src/decision/arrival_budget.cpp
+++ b/src/decision/arrival_budget.cpp
@@ -47,6 +47,12 @@
     this->peers[peer] = {now, counts};
 }
 
+void ArrivalBudget::tellZone(const std::string &zone, const std::vector<ArrivalCount> &counts,
+                             std::size_t processes, Instant now)
+{
+    this->zones[zone] = {now, counts, processes};
+}
+
 ArrivalCount ArrivalBudget::own(const std::string &service, Instant now) const
 {
     const auto found = this->services.find(service);
@@ -61,18 +67,38 @@
 ArrivalCount ArrivalBudget::fleet(const std::string &service, Instant now) const
 {
     ArrivalCount sum = this->own(service, now);
-    for (const auto &[name, peer] : this->peers) {
-        for (const ArrivalCount &each : peer.counts) {
-            const bool fresh = now - peer.heard < peerMemory;
-            if (fresh && each.service == service) {
-                sum.requests += each.requests;
-                sum.repeats += each.repeats;
+    for (const auto *told : {&this->peers, &this->zones}) {
+        for (const auto &[name, peer] : *told) {
+            for (const ArrivalCount &each : peer.counts) {
+                const bool fresh = now - peer.heard < peerMemory;
+                if (fresh && each.service == service) {
+                    sum.requests += each.requests;
+                    sum.repeats += each.repeats;
+                }
             }
         }
     }
     return sum;
 }
 
+std::size_t ArrivalBudget::processesHeard(Instant now) const
+{
+    std::size_t fresh = 1;
+    for (const auto &[name, peer] : this->peers) {
+        fresh += now - peer.heard < peerMemory ? 1 : 0;
+    }
+    return fresh;
+}
+
+std::size_t ArrivalBudget::freshProcesses(Instant now) const
+{
+    std::size_t fresh = this->processesHeard(now);
+    for (const auto &[name, zone] : this->zones) {
+        fresh += now - zone.heard < peerMemory ? zone.processes : 0;
+    }
+    return fresh;
+}
+
 bool ArrivalBudget::allows(const std::string &service, bool generation, Instant now) const
 {
     const ArrivalCount mine = this->own(service, now);
@@ -83,16 +109,27 @@
     if (mine.repeats + 1 <= part * own) {
         return true;
     }
-    std::size_t fresh = 1;
-    for (const auto &[name, peer] : this->peers) {
-        fresh += now - peer.heard < peerMemory ? 1 : 0;
-    }
-    if (!generation || fresh < this->processes) {
+    return generation && this->mayBorrow(service, now);
+}
+
+bool ArrivalBudget::mayBorrow(const std::string &service, Instant now) const
+{
+    if (this->freshProcesses(now) < this->processes * knownPart) {
         return false;
     }
     const ArrivalCount all = this->fleet(service, now);
     const double whole = this->limits.burst + this->limits.share * all.requests;
-    return all.repeats + 1 <= borrowPart * whole;
+    if (all.repeats + 1 > borrowPart * whole) {
+        return false;
+    }
+    if (this->zones.empty()) {
+        return true;
+    }
+    const double rest = (1.0 - borrowPart) * whole / static_cast<double>(this->processes);
+    const auto found = this->services.find(service);
+    const std::uint32_t lately
+        = found == this->services.end() ? 0 : countSince(found->second.repeats, now - newsAge);
+    return lately + 1 <= std::max(1.0, rest);
 }
 
 std::vector<ArrivalCount> ArrivalBudget::counts(Instant now) const
@@ -104,4 +141,30 @@
     return counts;
 }
 
+std::vector<ArrivalCount> ArrivalBudget::ownAndPeers(Instant now) const
+{
+    std::map<std::string, ArrivalCount> sums;
+    const auto add = [&sums](const ArrivalCount &count) {
+        ArrivalCount &sum
+            = sums.try_emplace(count.service, ArrivalCount {count.service, 0, 0}).first->second;
+        sum.requests += count.requests;
+        sum.repeats += count.repeats;
+    };
+    for (const ArrivalCount &each : this->counts(now)) {
+        add(each);
+    }
+    for (const auto &[name, peer] : this->peers) {
+        for (const ArrivalCount &each : peer.counts) {
+            if (now - peer.heard < peerMemory) {
+                add(each);
+            }
+        }
+    }
+    std::vector<ArrivalCount> counts;
+    for (const auto &[service, count] : sums) {
+        counts.push_back(count);
+    }
+    return counts;
+}
+
 } // namespace azurespindle::decision
--- a/src/decision/arrival_budget.h
+++ b/src/decision/arrival_budget.h
@@ -35,7 +35,8 @@
 ///
 /// Each process has its part of the burst and its own requests' share, so that the sum holds
 /// without a word between them. Beyond its part it may go while its peers say that most of the
-/// fleet's budget is unused; what peers said counts only while it is fresh.
+/// fleet's budget is unused; what peers said counts only while it is fresh. While one counts on the
+/// same word others do, too: therefore each borrows no more in that time than its part of the rest.
 class ArrivalBudget
 {
 public:
@@ -46,6 +47,11 @@
     /// Part of a process's own budget that plain retries may use; the rest is for generations.
     static constexpr double retryPart = 0.6;
     static constexpr milliseconds peerMemory {1'500};
+    /// Part of the processes that have to be heard before one borrows. In a large fleet some are
+    /// always just starting or ending.
+    static constexpr double knownPart = 0.9;
+    /// How old what other zones said may be, on the way over two relays.
+    static constexpr milliseconds newsAge {600};
 
     // Commands
 
@@ -57,6 +63,9 @@
     /// Notes an arrival beyond the first.
     void noteRepeat(const std::string &service, Instant now);
     void tell(const std::string &peer, const std::vector<ArrivalCount> &counts, Instant now);
+    /// Takes over what the processes of another zone counted together.
+    void tellZone(const std::string &zone, const std::vector<ArrivalCount> &counts,
+                  std::size_t processes, Instant now);
 
     // Queries
 
@@ -64,6 +73,10 @@
     /// \param generation it goes on with a generation that would be lost otherwise.
     bool allows(const std::string &service, bool generation, Instant now) const;
     std::vector<ArrivalCount> counts(Instant now) const;
+    /// Returns what this process and its peers counted together, without other zones' reports.
+    std::vector<ArrivalCount> ownAndPeers(Instant now) const;
+    /// Returns how many processes ownAndPeers() speaks for.
+    std::size_t processesHeard(Instant now) const;
 
 private:
     struct Events
@@ -75,8 +88,13 @@
     {
         Instant heard;
         std::vector<ArrivalCount> counts;
+        std::size_t processes = 1; ///< Whose counts they are.
     };
 
+    /// Returns how many processes' counts are fresh, this one's included.
+    std::size_t freshProcesses(Instant now) const;
+    /// Returns true if a process may take one more from what the others do not use.
+    bool mayBorrow(const std::string &service, Instant now) const;
     void trim(Events &events, Instant now) const;
     ArrivalCount own(const std::string &service, Instant now) const;
     ArrivalCount fleet(const std::string &service, Instant now) const;
@@ -85,6 +103,7 @@
     std::size_t processes = 1;
     std::unordered_map<std::string, Events> services;
     std::map<std::string, Peer> peers;
+    std::map<std::string, Peer> zones; ///< By zone: what its processes counted together.
 };
 
 } // namespace azurespindle::decision
--- a/src/decision/engine_choice.cpp
+++ b/src/decision/engine_choice.cpp
@@ -15,6 +15,17 @@
         / static_cast<double>(std::max<Tokens>(candidate.memory, 1));
 }
 
+/// Returns a number from 0 to 1 that differs from engine to engine and from turn to turn.
+double spread(std::size_t index, std::uint64_t turn)
+{
+    constexpr std::uint64_t mixer = 0xBF58476D1CE4E5B9ULL;
+    constexpr unsigned topBits = 40;
+    constexpr double scale = 1.0 / 16'777'216.0; // From 24 bits.
+    std::uint64_t mixed = (turn + index * 0x9E3779B97F4A7C15ULL) * mixer;
+    mixed = (mixed ^ (mixed >> 31U)) * mixer;
+    return static_cast<double>(mixed >> topBits) * scale;
+}
+
 double engineCost(const ChoiceCandidate &candidate, const EngineNeed &need,
                   const ChoiceWeights &weights)
 {
@@ -25,15 +36,18 @@
         = static_cast<double>(candidate.claimed.prefill + toRead) / weights.promptTokensPerMs;
     cost += weights.attemptMs * candidate.claimed.attempts;
     cost += weights.memoryMs * full * full;
-    cost += candidate.sameZone ? 0.0 : weights.otherZoneMs;
+    const double farMs = need.moves ? weights.otherZoneMoveMs : weights.otherZoneMs;
+    cost += candidate.sameZone ? 0.0 : farMs;
     cost += candidate.troubled ? weights.troubledMs : 0.0;
+    cost += candidate.late ? weights.lateMs : 0.0;
     return cost;
 }
 
 bool hasRoom(const ChoiceCandidate &candidate, const EngineNeed &need, const ChoiceWeights &weights)
 {
     return candidate.claimed.attempts < candidate.slots
-        && memoryPart(candidate, need) <= weights.memoryLimit;
+        && memoryPart(candidate, need)
+        <= (candidate.late ? weights.lateMemoryLimit : weights.memoryLimit);
 }
 
 /// Returns the position of the lowest cost, beginning the search at \a turn.
@@ -63,7 +77,9 @@
         if (!hasRoom(candidates[index], need, weights)) {
             return std::nullopt;
         }
-        return engineCost(candidates[index], need, weights);
+        const bool spreads = need.atOnce || candidates[index].late;
+        return engineCost(candidates[index], need, weights)
+            + (spreads ? weights.spreadMs * spread(index, turn) : 0.0);
     });
 }
 
--- a/src/decision/engine_choice.h
+++ b/src/decision/engine_choice.h
@@ -20,6 +20,8 @@
     Tokens cachedTokens = 0; ///< Of the request's prompt, probably.
     bool sameZone = true;
     bool troubled = false; ///< Lately failed or refused requests.
+    /// What is claimed of it was told by way of another zone's relays, and is older than the rest.
+    bool late = false;
 };
 
 /// What a request takes of an engine.
@@ -28,6 +30,8 @@
     Tokens promptTokens = 0;
     Tokens memory = 0;  ///< KV tokens, reckoned to the time of need.
     bool moves = false; ///< It comes with its memory: no prompt is read.
+    /// Other processes choose at the same moment, on the same word: all have the same notice.
+    bool atOnce = false;
 };
 
 /// What considerations cost, in milliseconds of delay that they are as bad as.
@@ -36,9 +40,14 @@
     double promptTokensPerMs = 14.0; ///< Speed at which an engine reads prompts.
     double attemptMs = 12.0;         ///< Each attempt that runs there slows all others.
     double otherZoneMs = 60.0;       ///< Bytes between zones, and what a cut would take along.
+    double otherZoneMoveMs = 200.0;  ///< A copy that holds up the others on its link twice as long.
     double troubledMs = 400.0;
     double memoryMs = 250.0;   ///< An engine that is just full; grows with the square.
     double memoryLimit = 0.92; ///< Part of the memory that is planned with.
+    /// Costs this close are as good as equal where many choose at once; on late word also.
+    double spreadMs = 160.0;
+    double lateMs = 120.0;         ///< What is not heard yet of an engine of which word comes late.
+    double lateMemoryLimit = 0.82; ///< As memoryLimit, on late word.
 };
 
 /// Chooses the engine at which the request is expected to do best and to harm others least.
--- a/src/decision/length_forecast.h
+++ b/src/decision/length_forecast.h
@@ -55,6 +55,8 @@
     double continues(Tokens produced, Tokens further, Tokens maxTokens) const;
     /// Returns the expected number of tokens still to come.
     double expectedRemaining(Tokens produced, Tokens maxTokens) const;
+    /// Returns how many recent outputs of the model stand behind it, after decay.
+    double weight() const { return this->all.weight(); }
 
 private:
     double survival(double length) const;
--- a/src/decision/load_table.cpp
+++ b/src/decision/load_table.cpp
@@ -65,14 +65,24 @@
     }
 }
 
-void LoadTable::forgetSilent(Instant now)
+void LoadTable::tellZone(const std::string &zone, const std::vector<UpstreamClaim> &claims,
+                         Instant now)
 {
-    for (auto peer = this->peers.begin(); peer != this->peers.end();) {
-        const bool silent = now - peer->second.heard > peerMemory;
-        peer = silent ? this->peers.erase(peer) : std::next(peer);
+    Peer &told = this->zones[zone];
+    told.heard = now;
+    told.claims.clear();
+    for (const UpstreamClaim &each : claims) {
+        told.claims[each.upstream] = each.claim;
     }
 }
 
+void LoadTable::forgetSilent(Instant now)
+{
+    const auto silent = [now](const auto &entry) { return now - entry.second.heard > peerMemory; };
+    std::erase_if(this->peers, silent);
+    std::erase_if(this->zones, silent);
+}
+
 std::vector<UpstreamClaim> LoadTable::takeChanged()
 {
     std::vector<UpstreamClaim> claims;
@@ -85,10 +95,12 @@
 Claim LoadTable::total(const std::string &upstream) const
 {
     Claim sum = this->own(upstream);
-    for (const auto &[name, peer] : this->peers) {
-        const auto found = peer.claims.find(upstream);
-        if (found != peer.claims.end()) {
-            sum += found->second;
+    for (const auto *told : {&this->peers, &this->zones}) {
+        for (const auto &[name, peer] : *told) {
+            const auto found = peer.claims.find(upstream);
+            if (found != peer.claims.end()) {
+                sum += found->second;
+            }
         }
     }
     return sum;
@@ -109,4 +121,19 @@
     return claims;
 }
 
+std::vector<UpstreamClaim> LoadTable::ownAndPeers() const
+{
+    std::map<std::string, Claim> sums(this->mine.begin(), this->mine.end());
+    for (const auto &[name, peer] : this->peers) {
+        for (const auto &[upstream, claim] : peer.claims) {
+            sums[upstream] += claim;
+        }
+    }
+    std::vector<UpstreamClaim> claims;
+    for (const auto &[upstream, claim] : sums) {
+        claims.push_back({upstream, claim});
+    }
+    return claims;
+}
+
 } // namespace azurespindle::decision
--- a/src/decision/load_table.h
+++ b/src/decision/load_table.h
@@ -50,7 +50,9 @@
     /// Takes over what a peer claims; \a whole when it is everything.
     void tell(const std::string &peer, const std::vector<UpstreamClaim> &claims, bool whole,
               Instant now);
-    /// Drops what silent peers claimed.
+    /// Takes over what the processes of another zone claim together.
+    void tellZone(const std::string &zone, const std::vector<UpstreamClaim> &claims, Instant now);
+    /// Drops what silent peers and zones claimed.
     void forgetSilent(Instant now);
     /// Takes the own claims that changed since the last call.
     std::vector<UpstreamClaim> takeChanged();
@@ -60,7 +62,11 @@
     /// Returns what all together claim of an upstream.
     Claim total(const std::string &upstream) const;
     Claim own(const std::string &upstream) const;
+    /// Returns true if what is claimed by processes of that zone comes as their sum.
+    bool hearsSumOf(const std::string &zone) const { return this->zones.count(zone) > 0; }
     std::vector<UpstreamClaim> allOwn() const;
+    /// Returns what this process and its peers claim together, without other zones' reports.
+    std::vector<UpstreamClaim> ownAndPeers() const;
 
 private:
     struct Peer
@@ -72,6 +78,7 @@
     std::unordered_map<std::string, Claim> mine;
     std::map<std::string, bool> changed;
     std::unordered_map<std::string, Peer> peers;
+    std::unordered_map<std::string, Peer> zones; ///< By zone: what its processes claim together.
 };
 
 } // namespace azurespindle::decision
--- a/src/members/coordinator.h
+++ b/src/members/coordinator.h
@@ -33,6 +33,7 @@
     std::function<void(const std::string &from, const RouterReport &report)> onRouterReport {};
     std::function<void(const std::string &from, const ViewWanted &wanted)> onViewWanted {};
     std::function<void(const ViewNews &news)> onViewNews {};
+    std::function<void(const std::string &from, const ZoneReport &report)> onZoneReport {};
 };
 
 /// What one member last said of itself, for `azurespindle status`.
--- a/src/members/coordinator_messages.cpp
+++ b/src/members/coordinator_messages.cpp
@@ -63,6 +63,10 @@
         if (this->hooks.onViewNews) {
             this->hooks.onViewNews(*published);
         }
+    } else if (const auto *zone = std::get_if<ZoneReport>(&message)) {
+        if (this->hooks.onZoneReport) {
+            this->hooks.onZoneReport(from, *zone);
+        }
     }
 }
 
--- a/src/members/internal/frame_codec.h
+++ b/src/members/internal/frame_codec.h
@@ -89,6 +89,8 @@
 void read(const Object &from, RouterReport &report);
 void write(Packer &out, const ViewWanted &wanted);
 void read(const Object &from, ViewWanted &wanted);
+void write(Packer &out, const ZoneReport &report);
+void read(const Object &from, ZoneReport &report);
 void write(Packer &out, const ViewNews &news);
 void read(const Object &from, ViewNews &news);
 
--- a/src/members/internal/routing_codec.cpp
+++ b/src/members/internal/routing_codec.cpp
@@ -96,6 +96,24 @@
     unpackList(in.next(), report.notes);
 }
 
+void write(Packer &out, const ZoneReport &report)
+{
+    out.pack_array(4);
+    out.pack(report.zone);
+    out.pack(report.processes);
+    packList(out, report.claims);
+    packList(out, report.arrivals);
+}
+
+void read(const Object &from, ZoneReport &report)
+{
+    ArrayReader in(from);
+    report.zone = in.as<std::string>();
+    report.processes = in.as<std::uint32_t>();
+    unpackList(in.next(), report.claims);
+    unpackList(in.next(), report.arrivals);
+}
+
 void write(Packer &out, const ViewWanted &wanted)
 {
     out.pack_array(1);
--- a/src/members/messages.h
+++ b/src/members/messages.h
@@ -155,6 +155,16 @@
     bool operator==(const RouterReport &other) const = default;
 };
 
+/// What all processes of a zone have under way and counted together, told to other zones.
+struct ZoneReport
+{
+    std::string zone;
+    std::uint32_t processes = 0; ///< Whose claims and counts are in it.
+    std::vector<decision::UpstreamClaim> claims;
+    std::vector<decision::ArrivalCount> arrivals;
+    bool operator==(const ZoneReport &other) const = default;
+};
+
 /// Asks for what was published after a revision.
 struct ViewWanted
 {
@@ -171,7 +181,7 @@
 
 using Message = std::variant<Hello, Heartbeat, MemberNews, DocumentWanted, DocumentBody,
                              LeaseRequests, LeaseGrants, CrashNote, PermitRequests, PermitAnswers,
-                             RouterReport, ViewWanted, ViewNews>;
+                             RouterReport, ViewWanted, ViewNews, ZoneReport>;
 
 /// Returns the frame's payload: a msgpack array of version, type and body.
 std::string encode(const Message &message);
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -19,6 +19,10 @@
 constexpr milliseconds noteTime {1'500};
 /// How long an upstream at whose address nothing listens gets nothing.
 constexpr milliseconds refusingTime {2'500};
+/// Two upstreams of another zone that cannot be reached within this time speak for a cut.
+constexpr milliseconds cutWindow {2'000};
+/// How long a zone is then taken for cut off.
+constexpr milliseconds cutTime {1'500};
 
 } // namespace
 
@@ -175,6 +179,38 @@
     this->notes.emplace_back(this->now, note);
 }
 
+void Router::noteUnreachable(const UpstreamRecord &upstream)
+{
+    if (upstream.zone == this->options.zone) {
+        return;
+    }
+    Unreachable &zone = this->unreachable[upstream.zone];
+    const bool alone = this->now - zone.since > cutWindow;
+    if (alone) {
+        zone.first = upstream.id;
+    }
+    zone.since = this->now;
+    if (!alone && zone.first != upstream.id) {
+        zone.until = this->now + cutTime;
+    }
+}
+
+bool Router::troubled(const UpstreamRecord &record) const
+{
+    const auto trouble = this->troubledUntil.find(record.id);
+    if (trouble != this->troubledUntil.end() && trouble->second > this->now) {
+        return true;
+    }
+    const auto zone = this->unreachable.find(record.zone);
+    const bool cut = zone != this->unreachable.end() && zone->second.until > this->now;
+    return cut || this->unheard(record.zone);
+}
+
+bool Router::unheard(const std::string &zone) const
+{
+    return zone != this->options.zone && this->unheardZones.count(zone) > 0;
+}
+
 std::vector<UpstreamNote> Router::takeNotes(Instant at)
 {
     std::erase_if(this->notes, [at](const auto &each) { return at - each.first > noteTime; });
@@ -235,6 +271,12 @@
     }
 }
 
+void Router::on(const ZoneTold &event)
+{
+    this->loads.tellZone(event.zone, event.claims, this->now);
+    this->budget.tellZone(event.zone, event.arrivals, event.processes, this->now);
+}
+
 void Router::on(const CrashTold &event)
 {
     this->crashes.blame(event.fingerprint, event.upstream, event.born, this->now);
@@ -244,7 +286,7 @@
 {
     this->budget.setProcesses(event.count);
     this->coldShare.setProcesses(event.count);
-    this->hearsOtherZones = event.hearsOtherZones;
+    this->unheardZones = event.unheardZones;
 }
 
 void Router::on(const StopRequested &)
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -11,6 +11,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -46,6 +47,8 @@
 {
 public:
     static constexpr milliseconds tickInterval {20};
+    /// Routes whose output lengths are remembered.
+    static constexpr std::size_t maxForecasts = 256;
 
     explicit Router(RouterOptions options);
 
@@ -61,6 +64,12 @@
 
     RouterStatus status() const;
     std::vector<decision::UpstreamClaim> claims() const { return this->loads.allOwn(); }
+    /// Returns what this process and its peers have under way together.
+    std::vector<decision::UpstreamClaim> claimsWithPeers() const
+    {
+        return this->loads.ownAndPeers();
+    }
+    const decision::ArrivalBudget &arrivalBudget() const { return this->budget; }
     std::vector<decision::ArrivalCount> arrivals(Instant now) const
     {
         return this->budget.counts(now);
@@ -144,12 +153,16 @@
 
         bool relaying = false;
         bool resuming = false; ///< Its stream goes on, and no event has come since.
+        Instant firstEvent;
         Instant lastEvent;
+        microseconds longestPause {0};       ///< Between two events that were passed on.
+        std::uint64_t longestPauseAfter = 0; ///< Events passed on before that pause.
         std::uint64_t events = 0;
         std::uint64_t lastEventId = 0;
         Instant begun; ///< First event of the present attempt.
         std::optional<Move> move;
         Instant nextRescue;
+        std::uint64_t claimedAt = 0; ///< Events made when the claim was last reckoned.
     };
 
     /// What is known of an engine that leaves.
@@ -170,6 +183,14 @@
         Instant at;
     };
 
+    /// Upstreams of one zone that could not be reached lately.
+    struct Unreachable
+    {
+        std::string first; ///< The upstream that was not reached at first.
+        Instant since;
+        Instant until; ///< The zone is taken for cut off until then.
+    };
+
     void on(const RequestArrived &event);
     void on(const CallerLeft &event);
     void on(const HeadArrived &event);
@@ -180,6 +201,7 @@
     void on(const StateChanged &event);
     void on(const PublisherChanged &event);
     void on(const PeerTold &event);
+    void on(const ZoneTold &event);
     void on(const CrashTold &event);
     void on(const ProcessesChanged &event);
     void on(const TimePassed &event);
@@ -192,8 +214,11 @@
     void unqueue(Open &open);
     bool tryPlace(Open &open);
     std::vector<decision::ChoiceCandidate> candidatesFor(const Open &open) const;
-    /// Takes upstreams of other zones to be as busy as those here, where nothing is heard of them.
-    void assumeOtherZonesBusy(std::vector<decision::ChoiceCandidate> &candidates) const;
+    /// Returns an upstream as a candidate, with what is claimed of it and known against it.
+    decision::ChoiceCandidate candidate(const UpstreamRecord &record, const Service *service,
+                                        const std::string &nearZone) const;
+    /// Takes upstreams of zones that are not heard to be as busy as those here.
+    void assumeUnheardZonesBusy(std::vector<decision::ChoiceCandidate> &candidates) const;
     bool usable(const Open &open, const UpstreamRecord &record) const;
     /// Returns true if the homes of route and workspace let the request go to the upstream's zone.
     bool isHome(const Open &open, const UpstreamRecord &record) const;
@@ -211,6 +236,8 @@
     void dropBeside(Open &open);
     void leaveUpstream(Open &open);
     void cancel(Open &open);
+    /// Keeps the longest pause of a stream, for the line that tells of its end.
+    void notePause(Open &open) const;
     void conclude(Open &open, AttemptEnd end, const std::string &detail);
     void concludeUnrun(Open &open, AttemptEnd end, const std::string &detail);
     void concludeMayHaveRun(Open &open, AttemptEnd end, const std::string &detail);
@@ -251,7 +278,14 @@
     bool sourceLeaves(const Open &open) const;
     microseconds copyTime(const Open &open, Tokens tokens) const;
     decision::Claim movedClaim(const Open &open) const;
+    /// Claims for a run, and for the copy kept of it, what it holds and will hold by now.
+    void growClaim(Open &open);
 
+    /// Notes that an upstream could not be reached; its zone may be cut off.
+    void noteUnreachable(const UpstreamRecord &upstream);
+    /// Returns true for an upstream that failed lately, or whose zone may be cut off.
+    bool troubled(const UpstreamRecord &record) const;
+    bool unheard(const std::string &zone) const;
     /// Notes what was found out about an upstream, for the peers.
     void note(const UpstreamNote &note);
     /// Heeds what was found out, here or by a peer.
@@ -282,14 +316,15 @@
     std::unordered_map<std::string, Instant> reportAsked;
     std::vector<std::pair<Instant, UpstreamNote>> notes;
     bool publisherAway = false;
-    bool hearsOtherZones = true;
+    std::set<std::string> unheardZones;
+    std::map<std::string, Unreachable> unreachable; ///< By zone.
     std::unordered_map<RequestId, Open> open;
     std::vector<RequestId> queue; ///< In the order in which they are tried.
     decision::LoadTable loads;
     decision::ArrivalBudget budget;
     decision::ColdShare coldShare;
     decision::CrashRegister crashes;
-    decision::LengthForecast forecast;
+    RecentMap<std::string, decision::LengthForecast> forecasts {maxForecasts}; ///< By route.
     std::vector<UnresolvedLoss> losses;
     RouterStatus counts;
     std::uint64_t turn = 0;
--- a/src/routing/router_admission.cpp
+++ b/src/routing/router_admission.cpp
@@ -27,6 +27,10 @@
 constexpr double heldOutputPart = 0.5;
 /// Output reckoned with where nothing is declared, in tokens.
 constexpr Tokens unknownOutput = 512;
+/// Part of the longest output that is allowed, which one is expected to make.
+constexpr double declaredPart = 0.42;
+/// Outputs of a route at which what was learned of it weighs as much as what is declared.
+constexpr double fewOutputs = 24.0;
 constexpr double turnScale = 1.0 / 2'147'483'648.0; ///< From a turn (31 bits) to [0, 1).
 
 std::uint64_t fingerprintOf(const RoutedRequest &request)
@@ -177,58 +181,72 @@
         || this->coldShare.allows(record.id, open.service->coldRequestsPerSecond, this->now);
 }
 
+decision::ChoiceCandidate Router::candidate(const UpstreamRecord &record, const Service *service,
+                                            const std::string &nearZone) const
+{
+    decision::ChoiceCandidate candidate;
+    candidate.upstream = record.id;
+    candidate.claimed = this->loads.total(record.id);
+    candidate.slots = record.slots;
+    const bool engine = service != nullptr && service->engine;
+    candidate.memory = engine ? service->engine->memoryTokens : 0;
+    candidate.sameZone = record.zone == nearZone;
+    candidate.troubled = this->troubled(record);
+    candidate.late = this->loads.hearsSumOf(record.zone);
+    return candidate;
+}
+
 std::vector<decision::ChoiceCandidate> Router::candidatesFor(const Open &open) const
 {
     std::vector<decision::ChoiceCandidate> candidates;
     for (const auto &[id, record] : this->state->upstreams) {
-        if (!this->usable(open, record)) {
-            continue;
+        if (this->usable(open, record)) {
+            candidates.push_back(this->candidate(record, open.service, this->options.zone));
         }
-        decision::ChoiceCandidate candidate;
-        candidate.upstream = id;
-        candidate.claimed = this->loads.total(id);
-        candidate.slots = record.slots;
-        const bool engine = open.service != nullptr && open.service->engine;
-        candidate.memory = engine ? open.service->engine->memoryTokens : 0;
-        candidate.sameZone = record.zone == this->options.zone;
-        const auto trouble = this->troubledUntil.find(id);
-        candidate.troubled = trouble != this->troubledUntil.end() && trouble->second > this->now;
-        candidates.push_back(std::move(candidate));
     }
-    this->assumeOtherZonesBusy(candidates);
+    this->assumeUnheardZonesBusy(candidates);
     return candidates;
 }
 
-void Router::assumeOtherZonesBusy(std::vector<decision::ChoiceCandidate> &candidates) const
+void Router::assumeUnheardZonesBusy(std::vector<decision::ChoiceCandidate> &candidates) const
 {
-    if (this->hearsOtherZones) {
+    if (this->unheardZones.empty()) {
         return;
     }
+    const auto isUnheard = [this](const decision::ChoiceCandidate &candidate) {
+        return this->unheard(this->record(candidate.upstream)->zone);
+    };
     decision::Claim sum;
-    std::uint32_t near = 0;
+    std::uint32_t heard = 0;
     for (const decision::ChoiceCandidate &each : candidates) {
-        if (each.sameZone) {
+        if (!isUnheard(each)) {
             sum += each.claimed;
-            near += 1;
+            heard += 1;
         }
     }
     for (decision::ChoiceCandidate &each : candidates) {
-        if (!each.sameZone && near > 0) {
-            each.claimed.attempts = std::max(each.claimed.attempts, sum.attempts / near);
-            each.claimed.memory = std::max(each.claimed.memory, sum.memory / near);
-            each.claimed.prefill = std::max(each.claimed.prefill, sum.prefill / near);
+        if (heard > 0 && isUnheard(each)) {
+            each.claimed.attempts = std::max(each.claimed.attempts, sum.attempts / heard);
+            each.claimed.memory = std::max(each.claimed.memory, sum.memory / heard);
+            each.claimed.prefill = std::max(each.claimed.prefill, sum.prefill / heard);
         }
     }
 }
 
 Tokens Router::expectedOutput(const Open &open, Tokens made) const
 {
-    // A caller's own estimate is right at the median but far off for most; what was learned of
-    // the route, given what the request has made so far, is nearer for memory.
     const Tokens most
         = open.request->maxOutputTokens > 0 ? open.request->maxOutputTokens : unknownOutput;
-    return static_cast<Tokens>(
-        this->forecast.outlook("", open.route->name).expectedRemaining(made, most));
+    const double undeclared = declaredPart * (most > made ? most - made : 0);
+    const decision::LengthForecast *learned = this->forecasts.find(open.route->name);
+    if (learned == nullptr) {
+        return static_cast<Tokens>(undeclared);
+    }
+    // The outputs that end first are the short ones: what was learned of a few misleads.
+    const decision::LengthOutlook outlook = learned->outlook("", "");
+    const double trust = outlook.weight() / (outlook.weight() + fewOutputs);
+    return static_cast<Tokens>(trust * outlook.expectedRemaining(made, most)
+                               + (1.0 - trust) * undeclared);
 }
 
 bool Router::tryPlace(Open &open)
@@ -238,7 +256,7 @@
     const Tokens prompt = open.request->promptTokens;
     const auto held
         = static_cast<Tokens>(heldOutputPart * static_cast<double>(this->expectedOutput(open, 0)));
-    const decision::EngineNeed need {prompt, prompt + held, false};
+    const decision::EngineNeed need {prompt, prompt + held, false, false};
     const auto chosen = engine ? decision::chooseEngine(candidates, need, this->nextTurn())
                                : decision::choosePlain(candidates, this->nextTurn());
     if (!chosen) {
--- a/src/routing/router_attempts.cpp
+++ b/src/routing/router_attempts.cpp
@@ -35,6 +35,8 @@
 /// The death of an upstream is blamed on what it ran, if it shows within this time.
 constexpr seconds blameTime {6};
 constexpr std::size_t maxLosses = 256;
+/// A run's claim is reckoned anew after so many events.
+constexpr std::uint64_t claimStep = 48;
 constexpr std::uint32_t mostUrgent = 0;
 constexpr std::uint32_t leastUrgent = 9;
 
@@ -185,6 +187,7 @@
                        {"events", std::to_string(open.events)},
                        {"pauseMs", millisecondsSince(open.lastEvent, this->now)}});
     }
+    this->notePause(open);
     open.lastHeard = this->now;
     open.lastEvent = this->now;
     if (open.claim.prefill > 0) {
@@ -194,11 +197,44 @@
     }
     open.events += event.count;
     open.lastEventId = std::max(open.lastEventId, event.lastEventId);
+    if (open.events - open.claimedAt >= claimStep) {
+        this->growClaim(open);
+    }
     if (open.move && open.move->stopAtOnce && open.move->stage == MoveStage::Choosing) {
         this->dropMove(open, false); // It speaks again.
     }
 }
 
+void Router::growClaim(Open &open)
+{
+    open.claimedAt = open.events;
+    if (!open.running || open.service == nullptr || !open.service->engine) {
+        return;
+    }
+    const Tokens memory = this->movedClaim(open).memory;
+    this->loads.subtract(open.upstream.id, open.claim);
+    open.claim.memory = memory;
+    this->loads.add(open.upstream.id, open.claim);
+    if (open.backup) {
+        this->loads.subtract(open.backup->id, open.backupClaim);
+        open.backupClaim.memory = memory;
+        this->loads.add(open.backup->id, open.backupClaim);
+    }
+}
+
+void Router::notePause(Open &open) const
+{
+    if (open.events == 0) {
+        open.firstEvent = this->now;
+        return;
+    }
+    const microseconds pause = this->now - open.lastEvent;
+    if (pause > open.longestPause) {
+        open.longestPause = pause;
+        open.longestPauseAfter = open.events;
+    }
+}
+
 void Router::on(const AttemptEnded &event)
 {
     Open *waiting = this->find(event.attempt.request);
@@ -271,6 +307,9 @@
 void Router::concludeUnrun(Open &open, AttemptEnd end, const std::string &detail)
 {
     const bool unreachable = end != AttemptEnd::Complete;
+    if (end == AttemptEnd::NotSent) {
+        this->noteUnreachable(open.upstream);
+    }
     this->troubledUntil[open.upstream.id]
         = this->now + (unreachable ? unreachablePenalty : refusedPenalty);
     open.avoided.push_back(open.upstream.id);
@@ -320,9 +359,9 @@
         const bool whole
             = !open.request->lastEventId && open.service != nullptr && open.service->engine;
         if (whole) {
-            this->forecast.observe("", open.route->name,
-                                   static_cast<Tokens>(open.events)
-                                       * open.service->engine->tokensPerEvent);
+            this->forecasts.touch(open.route->name)
+                .observe("", "",
+                         static_cast<Tokens>(open.events) * open.service->engine->tokensPerEvent);
         }
         this->emit(EndStream {open.id});
         this->finish(open);
@@ -444,14 +483,19 @@
 
 void Router::finish(Open &open)
 {
-    this->journal(open, journal::EventId::RequestFinished,
-                  {{"upstream", open.upstream.id},
-                   {"workspace", open.workspace},
-                   {"route", open.route->name},
-                   {"status", std::to_string(open.head.status)},
-                   {"events", std::to_string(open.events)},
-                   {"tries", std::to_string(open.tries)},
-                   {"tookMs", millisecondsSince(open.arrived, this->now)}});
+    std::vector<journal::Field> fields {{"upstream", open.upstream.id},
+                                        {"workspace", open.workspace},
+                                        {"route", open.route->name},
+                                        {"status", std::to_string(open.head.status)},
+                                        {"events", std::to_string(open.events)},
+                                        {"tries", std::to_string(open.tries)},
+                                        {"tookMs", millisecondsSince(open.arrived, this->now)}};
+    if (open.events > 0) {
+        fields.push_back({"firstEventMs", millisecondsSince(open.arrived, open.firstEvent)});
+        fields.push_back({"longestPauseMs", std::to_string(open.longestPause.count() / 1'000)});
+        fields.push_back({"pauseAfterEvents", std::to_string(open.longestPauseAfter)});
+    }
+    this->journal(open, journal::EventId::RequestFinished, std::move(fields));
     this->close(open.id);
 }
 
--- a/src/routing/router_events.h
+++ b/src/routing/router_events.h
@@ -10,6 +10,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -135,6 +136,15 @@
     std::vector<UpstreamNote> notes;
 };
 
+/// What the processes of another zone have under way and counted together.
+struct ZoneTold
+{
+    std::string zone;
+    std::size_t processes = 0;
+    std::vector<decision::UpstreamClaim> claims;
+    std::vector<decision::ArrivalCount> arrivals;
+};
+
 /// A peer saw an upstream die while it ran a request of this fingerprint.
 struct CrashTold
 {
@@ -146,8 +156,9 @@
 struct ProcessesChanged
 {
     std::size_t count = 1; ///< Processes that may send to the same upstreams.
-    /// What processes of other zones have under way is heard, too.
-    bool hearsOtherZones = true;
+    /// Zones of whose processes nothing has been heard lately: they may be cut off, and what they
+    /// have under way is not known.
+    std::set<std::string> unheardZones {};
 };
 
 struct TimePassed
@@ -158,8 +169,8 @@
 
 using RouterEvent
     = std::variant<RequestArrived, CallerLeft, HeadArrived, EventsArrived, AttemptEnded,
-                   MoveAnswered, ReportArrived, StateChanged, PublisherChanged, PeerTold, CrashTold,
-                   ProcessesChanged, TimePassed, StopRequested>;
+                   MoveAnswered, ReportArrived, StateChanged, PublisherChanged, PeerTold, ZoneTold,
+                   CrashTold, ProcessesChanged, TimePassed, StopRequested>;
 
 // Effects: what is to be done. --------------------------------------------------------------
 
--- a/src/routing/router_moves.cpp
+++ b/src/routing/router_moves.cpp
@@ -167,23 +167,15 @@
         if (!fits) {
             continue;
         }
-        decision::ChoiceCandidate candidate;
-        candidate.upstream = id;
-        candidate.claimed = this->loads.total(id);
-        candidate.slots = record.slots;
-        candidate.memory = open.service->engine->memoryTokens;
         // Copies between zones take twice as long and hold up the others on the link; but where
         // the stream is silent, the link that is cut may be the one to the engine's zone.
         const std::string &near = move.stopAtOnce ? this->options.zone : open.upstream.zone;
-        candidate.sameZone = record.zone == near;
-        const auto trouble = this->troubledUntil.find(id);
-        candidate.troubled = trouble != this->troubledUntil.end() && trouble->second > this->now;
-        candidates.push_back(std::move(candidate));
+        candidates.push_back(this->candidate(record, open.service, near));
     }
-    this->assumeOtherZonesBusy(candidates);
+    this->assumeUnheardZonesBusy(candidates);
     const decision::Claim claim = this->movedClaim(open);
     const auto chosen = decision::chooseEngine(
-        candidates, {open.request->promptTokens, claim.memory, true}, this->nextTurn());
+        candidates, {open.request->promptTokens, claim.memory, true, true}, this->nextTurn());
     if (!chosen) {
         move.nextTry = this->now + noDestinationRetry;
         move.refusedBy.clear();
--- a/src/routing/router_takeovers.cpp
+++ b/src/routing/router_takeovers.cpp
@@ -35,12 +35,10 @@
     const UpstreamRecord *best = nullptr;
     double bestCost = backupLimit + farBackupCost;
     for (const auto &[id, record] : this->state->upstreams) {
-        const bool unheard = !this->hearsOtherZones && record.zone != this->options.zone;
-        if (id == upstream.id || unheard || !this->usable(open, record)) {
+        if (id == upstream.id || this->unheard(record.zone) || !this->usable(open, record)) {
             continue;
         }
-        const auto trouble = this->troubledUntil.find(id);
-        const bool troubled = trouble != this->troubledUntil.end() && trouble->second > this->now;
+        const bool troubled = this->troubled(record);
         const double part = (this->loads.total(id).memory + claim.memory) / capacity;
         // A copy near this process survives a cut of its zone, where the run itself is elsewhere.
         const bool near = upstream.zone == this->options.zone || record.zone == this->options.zone;
--- a/src/serving/routed_calls.cpp
+++ b/src/serving/routed_calls.cpp
@@ -37,10 +37,9 @@
 
 RoutedCalls::RoutedCalls(routing::RouterOptions options, const routing::PlatformPort &port,
                          http::Client &client, metrics::Registry &registry,
-                         journal::Journal &journal,
-                         std::function<void(const routing::TellCrash &)> tellCrash)
-    : port(port), client(client), registry(registry), journal(journal),
-      tellCrash(std::move(tellCrash)), router(std::move(options))
+                         journal::Journal &journal, RoutedCallsHooks hooks)
+    : port(port), client(client), registry(registry), journal(journal), hooks(std::move(hooks)),
+      router(std::move(options))
 { }
 
 void RoutedCalls::take(const http::ServerRequest &request, const http::ExchangePtr &exchange)
@@ -83,13 +82,18 @@
 void RoutedCalls::locked(const std::function<void()> &work)
 {
     std::vector<routing::TellCrash> telling;
+    bool tellsPlacement = false;
     {
         const std::lock_guard lock(this->mutex);
         work();
         telling.swap(this->untold);
+        tellsPlacement = std::exchange(this->placed, false);
     }
     for (const routing::TellCrash &crash : telling) {
-        this->tellCrash(crash);
+        this->hooks.onCrash(crash);
+    }
+    if (tellsPlacement) {
+        this->hooks.onPlaced();
     }
 }
 
@@ -203,6 +207,7 @@
 
 void RoutedCalls::execute(const routing::StartAttempt &effect)
 {
+    this->placed = this->placed || effect.plan.engine;
     Session &session = this->sessions.at(effect.attempt.request);
     const routing::AttemptId attempt = effect.attempt;
     session.workspace = effect.plan.workspace;
@@ -352,6 +357,15 @@
     return this->router.claims();
 }
 
+members::ZoneReport RoutedCalls::zoneReport() const
+{
+    const std::lock_guard lock(this->mutex);
+    const Instant now = monotonicNow();
+    const decision::ArrivalBudget &budget = this->router.arrivalBudget();
+    return {"", static_cast<std::uint32_t>(budget.processesHeard(now)),
+            this->router.claimsWithPeers(), budget.ownAndPeers(now)};
+}
+
 std::vector<decision::ArrivalCount> RoutedCalls::arrivals() const
 {
     const std::lock_guard lock(this->mutex);
--- a/src/serving/routed_calls.h
+++ b/src/serving/routed_calls.h
@@ -4,6 +4,7 @@
 #include "http/client.h"
 #include "http/server.h"
 #include "journal/journal.h"
+#include "members/messages.h"
 #include "metrics/registry.h"
 #include "routing/ports.h"
 #include "routing/router.h"
@@ -19,6 +20,15 @@
 
 namespace azurespindle::serving {
 
+/// What RoutedCalls tells the process that it is a part of. Called without a lock held, from any
+/// thread.
+struct RoutedCallsHooks
+{
+    std::function<void(const routing::TellCrash &crash)> onCrash;
+    /// A request was sent to an engine: what is claimed of it has changed.
+    std::function<void()> onPlaced;
+};
+
 /// The requests that are routed: carries out what the router decides.
 class RoutedCalls
 {
@@ -26,10 +36,9 @@
     /// Answers that are no streams are held whole, up to so many bytes.
     static constexpr std::size_t maxAnswerBytes = 16'777'216;
 
-    /// \a tellCrash tells the peers which request an upstream died of.
     RoutedCalls(routing::RouterOptions options, const routing::PlatformPort &port,
                 http::Client &client, metrics::Registry &registry, journal::Journal &journal,
-                std::function<void(const routing::TellCrash &)> tellCrash);
+                RoutedCallsHooks hooks);
 
     // Commands
 
@@ -50,6 +59,9 @@
     routing::RouterStatus status() const;
     std::vector<decision::UpstreamClaim> claims() const;
     std::vector<decision::ArrivalCount> arrivals() const;
+    /// Returns what this process and its peers have under way and counted together, for a zone
+    /// whose name the caller fills in.
+    members::ZoneReport zoneReport() const;
 
 private:
     /// One attempt's transfer from its upstream.
@@ -108,13 +120,14 @@
     http::Client &client;
     metrics::Registry &registry;
     journal::Journal &journal;
-    const std::function<void(const routing::TellCrash &)> tellCrash;
+    const RoutedCallsHooks hooks;
     std::atomic<bool> closing {false};
     mutable std::mutex mutex; ///< Guards the members below.
     routing::Router router;
     std::unordered_map<routing::RequestId, Session> sessions;
     routing::RequestId lastRequest = 0;
     std::vector<routing::TellCrash> untold;
+    bool placed = false; ///< An attempt was started, and the peers have not been told.
 };
 
 } // namespace azurespindle::serving
--- a/src/serving/routing_process.cpp
+++ b/src/serving/routing_process.cpp
@@ -14,6 +14,10 @@
 constexpr int statusUnavailable = 503;
 constexpr milliseconds sweepInterval {1'000};
 constexpr milliseconds reportInterval {200};
+/// What ended is told within this time; what begins is told at once, as a claim that is not heard
+/// lets two processes choose one engine.
+constexpr milliseconds claimInterval {100};
+constexpr milliseconds zoneInterval {100};
 constexpr std::uint64_t reportsPerWhole = 5;
 /// Others count on a sign of life twice in ViewKeeper::readerTime.
 constexpr std::uint64_t reportsPerSign = 2;
@@ -23,8 +27,6 @@
 /// Kept back of the time that a stop may take, for the last bytes and the exit.
 constexpr milliseconds stopReserve {500};
 constexpr milliseconds lastBytes {60};
-/// Fleets up to this size tell every member what they have under way; larger ones their zone only.
-constexpr std::size_t tellAllMembers = 24;
 /// Processes reckoned with until the others can have been heard.
 constexpr std::size_t unknownProcesses = 12;
 constexpr seconds joinTime {6};
@@ -52,7 +54,7 @@
 {
     return {settings.name,
             settings.zone,
-            settings.memberAddress.text(),
+            settings.announcedMemberAddress.value_or(settings.memberAddress).text(),
             settings.callerAddress.text(),
             wallClockMilliseconds(),
             members::MemberState::Alive};
@@ -94,9 +96,11 @@
     : settings(std::move(given)), memberSettings(memberSettingsOf(this->settings)),
       started(monotonicNow()), port(makePort(this->settings, this->client, this->registry)),
       calls(routerOptions(this->settings), this->port, this->client, this->registry, this->journal,
-            [this](const routing::TellCrash &crash) {
-                this->coordinator.tellCrash({"", crash.fingerprint, crash.upstream, crash.born});
-            }),
+            {[this](const routing::TellCrash &crash) {
+                 this->coordinator.tellCrash({"", crash.fingerprint, crash.upstream, crash.born});
+             },
+             [this] { this->tellChanges(); }}),
+      relay(this->settings.name, this->settings.zone),
       coordinator(this->memberSettings, selfOf(this->settings), this->client, this->timers,
                   this->registry, this->journal, this->coordinatorHooks()),
       view(this->port.readItem, this->port.feed, this->timers, this->journal,
@@ -104,13 +108,7 @@
             [this](const std::string &member, const members::Message &message) {
                 this->coordinator.send(member, message);
             },
-            [this](const members::ViewNews &news) {
-                for (const std::string &member : this->zoneMembers()) {
-                    if (member != this->settings.name) {
-                        this->coordinator.send(member, news);
-                    }
-                }
-            }}),
+            [this](const members::ViewNews &news) { this->tellZone(news); }}),
       callers(this->settings.callerAddress,
               callerLimits(routing::RequestLimits {}, this->settings.descriptors), 1,
               [this](const http::ServerRequest &request, const http::ExchangePtr &exchange) {
@@ -151,6 +149,10 @@
         this->calls.handle(
             routing::PeerTold {from, report.whole, report.claims, report.arrivals, report.notes});
         this->view.noteMember(from, report);
+        this->relay.noteMember(from, monotonicNow());
+    };
+    hooks.onZoneReport = [this](const std::string &from, const members::ZoneReport &report) {
+        this->takeZoneReport(from, report);
     };
     hooks.onViewWanted = [this](const std::string &from, const members::ViewWanted &wanted) {
         this->view.answer(from, wanted);
@@ -164,6 +166,8 @@
     this->timers.subscribe(routing::Router::tickInterval,
                            [this] { this->calls.handle(routing::TimePassed {}); });
     this->timers.subscribe(reportInterval, [this] { this->tick(); });
+    this->timers.subscribe(claimInterval, [this] { this->tellChanges(); });
+    this->timers.subscribe(zoneInterval, [this] { this->tellFarZones(); });
     this->timers.subscribe(ViewKeeper::tickInterval, [this] { this->view.tick(); });
     this->timers.subscribe(sweepInterval, [this] {
         this->callers.sweep();
@@ -259,68 +263,91 @@
                       text.str());
 }
 
-std::vector<std::string> RoutingProcess::listeners() const
+void RoutingProcess::tellZone(const members::Message &message)
 {
-    const std::vector<members::MemberRecord> active = this->coordinator.active();
-    std::vector<std::string> names;
-    for (const members::MemberRecord &member : active) {
-        const bool near = active.size() <= tellAllMembers || member.zone == this->settings.zone;
-        if (near && member.name != this->settings.name) {
-            names.push_back(member.name);
+    for (const std::string &member : this->relay.zoneMembers()) {
+        if (member != this->settings.name) {
+            this->coordinator.send(member, message);
         }
     }
-    return names;
-}
-
-std::vector<std::string> RoutingProcess::zoneMembers() const
-{
-    std::vector<std::string> names;
-    for (const members::MemberRecord &member : this->coordinator.active()) {
-        if (member.zone == this->settings.zone) {
-            names.push_back(member.name);
-        }
-    }
-    return names;
 }
 
 void RoutingProcess::tick()
 {
-    this->view.chooseReader(this->zoneMembers(), this->settings.name);
-    this->report(this->reports % reportsPerWhole == 0);
+    const Instant now = monotonicNow();
+    this->relay.setMembers(this->coordinator.active(), now);
+    this->view.chooseReader(this->relay.zoneMembers(), this->settings.name);
+    const bool whole = this->reports % reportsPerWhole == 0;
+    const bool due = whole || this->reports % reportsPerSign == 0;
     this->reports += 1;
+    {
+        const std::lock_guard lock(this->reporting);
+        std::vector<routing::UpstreamNote> notes = this->calls.takeNotes();
+        if (due || !notes.empty()) {
+            this->report(whole, this->calls.takeChangedClaims(), std::move(notes));
+        }
+    }
     this->calls.handle(routing::PublisherChanged {this->view.publisherAway()});
     const std::size_t known = this->coordinator.known().size();
-    const bool joining = monotonicNow() - this->started < joinTime;
-    const bool hearsAll = this->coordinator.active().size() <= tellAllMembers;
-    this->calls.handle(
-        routing::ProcessesChanged {joining ? std::max(known, unknownProcesses) : known, hearsAll});
+    const bool joining = now - this->started < joinTime;
+    this->calls.handle(routing::ProcessesChanged {
+        joining ? std::max(known, unknownProcesses) : known, this->relay.unheardZones(now)});
     if (const std::uint64_t dropped = journal::takeDroppedLines()) {
         this->journal.record(
             {journal::EventId::LogLinesDropped, {{"count", std::to_string(dropped)}}});
     }
 }
 
-void RoutingProcess::report(bool whole)
+void RoutingProcess::tellChanges()
+{
+    const std::lock_guard lock(this->reporting);
+    std::vector<decision::UpstreamClaim> changed = this->calls.takeChangedClaims();
+    if (!changed.empty()) {
+        this->report(false, std::move(changed), this->calls.takeNotes());
+    }
+}
+
+void RoutingProcess::report(bool whole, std::vector<decision::UpstreamClaim> changed,
+                            std::vector<routing::UpstreamNote> notes)
 {
     members::RouterReport report;
     report.whole = whole;
     report.viewAt = this->view.at();
     report.reads = this->view.reads();
-    report.claims = this->calls.takeChangedClaims();
-    if (whole) {
-        report.claims = this->calls.claims();
+    report.claims = whole ? this->calls.claims() : std::move(changed);
+    report.notes = std::move(notes);
+    report.arrivals = this->calls.arrivals();
+    for (const std::string &member : this->relay.listeners()) {
+        this->coordinator.send(member, report);
     }
-    report.notes = this->calls.takeNotes();
-    const bool due = this->reports % reportsPerSign == 0;
-    if (!due && report.claims.empty() && report.notes.empty()) {
+}
+
+void RoutingProcess::tellFarZones()
+{
+    const std::vector<std::string> far = this->relay.farRelays();
+    if (far.empty()) {
         return;
     }
-    report.arrivals = this->calls.arrivals();
-    for (const std::string &member : this->listeners()) {
+    members::ZoneReport report = this->calls.zoneReport();
+    report.zone = this->settings.zone;
+    for (const std::string &member : far) {
         this->coordinator.send(member, report);
     }
 }
 
+void RoutingProcess::takeZoneReport(const std::string &from, const members::ZoneReport &report)
+{
+    if (report.zone == this->settings.zone) {
+        return; // It knows its own zone better.
+    }
+    this->relay.noteZone(report.zone, monotonicNow());
+    this->calls.handle(
+        routing::ZoneTold {report.zone, report.processes, report.claims, report.arrivals});
+    if (this->relay.passesOn(from)) {
+        this->tellZone(report);
+    }
+}
+
 std::size_t RoutingProcess::stopGracefully()
 {
     this->journal.record({journal::EventId::ProcessStopping, {{"member", this->settings.name}}});
--- a/src/serving/routing_process.h
+++ b/src/serving/routing_process.h
@@ -9,6 +9,7 @@
 #include "routing/ports.h"
 #include "serving/routed_calls.h"
 #include "serving/view_keeper.h"
+#include "serving/zone_relay.h"
 #include "settings/routing_settings.h"
 #include "timer/timer_service.h"
 
@@ -57,11 +58,14 @@
     void answerReady(const http::ServerRequest &request, const http::ExchangePtr &exchange);
     void answerMetrics(const http::ExchangePtr &exchange);
     void tick();
-    void report(bool whole);
+    /// Tells the listeners at once what changed.
+    void tellChanges();
+    void report(bool whole, std::vector<decision::UpstreamClaim> changed,
+                std::vector<routing::UpstreamNote> notes);
     void noteReadiness();
-    std::vector<std::string> listeners() const;
-    /// Returns the members that take part in the own zone, this one included, in order of names.
-    std::vector<std::string> zoneMembers() const;
+    void tellZone(const members::Message &message);
+    void tellFarZones();
+    void takeZoneReport(const std::string &from, const members::ZoneReport &report);
     members::CoordinatorHooks coordinatorHooks();
     void stop();
 
@@ -75,9 +79,12 @@
     const routing::PlatformPort port;
     std::atomic<bool> stopping {false};
     std::atomic<bool> wasReady {false};
+    /// Held from the taking of changes to their sending, so that none overtakes another.
+    std::mutex reporting;
     std::uint64_t reports = 0;            ///< Touched by the timer's thread only.
     routing::RequestLimits limitsInForce; ///< Touched while a state is taken over only.
     RoutedCalls calls;
+    ZoneRelay relay;
     members::Coordinator coordinator;
     ViewKeeper view;
     http::Server callers;
--- a/tests/decision/arrival_budget_test.cpp
+++ b/tests/decision/arrival_budget_test.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST(processesThatHearNobodyStayWithinTheLimitTogether);
     CPPUNIT_TEST(aBusyProcessBorrowsWhatTheOthersDoNotUse);
     CPPUNIT_TEST(borrowersAtOnceStayWithinTheLimit);
+    CPPUNIT_TEST(aLargeFleetBorrowsOnTheWordOfZones);
     CPPUNIT_TEST(whatPeersSaidLongAgoIsNotBorrowedFrom);
     CPPUNIT_TEST(retriesLeaveRoomForGenerations);
     CPPUNIT_TEST(theWindowSlides);
@@ -107,6 +108,29 @@
         CPPUNIT_ASSERT_MESSAGE(std::to_string(spent), static_cast<double>(spent) <= limits.burst);
     }
 
+    /// Load: ninety processes, each with two or three generations, of which those of one engine
+    /// have to move at once. Nobody hears all others; zones tell their sums.
+    void aLargeFleetBorrowsOnTheWordOfZones()
+    {
+        constexpr std::size_t processes = 90;
+        const Instant now(seconds(20));
+        ArrivalBudget alone = makeBudget(processes);
+        ArrivalBudget told = makeBudget(processes);
+        for (const char *zone : {"b", "c", "d"}) {
+            told.tellZone(zone, {{service, 200, 0}}, 22, now);
+        }
+        for (int peer = 0; peer < 23; ++peer) {
+            told.tell("p" + std::to_string(peer), {{service, 8, 0}}, now);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), spendAll(alone, true, now));
+        // All ninety may do so before they hear of one another.
+        const std::size_t each = spendAll(told, true, now);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(each), each >= 1);
+        const double whole = limits.burst + limits.share * (600 + 23 * 8);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(each),
+                               static_cast<double>(each * processes) <= whole);
+    }
+
     void whatPeersSaidLongAgoIsNotBorrowedFrom()
     {
         ArrivalBudget budget = makeBudget(2);
--- a/tests/decision/load_table_test.cpp
+++ b/tests/decision/load_table_test.cpp
@@ -11,6 +11,7 @@
     CPPUNIT_TEST(onlyWhatChangedIsTold);
     CPPUNIT_TEST(aSilentPeerCountsNoMore);
     CPPUNIT_TEST(aWholeReportReplacesTheOneBefore);
+    CPPUNIT_TEST(anotherZonesSumCountsAndIsNotPassedOnAsTheOwn);
     CPPUNIT_TEST(nothingFallsBelowZero);
     CPPUNIT_TEST_SUITE_END();
 
@@ -57,6 +58,20 @@
         CPPUNIT_ASSERT_EQUAL(1U, table.total("e2").attempts);
     }
 
+    void anotherZonesSumCountsAndIsNotPassedOnAsTheOwn()
+    {
+        LoadTable table;
+        table.add("e1", {1, 100, 0});
+        table.tell("peer", {{"e1", {1, 200, 0}}}, true, Instant(seconds(1)));
+        table.tellZone("south", {{"e1", {5, 4'000, 0}}, {"e2", {1, 10, 0}}}, Instant(seconds(1)));
+        CPPUNIT_ASSERT((Claim {7, 4'300, 0}) == table.total("e1"));
+        const std::vector<UpstreamClaim> near = table.ownAndPeers();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), near.size());
+        CPPUNIT_ASSERT((Claim {2, 300, 0}) == near[0].claim);
+        table.tellZone("south", {}, Instant(seconds(1)));
+        CPPUNIT_ASSERT((Claim {2, 300, 0}) == table.total("e1"));
+    }
+
     void nothingFallsBelowZero()
     {
         LoadTable table;
--- a/tests/members/messages_test.cpp
+++ b/tests/members/messages_test.cpp
@@ -39,7 +39,8 @@
                           {{"s", 4, 5}},
                           {{"e", 6, routing::UpstreamNote::Kind::Leaving, milliseconds(7)}}},
             ViewWanted {8},
-            ViewNews {{true, 1, 2, {{"k", std::string("\0v", 2), 2, false}, {"d", "", 3, true}}}}};
+            ViewNews {{true, 1, 2, {{"k", std::string("\0v", 2), 2, false}, {"d", "", 3, true}}}},
+            ZoneReport {"z", 2, {{"e", {1, 2, 3}}}, {{"s", 4, 5}}}};
 }
 
 /// Changes, drops and inserts a few bytes.
--- a/tests/routing/router_test.cpp
+++ b/tests/routing/router_test.cpp
@@ -28,6 +28,8 @@
     CPPUNIT_TEST(anUpstreamThatRefusesConnectionsGetsNothingForAWhile);
     CPPUNIT_TEST(aColdUpstreamGetsNoMoreThanItsShare);
     CPPUNIT_TEST(whereOtherZonesAreNotHeardTheyAreNoSink);
+    CPPUNIT_TEST(loadThatAnotherZoneTellsOfIsAvoided);
+    CPPUNIT_TEST(aZoneOfWhichTwoUpstreamsAreUnreachableIsAvoided);
     CPPUNIT_TEST(aRequestWaitsForRoomAndIsRefusedEarly);
     CPPUNIT_TEST(withNoUpstreamInServiceARequestIsRefusedAtOnce);
     CPPUNIT_TEST(moreUrgentRequestsGoFirst);
@@ -300,7 +302,7 @@
     {
         RouterPlay play;
         play.configure();
-        play.handle(ProcessesChanged {90, false});
+        play.handle(ProcessesChanged {90, {"south"}});
         for (const char *id : {"e1", "e2", "e3"}) {
             play.addEngine(id);
         }
@@ -313,6 +315,42 @@
         CPPUNIT_ASSERT_MESSAGE(std::to_string(south), south <= 4);
     }
 
+    /// Load: the own zone's engines are full, those of one other zone busy, of another one free.
+    void loadThatAnotherZoneTellsOfIsAvoided()
+    {
+        RouterPlay play;
+        play.configure();
+        play.addEngine("e1", "east");
+        play.addEngine("e2", "south");
+        play.handle(ZoneTold {"south", 20, {{"e1", {6, 20'000, 9'000}}}, {}});
+        for (int call = 0; call < 3; ++call) {
+            play.arrive("/long/1");
+            CPPUNIT_ASSERT_EQUAL(std::string("e2"), play.startedOn());
+        }
+    }
+
+    /// Load: a zone is cut off, and nothing was heard of it yet.
+    void aZoneOfWhichTwoUpstreamsAreUnreachableIsAvoided()
+    {
+        RouterPlay play;
+        play.configure();
+        for (const char *id : {"e1", "e2", "e3", "e4"}) {
+            play.addEngine(id, "south");
+        }
+        play.addEngine("e5", "east");
+        play.handle(ZoneTold {"east", 20, {{"e5", {3, 8'000, 0}}}, {}});
+        const RequestId request = play.arrive("/long/1");
+        CPPUNIT_ASSERT(play.startedOn() != "e5");
+        play.end(request, AttemptEnd::NotSent);
+        CPPUNIT_ASSERT(play.startedOn() != "e5");
+        play.end(request, AttemptEnd::NotSent);
+        CPPUNIT_ASSERT_EQUAL(std::string("e5"), play.startedOn());
+        play.handle(CallerLeft {request});
+        play.clear();
+        play.arrive("/long/1");
+        CPPUNIT_ASSERT_EQUAL(std::string("e5"), play.startedOn());
+    }
+
     void aRequestWaitsForRoomAndIsRefusedEarly()
     {
         RouterPlay play;
