Hand a moved generation over from its first copy, beside the run

The run was stopped, and the last part of its copy waited behind all other copies on both links; 18 of 190 last parts were not through when the engine was gone.

The destination goes on from the first copy at once, while the run still streams, and reads the few tokens that were made since. Stopping the run for a last part is left for the case that this fails.

Ruled out: the wait for a free link alone (finals answered in 10 ms where the destination's link was idle, in 600 ms where it was not).

--- a/src/decision/engine_choice.cpp
+++ b/src/decision/engine_choice.cpp
@@ -77,9 +77,9 @@
         if (!hasRoom(candidates[index], need, weights)) {
             return std::nullopt;
         }
-        const bool spreads = need.atOnce || candidates[index].late;
-        return engineCost(candidates[index], need, weights)
-            + (spreads ? weights.spreadMs * spread(index, turn) : 0.0);
+        const double lateMs = candidates[index].late ? weights.lateSpreadMs : 0.0;
+        const double spreadMs = std::max(lateMs, need.atOnce ? weights.atOnceSpreadMs : 0.0);
+        return engineCost(candidates[index], need, weights) + spreadMs * spread(index, turn);
     });
 }
 
--- a/src/decision/engine_choice.h
+++ b/src/decision/engine_choice.h
@@ -44,8 +44,9 @@
     double troubledMs = 400.0;
     double memoryMs = 250.0;   ///< An engine that is just full; grows with the square.
     double memoryLimit = 0.92; ///< Part of the memory that is planned with.
-    /// Costs this close are as good as equal where many choose at once; on late word also.
-    double spreadMs = 160.0;
+    /// Costs this close are as good as equal where many choose at once, and on late word.
+    double atOnceSpreadMs = 300.0;
+    double lateSpreadMs = 160.0;
     double lateMs = 120.0;         ///< What is not heard yet of an engine of which word comes late.
     double lateMemoryLimit = 0.82; ///< As memoryLimit, on late word.
 };
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -80,6 +80,7 @@
         Choosing, ///< No destination yet, or the last one had no room.
         Copying,  ///< A first copy is under way while the generation runs.
         Copied,   ///< The first copy is there; the last part waits for its time.
+        Handing,  ///< The destination goes on from the first copy, beside the run.
         Stopping, ///< The run is told to stop and copy the rest.
         Stopped,  ///< All is copied; the last events of the old stream are awaited.
     };
@@ -96,20 +97,22 @@
         Instant finalDue;
         Instant stoppedAt;
         std::string handle;
-        bool stopAtOnce = false; ///< No copy while it runs: nothing is heard of it anyway.
+        bool stopAtOnce = false;   ///< No copy while it runs: nothing is heard of it anyway.
+        bool handedInVain = false; ///< The destination could not go on from the first copy.
         bool sourceEnded = false;
         bool sourceComplete = false;
         std::uint32_t failures = 0;
         std::vector<std::string> refusedBy;
     };
 
-    /// A takeover from a copy kept beforehand, begun while the run itself still streams: should
-    /// the copy not be there, nothing is lost.
+    /// A takeover from a copy, begun while the run itself still streams: should the copy not be
+    /// there, nothing is lost.
     struct Beside
     {
         AttemptNumber number = 0;
         UpstreamRecord upstream;
         decision::Claim claim;
+        bool fromMove = false; ///< From a move's first copy, not from one kept beforehand.
     };
 
     struct Open
@@ -230,7 +233,9 @@
                const std::optional<Takeover> &takeover);
     AttemptPlan planFor(const Open &open, const UpstreamRecord &upstream) const;
     void journalPlaced(const Open &open, AttemptNumber number, const AttemptPlan &plan);
-    void startBeside(Open &open);
+    /// Begins a takeover at \a to beside the run, from the copy that \a source names.
+    void startBeside(Open &open, const UpstreamRecord &to, const std::string &source,
+                     bool fromMove);
     void promoteBeside(Open &open, const AnswerHead &head);
     void endBeside(Open &open, AttemptEnd end, const std::string &detail);
     void dropBeside(Open &open);
@@ -265,6 +270,7 @@
     void beginMove(Open &open, const std::string &reason);
     void checkMove(Open &open);
     void chooseDestination(Open &open);
+    void handOver(Open &open);
     void askFinal(Open &open);
     void onCopied(Open &open, const MoveAnswer &answer);
     void onFinal(Open &open, const MoveAnswer &answer);
--- a/src/routing/router_moves.cpp
+++ b/src/routing/router_moves.cpp
@@ -139,8 +139,12 @@
         break;
     case MoveStage::Copying:
         break;
+    case MoveStage::Handing:
+        break;
     case MoveStage::Copied:
-        if (this->now >= std::min(move.finalDue, this->latestHandover(open))) {
+        if (!move.handedInVain) {
+            this->handOver(open);
+        } else if (this->now >= std::min(move.finalDue, this->latestHandover(open))) {
             this->askFinal(open);
         }
         break;
@@ -183,6 +187,7 @@
     }
     move.to = *this->record(candidates[*chosen].upstream);
     move.claim = claim;
+    move.handedInVain = false;
     this->loads.add(move.to.id, claim);
     const bool stopNow = move.sourceEnded || move.stopAtOnce;
     move.stage = stopNow ? MoveStage::Stopping : MoveStage::Copying;
@@ -199,6 +204,15 @@
                         stopNow});
 }
 
+void Router::handOver(Open &open)
+{
+    // The copy lacks only what was made since, which is read in a moment. A last part of the copy
+    // would wait for all others on both links, and its caller with it.
+    Move &move = *open.move;
+    move.stage = MoveStage::Handing;
+    this->startBeside(open, move.to, open.upstream.address + "/" + move.handle, true);
+}
+
 void Router::askFinal(Open &open)
 {
     Move &move = *open.move;
--- a/src/routing/router_takeovers.cpp
+++ b/src/routing/router_takeovers.cpp
@@ -81,6 +81,7 @@
 void Router::goOnFromBackup(Open &open)
 {
     const UpstreamRecord backup = *open.backup;
+    const std::string source = backup.address + "/" + open.request->callerId;
     this->counts.movesBegun += 1;
     this->journal(open, journal::EventId::MoveBegun,
                   {{"from", open.upstream.id},
@@ -88,24 +89,24 @@
                    {"reason", "backup"},
                    {"events", std::to_string(open.events)}});
     if (open.running) {
-        this->startBeside(open);
+        this->startBeside(open, backup, source, false);
         return;
     }
     open.takeoverOrigin.clear();
-    const std::string source = backup.address + "/" + open.request->callerId;
     this->start(open, backup, this->movedClaim(open), Takeover {source});
 }
 
-void Router::startBeside(Open &open)
+void Router::startBeside(Open &open, const UpstreamRecord &to, const std::string &source,
+                         bool fromMove)
 {
     open.lastNumber += 1;
     open.tries += 1;
     open.arrivals += 1;
-    Beside beside {open.lastNumber, *open.backup, this->movedClaim(open)};
-    this->loads.add(beside.upstream.id, beside.claim);
+    Beside beside {open.lastNumber, to, this->movedClaim(open), fromMove};
+    this->loads.add(to.id, beside.claim);
     this->budget.noteRepeat(open.serviceName, this->now);
-    AttemptPlan plan = this->planFor(open, beside.upstream);
-    plan.takeover = Takeover {beside.upstream.address + "/" + open.request->callerId};
+    AttemptPlan plan = this->planFor(open, to);
+    plan.takeover = Takeover {source};
     plan.afterEvent = open.lastEventId;
     this->journalPlaced(open, beside.number, plan);
     this->emit(StartAttempt {{open.id, beside.number}, std::move(plan), true});
@@ -121,7 +122,7 @@
         this->emit(CancelAttempt {{open.id, open.attempt}});
     }
     this->leaveUpstream(open);
-    this->dropMove(open, true);
+    this->dropMove(open, !beside.fromMove);
     open.backup.reset();
     open.attempt = beside.number;
     open.running = true;
@@ -146,8 +147,14 @@
                    {"end", name(end)},
                    {"beside", "yes"},
                    {"detail", detail}});
+    const bool fromMove = open.beside->fromMove;
     this->dropBeside(open);
     open.besideNotBefore = this->now + besideRetry;
+    if (open.running && fromMove && open.move) {
+        open.move->stage = MoveStage::Copied;
+        open.move->handedInVain = true;
+        return;
+    }
     const bool unreachable = end == AttemptEnd::NotSent || end == AttemptEnd::TimedOut;
     if (open.running && unreachable && !this->sourceLeaves(open)) {
         return; // The path may come back, and the run itself may speak again.
--- a/src/serving/routed_calls.cpp
+++ b/src/serving/routed_calls.cpp
@@ -284,6 +284,7 @@
 
 void RoutedCalls::execute(const routing::AskMove &effect)
 {
+    this->placed = true;
     this->registry.count(metrics::Counter::Resumes);
     this->port.askMove(effect, [this, effect](const routing::MoveAnswer &answer) {
         this->handle(routing::MoveAnswered {effect.attempt, effect.final, answer});
