--- a/src/decision/arrival_budget.cpp
+++ b/src/decision/arrival_budget.cpp
@@ -114,7 +114,8 @@
 
 bool ArrivalBudget::mayBorrow(const std::string &service, Instant now) const
 {
-    if (this->freshProcesses(now) < this->processes * knownPart) {
+    const double known = knownPart * static_cast<double>(this->processes);
+    if (static_cast<double>(this->freshProcesses(now)) < known) {
         return false;
     }
     const ArrivalCount all = this->fleet(service, now);
@@ -161,6 +162,7 @@
         }
     }
     std::vector<ArrivalCount> counts;
+    counts.reserve(sums.size());
     for (const auto &[service, count] : sums) {
         counts.push_back(count);
     }
--- a/src/decision/load_table.cpp
+++ b/src/decision/load_table.cpp
@@ -130,6 +130,7 @@
         }
     }
     std::vector<UpstreamClaim> claims;
+    claims.reserve(sums.size());
     for (const auto &[upstream, claim] : sums) {
         claims.push_back({upstream, claim});
     }
--- a/src/routing/router_moves.cpp
+++ b/src/routing/router_moves.cpp
@@ -137,10 +137,6 @@
             this->chooseDestination(open);
         }
         break;
-    case MoveStage::Copying:
-        break;
-    case MoveStage::Handing:
-        break;
     case MoveStage::Copied:
         if (!move.handedInVain) {
             this->handOver(open);
@@ -148,8 +144,6 @@
             this->askFinal(open);
         }
         break;
-    case MoveStage::Stopping:
-        break;
     case MoveStage::Stopped:
         if (move.sourceEnded || this->now - move.stoppedAt >= lastEventsTime) {
             const Move done = move;
@@ -157,6 +151,10 @@
             this->takeOver(open, done.to, open.upstream.address, done.handle);
         }
         break;
+    case MoveStage::Copying:
+    case MoveStage::Handing:
+    case MoveStage::Stopping:
+        break; // An answer is awaited.
     }
 }
 
--- a/src/routing/router_takeovers.cpp
+++ b/src/routing/router_takeovers.cpp
@@ -11,7 +11,7 @@
 
 constexpr int statusOk = 200;
 /// Part of an engine's memory up to which copies are taken there beforehand. The rest is for runs.
-constexpr double backupLimit = 0.75;
+constexpr double backupLimit = 0.62;
 /// Part of an engine's memory that is as bad as a copy that a cut of the zone takes away.
 constexpr double farBackupCost = 0.25;
 /// A copy is sent several times a second; a younger run may have none yet.
--- a/src/serving/zone_relay.cpp
+++ b/src/serving/zone_relay.cpp
@@ -4,6 +4,17 @@
 #include <utility>
 
 namespace azurespindle::serving {
+namespace {
+
+/// Returns the members of a zone that speak for it.
+std::vector<std::string> firstOf(const std::vector<std::string> &names)
+{
+    std::vector<std::string> relays = names;
+    relays.resize(std::min(ZoneRelay::relaysEach, names.size()));
+    return relays;
+}
+
+} // namespace
 
 ZoneRelay::ZoneRelay(std::string self, std::string zone)
     : self(std::move(self)), zone(std::move(zone))
@@ -66,9 +77,8 @@
     if (this->count <= tellAllMembers || found == this->namesOfZone.end()) {
         return false;
     }
-    const std::vector<std::string> &names = found->second;
-    const auto end = names.begin() + std::min(relaysEach, names.size());
-    return std::find(names.begin(), end, this->self) != end;
+    const std::vector<std::string> relays = firstOf(found->second);
+    return std::find(relays.begin(), relays.end(), this->self) != relays.end();
 }
 
 std::vector<std::string> ZoneRelay::farRelays() const
@@ -80,8 +90,8 @@
     }
     for (const auto &[zone, names] : this->namesOfZone) {
         if (zone != this->zone) {
-            const std::size_t some = std::min(relaysEach, names.size());
-            far.insert(far.end(), names.begin(), names.begin() + some);
+            const std::vector<std::string> relays = firstOf(names);
+            far.insert(far.end(), relays.begin(), relays.end());
         }
     }
     return far;
