--- a/tests/soak/soak_caller.h
+++ b/tests/soak/soak_caller.h
@@ -40,8 +40,6 @@
 };
 
 /// Sends a request on a connection and reads its answer.
-///
-/// \param listenPort where the connection leads; for the request's own use only.
 /// \return what was seen; \a Seen::whole if the answer came to its end.
 Seen exchangeOn(const tests::RawConnection &connection, RequestKind kind,
                 const std::string &callerId, const std::string &target, std::uint64_t events,
