Tell peers of removals that are only held back

A change set now names what is held back; the test fails without it by reading of the code, the run that shows it red was not made.

--- a/src/routing/published_view.cpp
+++ b/src/routing/published_view.cpp
@@ -211,10 +211,14 @@
                 update.items.push_back(item);
             }
         }
-        return update;
+    } else {
+        for (const auto &[key, held] : this->held) {
+            update.items.push_back(held.item);
+        }
     }
-    for (const auto &[key, held] : this->held) {
-        update.items.push_back(held.item);
+    // Who is told this revision never asks for it again, so what is only held back is told, too.
+    for (const auto &[key, until] : this->lapsed) {
+        update.items.push_back({key, {}, this->known, true});
     }
     return update;
 }
--- a/tests/routing/published_view_test.cpp
+++ b/tests/routing/published_view_test.cpp
@@ -76,6 +76,7 @@
     CPPUNIT_TEST(changesAreTakenOnceInWhateverOrderTheyCome);
     CPPUNIT_TEST(aListingDropsWhatIsNoMore);
     CPPUNIT_TEST(recordsThatLapsedInAnOutageAreKeptForAMoment);
+    CPPUNIT_TEST(aPeerLearnsOfRecordsThatAreOnlyKeptForAMoment);
     CPPUNIT_TEST(recordsThatVanishAllAtOnceAreKeptForAMoment);
     CPPUNIT_TEST(oneThatVanishesAloneIsGone);
     CPPUNIT_TEST(aPeerIsToldWhatItDoesNotKnow);
@@ -167,6 +168,21 @@
                                      view.state()->upstreams.count("u2"));
     }
 
+    /// Found by the fault soak (seed 1): a process that started while the store was away was told
+    /// the revision, and not that records were only held back; it kept a dead engine for good.
+    void aPeerLearnsOfRecordsThatAreOnlyKeptForAMoment()
+    {
+        PublishedView view = fullView();
+        view.noteOutageOver(start);
+        view.take({false, 10, 12, {deleted("u1", 11), deleted("u2", 12)}}, start + seconds(1));
+        PublishedView fresh(readItem);
+        fresh.take(view.changesAfter(0), start + seconds(1));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(12), fresh.at());
+        fresh.passTime(start + seconds(9));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), fresh.state()->upstreams.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), fresh.state()->upstreams.count("u1"));
+    }
+
     void recordsThatVanishAllAtOnceAreKeptForAMoment()
     {
         PublishedView view = fullView();
