Split the ends of requests and the blame of crashes from router_attempts

router_attempts.cpp had 560 lines and three jobs: the progress of attempts, how a request ends, and which request crashed an upstream.

Result: router_attempts.cpp has 454 lines. No statement changed.

--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -280,11 +280,17 @@
     void checkDeadline(ActiveRequest &active);
     /// Retries or recovers a request whose upstream has been silent for too long.
     void checkInactivity(ActiveRequest &active);
+
+    // Ends of requests (router_completion.cpp)
+
     /// Sends a local reply, or aborts the stream if one was forwarded.
     void sendReply(ActiveRequest &active, LocalReply reply);
     void abortStream(ActiveRequest &active, const std::string &reason);
     void finishRequest(ActiveRequest &active);
     void closeRequest(RequestId id);
+
+    // Crashes (router_crashes.cpp)
+
     /// Records that the current attempt may have crashed its upstream.
     void suspectCrash(const ActiveRequest &active);
     /// Reports the suspected crashes whose upstreams have disappeared or restarted.
--- a/src/routing/router_attempts.cpp
+++ b/src/routing/router_attempts.cpp
@@ -1,5 +1,6 @@
 // Start of attempts, and the reaction to their progress, end and silence.
 
+#include "routing/internal/journal_text.h"
 #include "routing/router.h"
 
 #include <algorithm>
@@ -35,20 +36,11 @@
 constexpr milliseconds streamStartTimeout {2'200};
 /// Delay between attempts to recover a silent stream.
 constexpr milliseconds recoveryInterval {600};
-/// Time within which an upstream has to disappear after a lost attempt for the request to be
-/// suspected of crashing it.
-constexpr seconds crashAttributionWindow {6};
-constexpr std::size_t maxSuspectedCrashes = 256;
 /// Number of events after which a generation's claim is updated.
 constexpr std::uint64_t claimUpdateInterval = 48;
 constexpr std::uint32_t highestPriority = 0;
 constexpr std::uint32_t lowestPriority = 9;
 
-std::string millisecondsSince(Instant from, Instant to)
-{
-    return std::to_string((to - from).count() / 1'000);
-}
-
 } // namespace
 
 AttemptPlan Router::makePlan(const ActiveRequest &active, const UpstreamRecord &upstream) const
@@ -113,7 +105,7 @@
                    {"upstream", plan.upstream.id},
                    {"workspace", active.workspace},
                    {"route", active.route->name},
-                   {"waitedMs", millisecondsSince(active.arrivedAt, this->now)},
+                   {"waitedMs", internal::millisecondsSince(active.arrivedAt, this->now)},
                    {"leftMs", std::to_string(plan.timeLeft.count())},
                    {"attemptsThere", std::to_string(load.attempts)},
                    {"memoryThere", std::to_string(load.memory)},
@@ -191,7 +183,7 @@
         this->journal(active, journal::EventId::GenerationResumed,
                       {{"upstream", active.upstream.id},
                        {"events", std::to_string(active.eventCount)},
-                       {"pauseMs", millisecondsSince(active.lastEventAt, this->now)}});
+                       {"pauseMs", internal::millisecondsSince(active.lastEventAt, this->now)}});
     }
     this->recordPause(active);
     active.lastActivityAt = this->now;
@@ -279,7 +271,7 @@
                        {"status", std::to_string(active.head.status)},
                        {"notRun", active.head.notRun || active.head.wrongInstance ? "yes" : "no"},
                        {"events", std::to_string(active.eventCount)},
-                       {"tookMs", millisecondsSince(active.attemptStartedAt, this->now)},
+                       {"tookMs", internal::millisecondsSince(active.attemptStartedAt, this->now)},
                        {"detail", detail}});
     }
     const bool streamed = active.headReceived && active.relaying && active.head.eventStream
@@ -459,102 +451,4 @@
     }
 }
 
-void Router::sendReply(ActiveRequest &active, LocalReply reply)
-{
-    if (active.relaying) {
-        this->abortStream(active, reply.reason);
-        return;
-    }
-    this->cancelAttempts(active);
-    this->discardMigration(active, false);
-    this->journal(active, journal::EventId::RequestRefused,
-                  {{"status", std::to_string(reply.status)},
-                   {"reason", reply.reason},
-                   {"retryAfterMs", std::to_string(reply.retryAfter.count())},
-                   {"workspace", active.workspace},
-                   {"route", active.route == nullptr ? "" : active.route->name},
-                   {"tries", std::to_string(active.attemptCount)},
-                   {"mayHaveRunOn", std::to_string(active.mayHaveRunOn.size())},
-                   {"afterMs", millisecondsSince(active.arrivedAt, this->now)},
-                   {"revision", std::to_string(this->state->revision)}});
-    this->emit(SendLocalReply {active.id, std::move(reply)});
-    this->closeRequest(active.id);
-}
-
-void Router::abortStream(ActiveRequest &active, const std::string &reason)
-{
-    this->cancelAttempts(active);
-    this->discardMigration(active, true);
-    this->counters.generationsLost += 1;
-    this->journal(active, journal::EventId::GenerationLost,
-                  {{"upstream", active.upstream.id},
-                   {"events", std::to_string(active.eventCount)},
-                   {"reason", reason},
-                   {"afterMs", millisecondsSince(active.arrivedAt, this->now)}});
-    this->emit(AbortStream {active.id});
-    this->closeRequest(active.id);
-}
-
-void Router::finishRequest(ActiveRequest &active)
-{
-    std::vector<journal::Field> fields {{"upstream", active.upstream.id},
-                                        {"workspace", active.workspace},
-                                        {"route", active.route->name},
-                                        {"status", std::to_string(active.head.status)},
-                                        {"events", std::to_string(active.eventCount)},
-                                        {"tries", std::to_string(active.attemptCount)},
-                                        {"tookMs", millisecondsSince(active.arrivedAt, this->now)}};
-    if (active.eventCount > 0) {
-        fields.push_back(
-            {"firstEventMs", millisecondsSince(active.arrivedAt, active.firstEventAt)});
-        fields.push_back({"longestPauseMs", std::to_string(active.longestPause.count() / 1'000)});
-        fields.push_back({"pauseAfterEvents", std::to_string(active.longestPauseAfter)});
-    }
-    this->journal(active, journal::EventId::RequestFinished, std::move(fields));
-    this->closeRequest(active.id);
-}
-
-void Router::closeRequest(RequestId id)
-{
-    ActiveRequest &closing = this->activeRequests.at(id);
-    this->dequeue(closing);
-    this->releaseParallelTakeover(closing);
-    this->releaseUpstream(closing);
-    this->discardMigration(closing, true);
-    this->activeRequests.erase(id);
-    this->emit(RequestClosed {id});
-}
-
-void Router::suspectCrash(const ActiveRequest &active)
-{
-    if (this->suspectedCrashes.size() >= maxSuspectedCrashes) {
-        this->suspectedCrashes.erase(this->suspectedCrashes.begin());
-    }
-    this->suspectedCrashes.push_back({active.fingerprint, active.id, active.upstream.id,
-                                      active.upstream.incarnation, this->now});
-}
-
-void Router::confirmCrashes()
-{
-    std::vector<SuspectedCrash> unresolved;
-    for (const SuspectedCrash &loss : std::exchange(this->suspectedCrashes, {})) {
-        if (this->now - loss.lostAt > crashAttributionWindow) {
-            continue;
-        }
-        const UpstreamRecord *record = this->findUpstream(loss.upstream);
-        if (record != nullptr && (record->incarnation == loss.incarnation || record->draining)) {
-            unresolved.push_back(loss);
-            continue;
-        }
-        if (this->crashes.recordCrash(loss.fingerprint, loss.upstream, loss.incarnation,
-                                      this->now)) {
-            this->emit(WriteJournal {{journal::EventId::CrashSuspected,
-                                      {{"fingerprint", std::to_string(loss.fingerprint)},
-                                       {"upstream", loss.upstream}}}});
-            this->emit(BroadcastCrash {loss.fingerprint, loss.upstream, loss.incarnation});
-        }
-    }
-    this->suspectedCrashes = std::move(unresolved);
-}
-
 } // namespace azurespindle::routing
--- /dev/null
+++ b/src/routing/router_completion.cpp
@@ -0,0 +1,77 @@
+// End of requests: local replies, aborted streams, finished responses.
+
+#include "routing/internal/journal_text.h"
+#include "routing/router.h"
+
+#include <utility>
+
+namespace azurespindle::routing {
+
+void Router::sendReply(ActiveRequest &active, LocalReply reply)
+{
+    if (active.relaying) {
+        this->abortStream(active, reply.reason);
+        return;
+    }
+    this->cancelAttempts(active);
+    this->discardMigration(active, false);
+    this->journal(active, journal::EventId::RequestRefused,
+                  {{"status", std::to_string(reply.status)},
+                   {"reason", reply.reason},
+                   {"retryAfterMs", std::to_string(reply.retryAfter.count())},
+                   {"workspace", active.workspace},
+                   {"route", active.route == nullptr ? "" : active.route->name},
+                   {"tries", std::to_string(active.attemptCount)},
+                   {"mayHaveRunOn", std::to_string(active.mayHaveRunOn.size())},
+                   {"afterMs", internal::millisecondsSince(active.arrivedAt, this->now)},
+                   {"revision", std::to_string(this->state->revision)}});
+    this->emit(SendLocalReply {active.id, std::move(reply)});
+    this->closeRequest(active.id);
+}
+
+void Router::abortStream(ActiveRequest &active, const std::string &reason)
+{
+    this->cancelAttempts(active);
+    this->discardMigration(active, true);
+    this->counters.generationsLost += 1;
+    this->journal(active, journal::EventId::GenerationLost,
+                  {{"upstream", active.upstream.id},
+                   {"events", std::to_string(active.eventCount)},
+                   {"reason", reason},
+                   {"afterMs", internal::millisecondsSince(active.arrivedAt, this->now)}});
+    this->emit(AbortStream {active.id});
+    this->closeRequest(active.id);
+}
+
+void Router::finishRequest(ActiveRequest &active)
+{
+    std::vector<journal::Field> fields {
+        {"upstream", active.upstream.id},
+        {"workspace", active.workspace},
+        {"route", active.route->name},
+        {"status", std::to_string(active.head.status)},
+        {"events", std::to_string(active.eventCount)},
+        {"tries", std::to_string(active.attemptCount)},
+        {"tookMs", internal::millisecondsSince(active.arrivedAt, this->now)}};
+    if (active.eventCount > 0) {
+        fields.push_back(
+            {"firstEventMs", internal::millisecondsSince(active.arrivedAt, active.firstEventAt)});
+        fields.push_back({"longestPauseMs", std::to_string(active.longestPause.count() / 1'000)});
+        fields.push_back({"pauseAfterEvents", std::to_string(active.longestPauseAfter)});
+    }
+    this->journal(active, journal::EventId::RequestFinished, std::move(fields));
+    this->closeRequest(active.id);
+}
+
+void Router::closeRequest(RequestId id)
+{
+    ActiveRequest &closing = this->activeRequests.at(id);
+    this->dequeue(closing);
+    this->releaseParallelTakeover(closing);
+    this->releaseUpstream(closing);
+    this->discardMigration(closing, true);
+    this->activeRequests.erase(id);
+    this->emit(RequestClosed {id});
+}
+
+} // namespace azurespindle::routing
