Log each request that a stop cuts, and what is unsent at its end

Change: the router ends what is open on StopTimedOut and writes request-cut (213) for each request, with its state, the time at which it was taken relative to SIGTERM, and the time that it had left. process-stopped says how many responses were not sent completely. What callers get is unchanged.

--- a/src/journal/event_id.h
+++ b/src/journal/event_id.h
@@ -29,6 +29,7 @@
     MoveBegun = 210,
     MoveAnswered = 211,
     GenerationLost = 212,
+    RequestCut = 213,
 
     UpstreamAdded = 300,
     UpstreamRemoved = 301,
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -98,6 +98,17 @@
     return found == this->activeRequests.end() ? nullptr : &found->second;
 }
 
+std::vector<RequestId> Router::activeRequestIds() const
+{
+    std::vector<RequestId> ids;
+    ids.reserve(this->activeRequests.size());
+    for (const auto &[id, each] : this->activeRequests) {
+        ids.push_back(id);
+    }
+    std::sort(ids.begin(), ids.end());
+    return ids;
+}
+
 Router::ActiveRequest *Router::findByCurrentAttempt(const AttemptId &attempt)
 {
     ActiveRequest *found = this->findRequest(attempt.request);
@@ -300,18 +311,22 @@
 void Router::on(const StopRequested &)
 {
     this->stopping = true;
+    this->stopRequestedAt = this->now;
+}
+
+void Router::on(const StopTimedOut &)
+{
+    for (const RequestId id : this->activeRequestIds()) {
+        if (ActiveRequest *each = this->findRequest(id)) {
+            this->cutRequest(*each);
+        }
+    }
 }
 
 void Router::on(const TimePassed &)
 {
     this->loads.removeSilent(this->now);
-    std::vector<RequestId> ids;
-    ids.reserve(this->activeRequests.size());
-    for (const auto &[id, each] : this->activeRequests) {
-        ids.push_back(id);
-    }
-    std::sort(ids.begin(), ids.end());
-    for (const RequestId id : ids) {
+    for (const RequestId id : this->activeRequestIds()) {
         if (ActiveRequest *each = this->findRequest(id)) {
             this->checkDeadline(*each);
         }
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -219,6 +219,7 @@
     void on(const ProcessesChanged &event);
     void on(const TimePassed &event);
     void on(const StopRequested &event);
+    void on(const StopTimedOut &event);
 
     // Admission (router_admission.cpp)
 
@@ -286,6 +287,8 @@
     /// Sends a local reply, or aborts the stream if one was forwarded.
     void sendReply(ActiveRequest &active, LocalReply reply);
     void abortStream(ActiveRequest &active, const std::string &reason);
+    /// Closes the caller's connection because the process has to end.
+    void cutRequest(ActiveRequest &active);
     void finishRequest(ActiveRequest &active);
     void closeRequest(RequestId id);
 
@@ -353,6 +356,9 @@
     /// and it has not been draining for long.
     bool acceptsTakeover(const UpstreamRecord &record) const;
     ActiveRequest *findRequest(RequestId id);
+    /// Returns the ids of all active requests in ascending order. A caller that ends requests has
+    /// to look each one up again.
+    std::vector<RequestId> activeRequestIds() const;
     /// Returns the request whose current attempt is \a attempt, or nullptr.
     ActiveRequest *findByCurrentAttempt(const AttemptId &attempt);
     const UpstreamRecord *findUpstream(const std::string &id) const;
@@ -390,6 +396,7 @@
     RouterStatus counters;
     std::uint64_t tieBreakCounter = 0;
     bool stopping = false;
+    Instant stopRequestedAt; ///< Valid while stopping.
 };
 
 } // namespace azurespindle::routing
--- a/src/routing/router_completion.cpp
+++ b/src/routing/router_completion.cpp
@@ -43,6 +43,24 @@
     this->closeRequest(active.id);
 }
 
+void Router::cutRequest(ActiveRequest &active)
+{
+    const char *state = active.relaying ? "streaming" : active.queued ? "queued" : "sent";
+    this->cancelAttempts(active);
+    this->journal(
+        active, journal::EventId::RequestCut,
+        {{"state", state},
+         {"upstream", active.upstream.id},
+         {"route", active.route->name},
+         {"takenMsAfterStop", internal::millisecondsSince(this->stopRequestedAt, active.arrivedAt)},
+         {"afterMs", internal::millisecondsSince(active.arrivedAt, this->now)},
+         {"leftMs", internal::millisecondsSince(this->now, active.deadline)},
+         {"events", std::to_string(active.eventCount)},
+         {"tries", std::to_string(active.attemptCount)}});
+    this->emit(AbortStream {active.id});
+    this->closeRequest(active.id);
+}
+
 void Router::finishRequest(ActiveRequest &active)
 {
     std::vector<journal::Field> fields {
--- a/src/routing/router_events.h
+++ b/src/routing/router_events.h
@@ -179,11 +179,15 @@
 struct StopRequested
 { };
 
+/// The time for stopping is over: every request has to end now.
+struct StopTimedOut
+{ };
+
 using RouterEvent
     = std::variant<RequestArrived, CallerLeft, HeadArrived, EventsArrived, AttemptEnded,
                    MigrationResponseArrived, EngineReportArrived, FleetStateChanged,
                    StoreAvailabilityChanged, PeerReportArrived, ZoneReportArrived,
-                   PeerCrashReported, ProcessesChanged, TimePassed, StopRequested>;
+                   PeerCrashReported, ProcessesChanged, TimePassed, StopRequested, StopTimedOut>;
 
 // Effects: actions that the router requests. ------------------------------------------------
 
--- a/src/serving/request_forwarder.cpp
+++ b/src/serving/request_forwarder.cpp
@@ -346,18 +346,6 @@
     return this->router.takeObservations(monotonicNow());
 }
 
-void RequestForwarder::abortAll()
-{
-    const std::lock_guard lock(this->mutex);
-    for (auto &[id, session] : this->sessions) {
-        this->client.cancel(session.currentTransfer.id);
-        if (session.parallelTransfer) {
-            this->client.cancel(session.parallelTransfer->id);
-        }
-        session.exchange->abort();
-    }
-}
-
 routing::RouterStatus RequestForwarder::status() const
 {
     const std::lock_guard lock(this->mutex);
--- a/src/serving/request_forwarder.h
+++ b/src/serving/request_forwarder.h
@@ -58,8 +58,6 @@
     std::vector<routing::UpstreamObservation> takeObservations();
     /// Answers every later request with 503, because the process is about to stop.
     void rejectNewRequests() { this->rejectingRequests = true; }
-    /// Cancels the transfers of all open requests and closes their callers' connections.
-    void abortAll();
 
     // Queries
 
--- a/src/serving/routing_process.cpp
+++ b/src/serving/routing_process.cpp
@@ -384,10 +384,12 @@
         std::this_thread::sleep_for(stopPollInterval);
     }
     const std::size_t aborted = this->forwarder.status().openRequests;
-    this->forwarder.abortAll();
+    this->forwarder.handle(routing::StopTimedOut {});
     std::this_thread::sleep_for(flushTime);
     this->journal.record({journal::EventId::ProcessStopped,
-                          {{"member", this->settings.name}, {"cut", std::to_string(aborted)}}});
+                          {{"member", this->settings.name},
+                           {"cut", std::to_string(aborted)},
+                           {"unsent", std::to_string(this->callerServer.openExchanges())}}});
     this->stop();
     return aborted;
 }
