Reproduce requests that a stop takes and leaves unanswered

What callers saw: a request sent seconds after SIGTERM was taken, passed on, and its connection was closed without an answer at the end of the stop.

Change: two tests of a running process. One keeps the process open with a long generation and sends orders and resumable streams all through its stop; the other leaves one request without a response head until the stop's end.

--- a/tests/platform/fake_platform.cpp
+++ b/tests/platform/fake_platform.cpp
@@ -235,7 +235,7 @@
 void FakeEngine::tick()
 {
     const std::lock_guard lock(this->mutex);
-    if (this->crashed || this->stalled) {
+    if (this->crashed || this->stalled || this->mute) {
         return;
     }
     for (auto each = this->runningRequests.begin(); each != this->runningRequests.end();) {
@@ -301,10 +301,12 @@
     const std::string last = headerField(request, "last-event-id");
     run.generated = last.empty() ? 0 : std::stoull(last);
     this->startCount += 1;
-    exchange->beginStream(200,
-                          {{"content-type", "text/event-stream"},
-                           {"azurespindle-attempt-id", requestId},
-                           {"azurespindle-server-seal", "seal-of-" + this->id}});
+    if (!this->mute) {
+        exchange->beginStream(200,
+                              {{"content-type", "text/event-stream"},
+                               {"azurespindle-attempt-id", requestId},
+                               {"azurespindle-server-seal", "seal-of-" + this->id}});
+    }
     {
         const std::lock_guard lock(this->mutex);
         this->runCounts[requestId] += source.empty() && last.empty() ? 1 : 0;
--- a/tests/platform/fake_platform.h
+++ b/tests/platform/fake_platform.h
@@ -82,6 +82,8 @@
     void setTimeToShutdown(milliseconds time) { this->timeToShutdownMs = time.count(); }
     /// Stops or resumes sending events, while connections stay open.
     void setStalled(bool stalled) { this->stalled = stalled; }
+    /// Makes it accept requests without sending even a response head.
+    void setMute(bool mute) { this->mute = mute; }
     /// Sets the address to register, if it differs from the one listened on. To be called before
     /// registration().
     void setAdvertisedAddress(const std::string &address) { this->advertisedAddress = address; }
@@ -123,6 +125,7 @@
     std::atomic<std::int64_t> lastArrivalUs {0}; ///< Microseconds on the monotonic clock.
     std::atomic<std::int64_t> timeToShutdownMs {0};
     std::atomic<bool> stalled {false};
+    std::atomic<bool> mute {false};
     std::atomic<bool> crashed {false};
     std::atomic<std::size_t> startCount {0};
     std::atomic<std::size_t> takeoverCount {0};
--- a/tests/serving/routing_process_test.cpp
+++ b/tests/serving/routing_process_test.cpp
@@ -148,6 +148,8 @@
     CPPUNIT_TEST(changesAreFetchedFromAPeerWhenTheStoreRefuses);
     CPPUNIT_TEST(noChangeIsLostWhenTheStoreHistoryIsCompacted);
     CPPUNIT_TEST(aGracefulStopAbortsNoRequest);
+    CPPUNIT_TEST(requestsTakenDuringAStopAreAnsweredBeforeItEnds);
+    CPPUNIT_TEST(requestsOpenAtTheEndOfAStopAreAnswered);
     CPPUNIT_TEST(pipelinedRequestsAreAnsweredInOrder);
     CPPUNIT_TEST(metricsAndReadinessAreServed);
     CPPUNIT_TEST(reportingACrashDoesNotDeadlock);
@@ -344,6 +346,61 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), aborted);
     }
 
+    /// A long generation keeps the process open until its stop time is over.
+    void requestsTakenDuringAStopAreAnsweredBeforeItEnds()
+    {
+        this->startReady(1);
+        for (const auto &service : this->services) {
+            service->setBehaviour(FakeService::Behaviour::Hangs);
+        }
+        auto generation = send(*this->client, 0, "/draft/1", "events=3000", "long");
+        CPPUNIT_ASSERT(eventually([&] { return this->runningGenerations() == 1; }));
+        std::atomic<bool> ended {false};
+        std::thread stopping([&] {
+            this->processes[0]->stopGracefully();
+            ended = true;
+        });
+        CPPUNIT_ASSERT(eventually([&] { return !this->processes[0]->ready(); }));
+        const Instant stopStarted = monotonicNow();
+        std::vector<std::pair<std::string, std::future<Response>>> sent;
+        while (!ended) {
+            const std::string number = std::to_string(sent.size());
+            const auto at = std::to_string((monotonicNow() - stopStarted).count() / 1'000);
+            sent.emplace_back(
+                "/check/" + number + " at " + at + " ms",
+                send(*this->client, 0, "/check/" + number, "events=150", "check-" + number));
+            sent.emplace_back("/order/" + number + " at " + at + " ms",
+                              send(*this->client, 0, "/order/" + number, "", "order-" + number));
+            std::this_thread::sleep_for(milliseconds(100));
+        }
+        stopping.join();
+        std::string unanswered;
+        for (auto &[name, response] : sent) {
+            const Response seen = response.get();
+            const bool notTaken = seen.end == http::TransferEnd::ConnectionRefused
+                || seen.end == http::TransferEnd::NotSent;
+            if (seen.end != http::TransferEnd::Complete && !notTaken) {
+                unanswered += name + " status " + std::to_string(seen.status) + "\n";
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(unanswered, std::string(), unanswered);
+        CPPUNIT_ASSERT(generation.get().end != http::TransferEnd::Complete);
+    }
+
+    void requestsOpenAtTheEndOfAStopAreAnswered()
+    {
+        this->startReady(1);
+        for (const auto &engine : this->engines) {
+            engine->setMute(true);
+        }
+        auto unanswered = send(*this->client, 0, "/draft/1", "events=10", "mute");
+        CPPUNIT_ASSERT(eventually([&] { return this->runningGenerations() == 1; }));
+        this->processes[0]->stopGracefully();
+        const Response response = unanswered.get();
+        CPPUNIT_ASSERT(response.end == http::TransferEnd::Complete);
+        CPPUNIT_ASSERT_EQUAL(504, response.status);
+    }
+
     /// Guards against a pipelined request that is never answered, because it arrived while an
     /// earlier one of its connection was still being handled.
     void pipelinedRequestsAreAnsweredInOrder()
