Take only what a stopping process can finish

What callers saw (LOST): a request sent seconds after SIGTERM was taken and passed on, and its connection was closed without an answer, or in the middle of it, about 7.5 s after SIGTERM.

Cause: a stopping process refused non-resumable streams and took everything else for as long as it ran, and one long generation kept it running to the last half second of its stop time. Whatever was taken, retried or placed shortly before was cut with it.

Change: StopRequested says when the stop ends. From then on the router takes and places a request only if its own deadline lies before that; others are refused at once with 503, which is true, so that their callers go elsewhere. Queued requests that outlast the stop are refused when it begins. Upstreams are told no more time than the process has, and no retry begins that can't end.

Why it works: whatever is taken in a stop gets its answer, or its time-out, before the process ends; no moment of arrival, retry or late scheduling is left at which it could be cut.

The rename of one test says what it checks now; its assertions stand.

--- a/src/journal/event_id.cpp
+++ b/src/journal/event_id.cpp
@@ -38,7 +38,8 @@
         {E::GenerationLost, "generation-lost", S::Warning,
          "A stream ended before its end; its caller's connection was closed."},
         {E::RequestCut, "request-cut", S::Warning,
-         "A request was open when the process had to end; its caller's connection was closed."},
+         "A stream was still running when the process had to end; its caller's connection was "
+         "closed."},
         {E::UpstreamAdded, "upstream-added", S::Info, "An upstream is known now."},
         {E::UpstreamRemoved, "upstream-removed", S::Info, "An upstream is no longer listed."},
         {E::UpstreamCondition, "upstream-condition", S::Info,
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -308,17 +308,17 @@
     this->silentZones = event.silentZones;
 }
 
-void Router::on(const StopRequested &)
+void Router::on(const StopRequested &event)
 {
-    this->stopping = true;
-    this->stopRequestedAt = this->now;
+    this->stop = Stop {this->now, event.endsAt};
+    this->placeQueued();
 }
 
 void Router::on(const StopTimedOut &)
 {
     for (const RequestId id : this->activeRequestIds()) {
         if (ActiveRequest *each = this->findRequest(id)) {
-            this->cutRequest(*each);
+            this->endForStop(*each);
         }
     }
 }
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -35,6 +35,7 @@
     std::uint64_t migrationsStarted = 0;
     std::uint64_t migrationsCompleted = 0;
     std::uint64_t generationsLost = 0;
+    std::uint64_t streamsCutByStop = 0; ///< Streams that ran until the process had to end.
 };
 
 /// The state machine that routes requests: it selects an upstream for each request, retries failed
@@ -196,6 +197,13 @@
         Instant lostAt;
     };
 
+    /// The time span in which the process stops.
+    struct Stop
+    {
+        Instant requestedAt;
+        Instant endsAt;
+    };
+
     /// Connection failures to the upstreams of one zone.
     struct UnreachableZone
     {
@@ -244,6 +252,12 @@
     /// Rejects queued requests that waited too long, or whose service has no upstream.
     void rejectUnplaceable();
     milliseconds retryAfter(const ActiveRequest &active) const;
+    /// Returns true if the process may end before the request does.
+    bool outlastsStop(const ActiveRequest &active) const;
+    /// Returns the time by which a request has to end: its deadline, or the end of the stop.
+    Instant endOf(const ActiveRequest &active) const;
+    /// Returns the reply to a request that cannot be served before the process ends.
+    LocalReply stoppingReply(const ActiveRequest &active) const;
 
     // Attempts (router_attempts.cpp)
 
@@ -284,11 +298,12 @@
 
     // Ends of requests (router_completion.cpp)
 
-    /// Sends a local reply, or aborts the stream if one was forwarded.
+    /// Sends a local reply, or aborts the stream if a part of it was forwarded.
     void sendReply(ActiveRequest &active, LocalReply reply);
     void abortStream(ActiveRequest &active, const std::string &reason);
-    /// Closes the caller's connection because the process has to end.
-    void cutRequest(ActiveRequest &active);
+    /// Ends a request because the process has to end: with a reply, unless its stream was
+    /// forwarded.
+    void endForStop(ActiveRequest &active);
     void finishRequest(ActiveRequest &active);
     void closeRequest(RequestId id);
 
@@ -395,8 +410,7 @@
     std::vector<SuspectedCrash> suspectedCrashes;
     RouterStatus counters;
     std::uint64_t tieBreakCounter = 0;
-    bool stopping = false;
-    Instant stopRequestedAt; ///< Valid while stopping.
+    std::optional<Stop> stop; ///< Set while the process is stopping.
 };
 
 } // namespace azurespindle::routing
--- a/src/routing/router_admission.cpp
+++ b/src/routing/router_admission.cpp
@@ -12,6 +12,7 @@
 constexpr int statusUnauthorized = 401;
 constexpr int statusNotFound = 404;
 constexpr int statusUnavailable = 503;
+constexpr int statusGatewayTimeout = 504;
 
 /// Retry-After delay while no configuration is known.
 constexpr milliseconds unreadyRetryAfter {500};
@@ -117,9 +118,8 @@
     if (this->crashes.isBlocked(arrived.fingerprint, this->now)) {
         return LocalReply {statusUnavailable, milliseconds(0), "upstreams died running it"};
     }
-    const bool nonResumableStream = route.kind == RouteKind::Streaming && !route.resumable;
-    if (this->stopping && nonResumableStream) {
-        return LocalReply {statusUnavailable, stoppingRetryAfter, "this process is stopping"};
+    if (this->outlastsStop(arrived)) {
+        return this->stoppingReply(arrived);
     }
     if (this->queue.size() >= maxQueued) {
         return LocalReply {statusUnavailable, this->retryAfter(arrived), "the queue is full"};
@@ -156,7 +156,14 @@
     std::vector<std::string> full; ///< Services whose upstreams had no capacity for a request.
     for (const RequestId id : queued) {
         ActiveRequest *each = this->findRequest(id);
-        if (each == nullptr || !each->queued || contains(full, each->serviceName)) {
+        if (each == nullptr || !each->queued) {
+            continue;
+        }
+        if (this->outlastsStop(*each) && !each->relaying) {
+            this->sendReply(*each, this->stoppingReply(*each));
+            continue;
+        }
+        if (contains(full, each->serviceName)) {
             continue;
         }
         if (!this->tryPlace(*each)) {
@@ -295,6 +302,24 @@
     return delay + spread;
 }
 
+bool Router::outlastsStop(const ActiveRequest &active) const
+{
+    return this->stop && active.deadline > this->stop->endsAt;
+}
+
+Instant Router::endOf(const ActiveRequest &active) const
+{
+    return this->stop ? std::min(active.deadline, this->stop->endsAt) : active.deadline;
+}
+
+LocalReply Router::stoppingReply(const ActiveRequest &active) const
+{
+    const bool mayHaveRun = active.running || !active.mayHaveRunOn.empty();
+    return mayHaveRun
+        ? LocalReply {statusGatewayTimeout, milliseconds(0), "this process is stopping"}
+        : LocalReply {statusUnavailable, stoppingRetryAfter, "this process is stopping"};
+}
+
 void Router::rejectUnplaceable()
 {
     const std::vector<RequestId> queued = this->queue;
--- a/src/routing/router_attempts.cpp
+++ b/src/routing/router_attempts.cpp
@@ -47,8 +47,8 @@
 {
     AttemptPlan plan;
     plan.upstream = upstream;
-    plan.timeLeft = std::max(milliseconds(1),
-                             std::chrono::duration_cast<milliseconds>(active.deadline - this->now));
+    plan.timeLeft = std::max(
+        milliseconds(1), std::chrono::duration_cast<milliseconds>(this->endOf(active) - this->now));
     plan.workspace = active.workspace;
     plan.toEngine = active.service != nullptr && active.service->engine;
     plan.priority = std::clamp(active.priority, highestPriority, lowestPriority);
@@ -301,8 +301,8 @@
         || (active.route->kind == RouteKind::Streaming && active.route->resumable);
     // The attempt that just ended is not in mayHaveRunOn yet.
     const bool attemptsLeft = active.mayHaveRunOn.size() + 1 < active.route->maxAttempts;
-    return mayRepeat && attemptsLeft && active.attemptCount < totalAttemptLimit
-        && active.deadline - this->now > minTimeForRetry
+    return mayRepeat && attemptsLeft
+        && active.attemptCount<totalAttemptLimit &&this->endOf(active) - this->now> minTimeForRetry
         && this->retryBudget.allows(active.serviceName, active.eventCount > 0, this->now);
 }
 
@@ -321,7 +321,7 @@
     const bool withinBudget = active.possibleDeliveries == 0
         || this->retryBudget.allows(active.serviceName, false, this->now);
     if (active.attemptCount < totalAttemptLimit && withinBudget
-        && active.deadline - this->now > minTimeForRetry) {
+        && this->endOf(active) - this->now > minTimeForRetry) {
         this->enqueue(active);
         return;
     }
--- a/src/routing/router_completion.cpp
+++ b/src/routing/router_completion.cpp
@@ -6,7 +6,6 @@
 #include <utility>
 
 namespace azurespindle::routing {
-
 void Router::sendReply(ActiveRequest &active, LocalReply reply)
 {
     if (active.relaying) {
@@ -43,20 +42,19 @@
     this->closeRequest(active.id);
 }
 
-void Router::cutRequest(ActiveRequest &active)
+void Router::endForStop(ActiveRequest &active)
 {
-    const char *state = active.relaying ? "streaming" : active.queued ? "queued" : "sent";
     this->cancelAttempts(active);
-    this->journal(
-        active, journal::EventId::RequestCut,
-        {{"state", state},
-         {"upstream", active.upstream.id},
-         {"route", active.route->name},
-         {"takenMsAfterStop", internal::millisecondsSince(this->stopRequestedAt, active.arrivedAt)},
-         {"afterMs", internal::millisecondsSince(active.arrivedAt, this->now)},
-         {"leftMs", internal::millisecondsSince(this->now, active.deadline)},
-         {"events", std::to_string(active.eventCount)},
-         {"tries", std::to_string(active.attemptCount)}});
+    this->discardMigration(active, true);
+    this->journal(active, journal::EventId::RequestCut,
+                  {{"upstream", active.upstream.id},
+                   {"route", active.route->name},
+                   {"takenMsAfterStop",
+                    internal::millisecondsSince(this->stop->requestedAt, active.arrivedAt)},
+                   {"afterMs", internal::millisecondsSince(active.arrivedAt, this->now)},
+                   {"leftMs", internal::millisecondsSince(this->now, active.deadline)},
+                   {"events", std::to_string(active.eventCount)}});
+    this->counters.streamsCutByStop += 1;
     this->emit(AbortStream {active.id});
     this->closeRequest(active.id);
 }
--- a/src/routing/router_events.h
+++ b/src/routing/router_events.h
@@ -175,9 +175,12 @@
 struct TimePassed
 { };
 
-/// This process is about to stop.
+/// This process is about to stop. From now on it takes and places only requests whose deadline lies
+/// before the end of the stop, because the others might be left unanswered.
 struct StopRequested
-{ };
+{
+    Instant endsAt; ///< Time at which StopTimedOut follows.
+};
 
 /// The time for stopping is over: every request has to end now.
 struct StopTimedOut
--- a/src/serving/routing_process.cpp
+++ b/src/serving/routing_process.cpp
@@ -25,7 +25,7 @@
 constexpr milliseconds stopPollInterval {20};
 /// The load balancer stops sending to a process after two failed checks, one second apart.
 constexpr milliseconds balancerRemovalTime {2'300};
-/// Part of the stop time that is reserved for flushing responses and exiting.
+/// Part of the stop time that is reserved for sending the last responses and exiting.
 constexpr milliseconds stopReserve {500};
 /// Pause before the servers stop, in which the last bytes reach the callers.
 constexpr milliseconds flushTime {60};
@@ -364,34 +364,33 @@
     this->stopping = true;
     this->journalReadinessChange();
     const Instant stopStarted = monotonicNow();
-    const Instant deadline = stopStarted + this->settings.bounds.stopTimeout - stopReserve;
-    this->forwarder.handle(routing::StopRequested {});
+    const Instant requestsEndAt = stopStarted + this->settings.bounds.stopTimeout - stopReserve;
+    this->forwarder.handle(routing::StopRequested {requestsEndAt});
     this->coordinator.leave();
     this->callerServer.drain();
-    const auto mustKeepServing = [&] {
-        return monotonicNow() - stopStarted < balancerRemovalTime
-            || this->forwarder.status().openRequests > 0 || this->callerServer.openExchanges() > 0;
-    };
-    while (mustKeepServing() && monotonicNow() < deadline) {
-        std::this_thread::sleep_for(stopPollInterval);
-    }
-    // Requests that arrive between the last response and the exit are rejected, not aborted.
-    this->forwarder.rejectNewRequests();
     const auto hasOpenRequests = [&] {
         return this->forwarder.status().openRequests > 0 || this->callerServer.openExchanges() > 0;
     };
-    while (hasOpenRequests() && monotonicNow() < deadline) {
-        std::this_thread::sleep_for(stopPollInterval);
-    }
-    const std::size_t aborted = this->forwarder.status().openRequests;
+    const auto waitWhile = [](const std::function<bool()> &condition, Instant until) {
+        while (condition() && monotonicNow() < until) {
+            std::this_thread::sleep_for(stopPollInterval);
+        }
+    };
+    waitWhile(
+        [&] { return monotonicNow() - stopStarted < balancerRemovalTime || hasOpenRequests(); },
+        requestsEndAt);
+    // Requests that arrive between the last response and the exit are rejected, not aborted.
+    this->forwarder.rejectNewRequests();
+    waitWhile(hasOpenRequests, requestsEndAt);
     this->forwarder.handle(routing::StopTimedOut {});
+    const std::size_t cut = this->forwarder.status().streamsCutByStop;
     std::this_thread::sleep_for(flushTime);
     this->journal.record({journal::EventId::ProcessStopped,
                           {{"member", this->settings.name},
-                           {"cut", std::to_string(aborted)},
+                           {"cut", std::to_string(cut)},
                            {"unsent", std::to_string(this->callerServer.openExchanges())}}});
     this->stop();
-    return aborted;
+    return cut;
 }
 
 void RoutingProcess::stop()
--- a/src/serving/routing_process.h
+++ b/src/serving/routing_process.h
@@ -47,7 +47,7 @@
     /// Applies the settings that may change while the process runs, which is the seeds only.
     void reload(const settings::RoutingSettings &settings);
     /// Reports not ready, waits up to FleetBounds::stopTimeout for open requests, then stops.
-    /// \return the number of requests that were aborted.
+    /// \return the number of streams that were cut because they were still running.
     std::size_t stopGracefully();
 
     // Queries
--- a/tests/routing/router_test.cpp
+++ b/tests/routing/router_test.cpp
@@ -33,7 +33,9 @@
     CPPUNIT_TEST(aRequestIsQueuedForCapacityAndRejectedBeforeItsDeadline);
     CPPUNIT_TEST(requestsForAServiceWithoutUpstreamsAreRejectedAtOnce);
     CPPUNIT_TEST(requestsOfHigherPriorityArePlacedFirst);
-    CPPUNIT_TEST(aStoppingProcessRejectsNonResumableGenerationsOnly);
+    CPPUNIT_TEST(aStoppingProcessTakesNothingThatItCannotFinish);
+    CPPUNIT_TEST(aStoppingProcessRejectsQueuedRequestsThatItCannotFinish);
+    CPPUNIT_TEST(aRetryDuringAStopEndsBeforeTheProcess);
     CPPUNIT_TEST(aRequestThatCrashesUpstreamsIsRejected);
     CPPUNIT_TEST(retriesStayWithinTheBudget);
     CPPUNIT_TEST(aResponseToAnotherRequestIsNotForwarded);
@@ -404,17 +406,58 @@
                              std::uint64_t(harness.lastEffect<StartAttempt>()->attempt.request));
     }
 
-    void aStoppingProcessRejectsNonResumableGenerationsOnly()
+    void aStoppingProcessTakesNothingThatItCannotFinish()
     {
         RouterHarness harness;
         harness.configure();
         harness.addPlainUpstream("p1");
         harness.addEngine("e1");
-        harness.handle(StopRequested {});
+        harness.handle(StopRequested {harness.now() + milliseconds(7'500)});
         harness.sendRequest("/order/1");
         CPPUNIT_ASSERT_EQUAL(std::string("p1"), harness.lastUpstream());
         harness.sendRequest("/long/1");
         CPPUNIT_ASSERT_EQUAL(503, harness.lastReplyStatus());
+        harness.clearEffects();
+        harness.sendRequest("/short/1");
+        CPPUNIT_ASSERT_EQUAL(503, harness.lastReplyStatus());
+        harness.advanceTime(milliseconds(6'500));
+        harness.clearEffects();
+        harness.sendRequest("/order/2");
+        CPPUNIT_ASSERT_EQUAL(std::string("p1"), harness.lastUpstream());
+        harness.advanceTime(milliseconds(20));
+        harness.clearEffects();
+        harness.sendRequest("/order/3");
+        CPPUNIT_ASSERT_EQUAL(503, harness.lastReplyStatus());
+        CPPUNIT_ASSERT_EQUAL(std::string("none"), harness.lastUpstream());
+    }
+
+    void aStoppingProcessRejectsQueuedRequestsThatItCannotFinish()
+    {
+        RouterHarness harness;
+        harness.configure();
+        harness.sendRequest("/long/1");
+        CPPUNIT_ASSERT_EQUAL(0, harness.lastReplyStatus());
+        harness.handle(StopRequested {harness.now() + milliseconds(7'500)});
+        CPPUNIT_ASSERT_EQUAL(503, harness.lastReplyStatus());
+    }
+
+    void aRetryDuringAStopEndsBeforeTheProcess()
+    {
+        RouterHarness harness;
+        harness.configure();
+        harness.addPlainUpstream("p1");
+        harness.addPlainUpstream("p2");
+        const RequestId request = harness.sendRequest("/look/1");
+        harness.handle(StopRequested {harness.now() + milliseconds(7'500)});
+        harness.endAttempt(request, AttemptEnd::Complete, 500);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), harness.countEffects<StartAttempt>());
+        harness.clearEffects();
+        harness.advanceTime(milliseconds(500));
+        const auto retried = harness.sendRequest("/look/2");
+        harness.handle(StopRequested {harness.now() + milliseconds(30)});
+        harness.endAttempt(retried, AttemptEnd::Complete, 500);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.countEffects<StartAttempt>());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.countEffects<ForwardResponse>());
     }
 
     void aRequestThatCrashesUpstreamsIsRejected()
