Answer what is open at the end of a stop instead of closing its connection

What callers saw (LOST): a connection was closed without a byte, although the process knew what to say: the request waited for room, or was sent and had no response yet, or its stream had not begun.

Cause: the end of a stop closed the connections of all open requests. The same held outside a stop: a stream whose upstream had sent its head counted as forwarded, and was broken off, although the head is forwarded only with the first event.

In the process's own logs the cut ones had events=0.

Change: at the end of a stop each request gets a reply, 503 if it certainly has not run and 504 otherwise, unless a part of its stream was forwarded. Aborts and time-outs of streams look at the same question, callerHasData().

Why it works: a caller that has received nothing can always be given a status.

--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -298,6 +298,8 @@
 
     // Ends of requests (router_completion.cpp)
 
+    /// Returns true if a part of the response was forwarded, so that no other reply can be sent.
+    static bool callerHasData(const ActiveRequest &active);
     /// Sends a local reply, or aborts the stream if a part of it was forwarded.
     void sendReply(ActiveRequest &active, LocalReply reply);
     void abortStream(ActiveRequest &active, const std::string &reason);
--- a/src/routing/router_attempts.cpp
+++ b/src/routing/router_attempts.cpp
@@ -406,10 +406,6 @@
     if (this->now < active.deadline) {
         return;
     }
-    if (active.relaying) {
-        this->abortStream(active, "the time ran out");
-        return;
-    }
     const bool mayHaveRun = active.running || !active.mayHaveRunOn.empty();
     const bool queuedOnly = active.queued && !mayHaveRun;
     this->sendReply(active,
--- a/src/routing/router_completion.cpp
+++ b/src/routing/router_completion.cpp
@@ -6,9 +6,20 @@
 #include <utility>
 
 namespace azurespindle::routing {
+namespace {
+
+constexpr int statusBadGateway = 502;
+
+} // namespace
+
+bool Router::callerHasData(const ActiveRequest &active)
+{
+    return active.relaying && active.eventCount > 0;
+}
+
 void Router::sendReply(ActiveRequest &active, LocalReply reply)
 {
-    if (active.relaying) {
+    if (callerHasData(active)) {
         this->abortStream(active, reply.reason);
         return;
     }
@@ -30,6 +41,10 @@
 
 void Router::abortStream(ActiveRequest &active, const std::string &reason)
 {
+    if (!callerHasData(active)) {
+        this->sendReply(active, {statusBadGateway, milliseconds(0), reason});
+        return;
+    }
     this->cancelAttempts(active);
     this->discardMigration(active, true);
     this->counters.generationsLost += 1;
@@ -44,6 +59,10 @@
 
 void Router::endForStop(ActiveRequest &active)
 {
+    if (!callerHasData(active)) {
+        this->sendReply(active, this->stoppingReply(active));
+        return;
+    }
     this->cancelAttempts(active);
     this->discardMigration(active, true);
     this->journal(active, journal::EventId::RequestCut,
--- a/tests/routing/router_test.cpp
+++ b/tests/routing/router_test.cpp
@@ -36,6 +36,8 @@
     CPPUNIT_TEST(aStoppingProcessTakesNothingThatItCannotFinish);
     CPPUNIT_TEST(aStoppingProcessRejectsQueuedRequestsThatItCannotFinish);
     CPPUNIT_TEST(aRetryDuringAStopEndsBeforeTheProcess);
+    CPPUNIT_TEST(aRequestWithoutDataAtTheEndOfAStopIsAnswered);
+    CPPUNIT_TEST(aStreamThatFailsBeforeItsFirstEventIsAnswered);
     CPPUNIT_TEST(aRequestThatCrashesUpstreamsIsRejected);
     CPPUNIT_TEST(retriesStayWithinTheBudget);
     CPPUNIT_TEST(aResponseToAnotherRequestIsNotForwarded);
@@ -460,6 +462,41 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.countEffects<ForwardResponse>());
     }
 
+    void aRequestWithoutDataAtTheEndOfAStopIsAnswered()
+    {
+        RouterHarness harness;
+        harness.configure();
+        harness.addPlainUpstream("p1");
+        harness.addEngine("e1");
+        harness.sendRequest("/order/1");
+        const RequestId silent = harness.sendRequest("/short/1");
+        const RequestId streaming = harness.sendRequest("/long/1");
+        harness.receiveStreamHead(silent);
+        harness.receiveStreamHead(streaming);
+        harness.receiveEvents(streaming, 2);
+        harness.handle(StopRequested {harness.now()});
+        harness.clearEffects();
+        harness.handle(StopTimedOut {});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), harness.countEffects<SendLocalReply>());
+        CPPUNIT_ASSERT_EQUAL(504, harness.lastReplyStatus());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.countEffects<AbortStream>());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(streaming),
+                             std::uint64_t(harness.lastEffect<AbortStream>()->request));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), harness.countEffects<CancelAttempt>());
+    }
+
+    void aStreamThatFailsBeforeItsFirstEventIsAnswered()
+    {
+        RouterHarness harness;
+        harness.configure();
+        harness.addEngine("e1");
+        const RequestId request = harness.sendRequest("/long/1");
+        harness.receiveStreamHead(request);
+        harness.endAttempt(request, AttemptEnd::Lost);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), harness.countEffects<AbortStream>());
+        CPPUNIT_ASSERT_EQUAL(502, harness.lastReplyStatus());
+    }
+
     void aRequestThatCrashesUpstreamsIsRejected()
     {
         RouterHarness harness;
