Take a burst of connections while the process has no processor time

Seen: EntryProcessTest::fiveHundredStreamsAtOnceAreNotMixed on a busy machine, "expected 60 tokens, got 0". The callers' connects timed out after 1 s, without a byte sent. Cause: the servers listened with Pistache's backlog of 128. The system drops a connect beyond it without an answer, and the caller's next try comes 1 s later, when its limit for connecting is over. Change: the servers listen with a backlog of 4096. The test's message says how each faulty stream ended and what was received; it checks all streams as before.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -6,6 +6,13 @@
 #include <pistache/listener.h>
 
 namespace azurespindle::http {
+namespace {
+
+/// Connections that wait to be accepted. The system drops a connect beyond it without an answer, so
+/// that it takes as many as a server serves by default; net.core.somaxconn caps it.
+constexpr int listenBacklog = 4'096;
+
+} // namespace
 
 std::string ServerRequest::header(const std::string &name) const
 {
@@ -60,7 +67,8 @@
         impl.listener->init(
             impl.threads,
             Pistache::Flags<Pistache::Tcp::Options>(Pistache::Tcp::Options::ReuseAddr)
-                | Pistache::Tcp::Options::NoDelay);
+                | Pistache::Tcp::Options::NoDelay,
+            "", listenBacklog);
         auto handler = std::make_shared<internal::ConnectionHandler>(impl.shared);
         const std::shared_ptr<internal::ServerState> shared = impl.shared;
         impl.listener->setTransportFactory(
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -5,8 +5,11 @@
 #include "support/suite.h"
 
 #include <condition_variable>
+#include <csignal>
 #include <random>
+#include <sys/wait.h>
 #include <thread>
+#include <unistd.h>
 
 namespace azurespindle::http {
 namespace {
@@ -79,6 +82,7 @@
     CPPUNIT_TEST(keepAliveConnectionServesSequentialRequests);
     CPPUNIT_TEST(malformedRequestsAreRejectedWithoutAffectingOtherConnections);
     CPPUNIT_TEST(disconnectIsReportedOnce);
+    CPPUNIT_TEST(aBurstOfConnectionsIsTakenWhileTheServerHasNoProcessorTime);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -244,7 +248,68 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), server.openConnections());
     }
 
+    /// Guards against connects that the system drops, which time out at the caller.
+    void aBurstOfConnectionsIsTakenWhileTheServerHasNoProcessorTime()
+    {
+        constexpr std::size_t burst = 1'000;
+        const PausedServer server;
+        std::vector<std::unique_ptr<tests::RawConnection>> connections;
+        for (std::size_t index = 0; index < burst; ++index) {
+            connections.push_back(
+                std::make_unique<tests::RawConnection>(server.port(), tests::Connecting::Begun));
+        }
+        std::size_t connected = 0;
+        for (const auto &connection : connections) {
+            connected
+                += connection->connectedWithin(milliseconds(connected == 0 ? 500 : 0)) ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL(burst, connected);
+    }
+
 private:
+    /// A server in a process of its own that is stopped (SIGSTOP) once it listens.
+    class PausedServer
+    {
+    public:
+        PausedServer()
+        {
+            int pipeEnds[2] = {};
+            CPPUNIT_ASSERT_EQUAL(0, ::pipe(pipeEnds));
+            this->process = ::fork();
+            if (this->process == 0) {
+                Server server(anyPort, {}, 1, answerOk);
+                const std::uint16_t own = server.start() ? 0 : server.port();
+                const auto written = ::write(pipeEnds[1], &own, sizeof(own));
+                ::pause();
+                ::_exit(static_cast<int>(written));
+            }
+            const auto count = ::read(pipeEnds[0], &this->listeningPort, sizeof(listeningPort));
+            ::close(pipeEnds[0]);
+            ::close(pipeEnds[1]);
+            CPPUNIT_ASSERT_EQUAL(sizeof(listeningPort), static_cast<std::size_t>(count));
+            CPPUNIT_ASSERT(this->listeningPort != 0);
+            int status = 0;
+            ::kill(this->process, SIGSTOP);
+            ::waitpid(this->process, &status, WUNTRACED);
+            CPPUNIT_ASSERT(WIFSTOPPED(status));
+        }
+
+        ~PausedServer()
+        {
+            ::kill(this->process, SIGKILL);
+            ::waitpid(this->process, nullptr, 0);
+        }
+
+        PausedServer(const PausedServer &) = delete;
+        PausedServer &operator=(const PausedServer &) = delete;
+
+        std::uint16_t port() const { return this->listeningPort; }
+
+    private:
+        pid_t process = 0;
+        std::uint16_t listeningPort = 0;
+    };
+
     static void answerOk(const ServerRequest &, const ExchangePtr &exchange)
     {
         exchange->respond(200, {}, "ok");
--- a/tests/serving/entry_process_test.cpp
+++ b/tests/serving/entry_process_test.cpp
@@ -1,5 +1,6 @@
 #include "serving/entry_process.h"
 
+#include "base/text.h"
 #include "support/fleet.h"
 #include "support/suite.h"
 
@@ -66,6 +67,7 @@
         std::mutex mutex;
         std::condition_variable changed;
         std::vector<std::string> bodies(streams);
+        std::vector<std::string> ends(streams, "not ended");
         std::size_t ended = 0;
         for (std::size_t index = 0; index < streams; ++index) {
             http::TransferCallbacks callbacks;
@@ -74,8 +76,9 @@
                 bodies[index] += bytes;
                 return true;
             };
-            callbacks.onDone = [&](const http::TransferResult &) {
+            callbacks.onDone = [&, index, begun = monotonicNow()](const auto &result) {
                 const std::lock_guard lock(mutex);
+                ends[index] = describe(result, monotonicNow() - begun);
                 ended += 1;
                 changed.notify_all();
             };
@@ -84,10 +87,15 @@
         }
         std::unique_lock lock(mutex);
         changed.wait_for(lock, seconds(30), [&] { return ended == streams; });
-        for (const std::string &body : bodies) {
-            const std::string mismatch = streamFault(body, tokens);
-            CPPUNIT_ASSERT_MESSAGE(mismatch, mismatch.empty());
+        std::string faults;
+        for (std::size_t index = 0; index < streams; ++index) {
+            const std::string mismatch = streamFault(bodies[index], tokens);
+            if (!mismatch.empty()) {
+                faults += "\nstream " + std::to_string(index) + ": " + mismatch + "; " + ends[index]
+                    + "; received: " + bodies[index].substr(0, shownBytes);
+            }
         }
+        CPPUNIT_ASSERT_EQUAL(std::string(), faults);
     }
 
     void aNonStreamedResponseHasAllTokens()
@@ -269,10 +277,20 @@
     }
 
 private:
+    static constexpr std::size_t shownBytes = 300; ///< Of a body, in the message of a failure.
     static constexpr int testCount = 13;
     static inline int testsRun = 0;
     static inline std::unique_ptr<Fleet> shared;
 
+    static std::string describe(const http::TransferResult &result, microseconds took)
+    {
+        static const char *const ends[]
+            = {"complete", "not sent", "connection refused", "connection lost", "timed out"};
+        return std::string(ends[static_cast<int>(result.end)]) + ", status "
+            + std::to_string(result.status) + ", after " + millisecondsText(took) + " ms, "
+            + result.detail;
+    }
+
     static double metric(Fleet &fleet, const std::string &name)
     {
         const std::string text = fleet.get(0, "/metrics").body;
--- a/tests/support/raw_connection.cpp
+++ b/tests/support/raw_connection.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <arpa/inet.h>
+#include <cerrno>
 #include <netinet/in.h>
 #include <poll.h>
 #include <sys/socket.h>
@@ -9,13 +10,17 @@
 
 namespace azurespindle::tests {
 
-RawConnection::RawConnection(std::uint16_t port) : socket(::socket(AF_INET, SOCK_STREAM, 0))
+RawConnection::RawConnection(std::uint16_t port, Connecting connecting)
+    : socket(
+        ::socket(AF_INET, SOCK_STREAM | (connecting == Connecting::Begun ? SOCK_NONBLOCK : 0), 0))
 {
     sockaddr_in address {};
     address.sin_family = AF_INET;
     address.sin_port = htons(port);
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    if (::connect(this->socket, reinterpret_cast<sockaddr *>(&address), sizeof(address)) != 0) {
+    const int result
+        = ::connect(this->socket, reinterpret_cast<sockaddr *>(&address), sizeof(address));
+    if (result != 0 && !(connecting == Connecting::Begun && errno == EINPROGRESS)) {
         ::close(this->socket);
         this->socket = -1;
     }
@@ -28,6 +33,13 @@
     }
 }
 
+bool RawConnection::connectedWithin(milliseconds patience) const
+{
+    pollfd waited {this->socket, POLLOUT, 0};
+    const bool ready = ::poll(&waited, 1, static_cast<int>(patience.count())) > 0;
+    return ready && (waited.revents & (POLLERR | POLLHUP)) == 0;
+}
+
 void RawConnection::send(const std::string &bytes) const
 {
     ::send(this->socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
--- a/tests/support/raw_connection.h
+++ b/tests/support/raw_connection.h
@@ -9,16 +9,24 @@
 
 namespace azurespindle::tests {
 
+/// How far a RawConnection is when its constructor returns.
+enum class Connecting {
+    Finished, ///< Connected, or refused.
+    Begun,    ///< connectedWithin() tells when it is connected.
+};
+
 /// A TCP connection to loopback that sends and reads exactly what a test says.
 class RawConnection
 {
 public:
-    explicit RawConnection(std::uint16_t port);
+    explicit RawConnection(std::uint16_t port, Connecting connecting = Connecting::Finished);
     ~RawConnection();
     RawConnection(const RawConnection &) = delete;
     RawConnection &operator=(const RawConnection &) = delete;
 
     bool connected() const { return this->socket >= 0; }
+    /// Returns true if a connecting that was begun succeeds within \a patience.
+    bool connectedWithin(milliseconds patience) const;
     void send(const std::string &bytes) const;
     /// Reads what is there. \return nothing if none came for \a patience; no bytes once the other
     /// side has closed or reset.
