Let the soak play stops and hold every request to an answer

Cause: the soak started stops, but left out of its checks what a process that stops does, and its callers went to ready processes only and asked for drafts of 2.5 s at most.

Change: a plan "stops" beside the random one, with planned work only: SIGTERM in waves, overlapping and repeated, SIGHUP and configurations meanwhile, plain upstreams that need long or hang, drafts that outlast the stop, callers that keep their connection, that open new ones to stopping processes, and that read slowly. A promise "answered": what reached an upstream, or was sent 200 ms or more before its connection ended, gets a complete answer. Processes may be a few dozen.

--- a/tests/platform/fake_platform.cpp
+++ b/tests/platform/fake_platform.cpp
@@ -13,6 +13,7 @@
 using nlohmann::json;
 
 constexpr milliseconds storeInterval {10};
+constexpr milliseconds serviceInterval {5};
 const http::Headers jsonHeaders {{"content-type", "application/json"}};
 
 std::string encodeBase64(const std::string &bytes)
@@ -212,6 +213,13 @@
     return found == this->runCounts.end() ? 0 : found->second;
 }
 
+bool FakeEngine::finishedBy(const std::string &requestId, Instant time) const
+{
+    const std::lock_guard lock(this->mutex);
+    const auto found = this->finishTimes.find(requestId);
+    return found != this->finishTimes.end() && found->second <= time;
+}
+
 std::size_t FakeEngine::running() const
 {
     const std::lock_guard lock(this->mutex);
@@ -251,6 +259,7 @@
             continue;
         }
         run.exchange->finish();
+        this->finishTimes[each->first] = monotonicNow();
         each = this->runningRequests.erase(each);
     }
 }
@@ -351,6 +360,8 @@
     if (this->server.start()) {
         throw std::runtime_error("port of a fake service is in use");
     }
+    this->timers.subscribe(serviceInterval, [this] { this->finishDue(); });
+    this->timers.start();
 }
 
 std::string FakeService::registration(bool draining) const
@@ -375,6 +386,13 @@
     return found == this->runCounts.end() ? 0 : found->second;
 }
 
+bool FakeService::finishedBy(const std::string &requestId, Instant time) const
+{
+    const std::lock_guard lock(this->mutex);
+    const auto found = this->finishTimes.find(requestId);
+    return found != this->finishTimes.end() && found->second <= time;
+}
+
 std::size_t FakeService::totalRuns() const
 {
     const std::lock_guard lock(this->mutex);
@@ -411,12 +429,40 @@
         this->hangingExchanges.push_back(exchange);
         return;
     }
-    const int status = this->behaviour == Behaviour::Fails ? 500 : 200;
-    exchange->respond(status,
-                      {{"azurespindle-attempt-id", requestId},
-                       {"azurespindle-server-seal", "seal-of-" + this->id},
-                       {"x-target", request.target}},
-                      "ran " + request.method + " " + request.target + " " + request.body);
+    Work work {requestId,
+               monotonicNow() + milliseconds(this->workTimeMs),
+               exchange,
+               this->behaviour == Behaviour::Fails ? 500 : 200,
+               {{"azurespindle-attempt-id", requestId},
+                {"azurespindle-server-seal", "seal-of-" + this->id},
+                {"x-target", request.target}},
+               "ran " + request.method + " " + request.target + " " + request.body};
+    const std::lock_guard lock(this->mutex);
+    if (this->workTimeMs == 0) {
+        this->finish(work);
+        return;
+    }
+    exchange->onDisconnected([this, requestId] {
+        const std::lock_guard lock(this->mutex);
+        std::erase_if(this->works, [&](const Work &each) { return each.requestId == requestId; });
+    });
+    this->works.push_back(std::move(work));
+}
+
+void FakeService::finish(const Work &work)
+{
+    this->finishTimes[work.requestId] = monotonicNow();
+    work.exchange->respond(work.status, work.headers, work.body);
+}
+
+void FakeService::finishDue()
+{
+    const std::lock_guard lock(this->mutex);
+    const Instant now = monotonicNow();
+    const auto due = std::stable_partition(this->works.begin(), this->works.end(),
+                                           [now](const Work &work) { return work.until > now; });
+    std::for_each(due, this->works.end(), [this](const Work &work) { this->finish(work); });
+    this->works.erase(due, this->works.end());
 }
 
 std::string platformConfiguration(std::uint64_t version, const std::string &extraRoutes)
--- a/tests/platform/fake_platform.h
+++ b/tests/platform/fake_platform.h
@@ -99,6 +99,8 @@
     std::size_t takeovers() const { return this->takeoverCount; }
     /// Returns how often the request with this id was run here from its first event.
     std::size_t runs(const std::string &requestId) const;
+    /// Returns true if the request with this id had been run here to its last event at \a time.
+    bool finishedBy(const std::string &requestId, Instant time) const;
     /// Returns the time at which a request was last accepted.
     Instant lastArrival() const { return Instant(microseconds(this->lastArrivalUs.load())); }
 
@@ -126,9 +128,10 @@
     std::atomic<bool> crashed {false};
     std::atomic<std::size_t> startCount {0};
     std::atomic<std::size_t> takeoverCount {0};
-    mutable std::mutex mutex; ///< Guards the two fields below.
+    mutable std::mutex mutex; ///< Guards the three fields below.
     std::map<std::string, Run> runningRequests;
     std::map<std::string, std::size_t> runCounts;
+    std::map<std::string, Instant> finishTimes; ///< Keyed by request.
     timer::TimerService timers;
     std::unique_ptr<http::Server> server;
 };
@@ -150,6 +153,8 @@
     FakeService(std::string id, std::uint16_t port);
 
     void setBehaviour(Behaviour behaviour) { this->behaviour = behaviour; }
+    /// Sets the duration of the work on each request that arrives from now on.
+    void setWorkTime(milliseconds time) { this->workTimeMs = time.count(); }
     /// Sets the address to register, if it differs from the one listened on. To be called before
     /// registration().
     void setAdvertisedAddress(const std::string &address) { this->advertisedAddress = address; }
@@ -157,21 +162,39 @@
     std::string registration(bool draining = false) const;
     /// Returns how often the request with this id ran.
     std::size_t runs(const std::string &requestId) const;
+    /// Returns true if the request with this id had been answered here at \a time.
+    bool finishedBy(const std::string &requestId, Instant time) const;
     std::size_t totalRuns() const;
     /// Returns the number of hanging requests whose callers disconnected.
     std::size_t disconnects() const { return this->disconnectCount; }
 
 private:
+    struct Work
+    {
+        std::string requestId;
+        Instant until;
+        http::ExchangePtr exchange;
+        int status = 0;
+        http::Headers headers;
+        std::string body;
+    };
+
     void answer(const http::ServerRequest &request, const http::ExchangePtr &exchange);
+    void finish(const Work &work);
+    void finishDue();
 
     const std::string id;
     const std::uint16_t port;
     std::string advertisedAddress;
+    std::atomic<std::int64_t> workTimeMs {0};
     std::atomic<Behaviour> behaviour {Behaviour::Answers};
     std::atomic<std::size_t> disconnectCount {0};
-    mutable std::mutex mutex; ///< Guards the two fields below.
+    mutable std::mutex mutex; ///< Guards the fields below, up to the timers.
     std::map<std::string, std::size_t> runCounts;
+    std::map<std::string, Instant> finishTimes; ///< Keyed by request.
+    std::vector<Work> works;
     std::vector<http::ExchangePtr> hangingExchanges;
+    timer::TimerService timers;
     http::Server server;
 };
 
--- a/tests/soak/fault_script.cpp
+++ b/tests/soak/fault_script.cpp
@@ -2,14 +2,10 @@
 
 #include <algorithm>
 #include <csignal>
-#include <thread>
 
 namespace azurespindle::soak {
 namespace {
 
-constexpr int leastPauseMs = 80;
-constexpr int mostPauseMs = 700;
-constexpr milliseconds healPoll {5};
 /// A stop may take what the settings allow, and some time of a busy machine.
 constexpr milliseconds stopPatience {9'000};
 constexpr milliseconds killPatience {3'000};
@@ -22,24 +18,9 @@
 
 } // namespace
 
-FaultScript::FaultScript(SoakFleet &fleet, VersionProber &prober)
-    : fleet(fleet), prober(prober), random(fleet.settings().seed)
+FaultScript::FaultScript(SoakFleet &fleet, VersionProber &prober) : Script(fleet), prober(prober)
 { }
 
-void FaultScript::play(seconds duration)
-{
-    this->began = monotonicNow();
-    const Instant end = this->began + duration;
-    while (monotonicNow() < end) {
-        this->beginOne();
-        this->healDue(monotonicNow() + this->between(leastPauseMs, mostPauseMs));
-    }
-    this->note("healing");
-    while (!this->heals.empty()) {
-        this->healDue(this->heals.rbegin()->first);
-    }
-}
-
 void FaultScript::beginOne()
 {
     using Begin = void (FaultScript::*)();
@@ -52,11 +33,6 @@
     (this->*kinds[this->pick(std::size(kinds))])();
 }
 
-milliseconds FaultScript::between(int least, int most)
-{
-    return milliseconds(least + static_cast<int>(this->pick(most - least + 1)));
-}
-
 std::optional<std::size_t> FaultScript::pickRunning()
 {
     const std::size_t process = this->pick(this->fleet.settings().processes);
@@ -64,34 +40,6 @@
     return free ? std::optional(process) : std::nullopt;
 }
 
-void FaultScript::note(const std::string &line)
-{
-    const auto at = (monotonicNow() - this->began).count() / 1'000;
-    this->lines.push_back(std::to_string(at) + " ms " + line);
-}
-
-void FaultScript::later(milliseconds delay, Heal heal)
-{
-    this->heals.emplace(monotonicNow() + delay, std::move(heal));
-}
-
-void FaultScript::healDue(Instant until)
-{
-    while (monotonicNow() < until) {
-        while (!this->heals.empty() && this->heals.begin()->first <= monotonicNow()) {
-            const Heal heal = this->heals.begin()->second;
-            this->heals.erase(this->heals.begin());
-            heal();
-        }
-        std::this_thread::sleep_for(healPoll);
-    }
-    if (!this->heals.empty() && this->heals.begin()->first <= until) {
-        const Heal heal = this->heals.begin()->second;
-        this->heals.erase(this->heals.begin());
-        heal();
-    }
-}
-
 void FaultScript::killProcess()
 {
     const auto process = this->pickRunning();
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -1,13 +1,16 @@
 // Runs real routing processes under random faults and checks what callers and upstreams see:
 // azurespindle-soak --binary build/azurespindle --seed 7 --seconds 20
 
+#include "answered.h"
 #include "fault_script.h"
 #include "journal/journal.h"
-#include "soak_caller.h"
+#include "stop_caller.h"
+#include "stop_script.h"
 #include "version_prober.h"
 
 #include <cxxopts.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <filesystem>
 #include <iostream>
@@ -19,9 +22,10 @@
 constexpr int exitSound = 0;
 constexpr int exitFindings = 1;
 constexpr int exitUsage = 2;
-constexpr int statusOk = 200;
 
 constexpr std::size_t callersOfEachKind = 4;
+/// Callers of a play of stops come in groups, one group a process, but no more.
+constexpr std::size_t mostCallerGroups = 12;
 constexpr seconds startTime {15};
 /// After the last fault every process serves everything again within this time.
 constexpr seconds recoveryTime {12};
@@ -49,7 +53,7 @@
     const std::string id = "after-" + std::string(name(kind)) + "-" + std::to_string(process) + "-"
         + std::to_string(number);
     const std::string target = "/" + std::string(name(kind)) + "/" + id;
-    const Seen seen = exchangeOn(connection, kind, id, target, events, milliseconds(1'000));
+    const Seen seen = exchangeOn(connection, {kind, id, target, events, 0, milliseconds(1'000)});
     return seen.whole && seen.status == statusOk && faultOf(seen).empty();
 }
 
@@ -114,54 +118,102 @@
     }
 }
 
-void play(SoakFleet &fleet, Findings &findings)
+std::vector<std::unique_ptr<SoakCaller>> startCallers(SoakFleet &fleet, Findings &findings)
 {
-    if (const auto missing = waitForService(fleet, startTime)) {
-        findings.add("start", *missing);
-        return;
-    }
-    VersionProber prober(fleet, findings);
     std::vector<std::unique_ptr<SoakCaller>> callers;
-    std::uint64_t number = 0;
     for (std::size_t each = 0; each < callersOfEachKind; ++each) {
         for (const RequestKind kind :
              {RequestKind::Draft, RequestKind::Check, RequestKind::Order, RequestKind::Look}) {
-            callers.push_back(std::make_unique<SoakCaller>(fleet, findings, kind, number));
-            number += 1;
+            callers.push_back(std::make_unique<SoakCaller>(fleet, findings, kind, callers.size()));
         }
     }
-    FaultScript script(fleet, prober);
-    script.play(fleet.settings().duration);
+    return callers;
+}
+
+std::vector<std::unique_ptr<StopCaller>> startStopCallers(SoakFleet &fleet, Findings &findings,
+                                                          const PlannedWork &work)
+{
+    constexpr CallerStyle styles[] = {CallerStyle::Holder, CallerStyle::Kept, CallerStyle::Kept,
+                                      CallerStyle::Fresh,  CallerStyle::Slow, CallerStyle::Fresh};
+    const std::size_t count
+        = std::min(fleet.settings().processes, mostCallerGroups) * std::size(styles);
+    std::vector<std::unique_ptr<StopCaller>> callers;
+    for (std::size_t each = 0; each < count; ++each) {
+        callers.push_back(std::make_unique<StopCaller>(fleet, findings, work,
+                                                       styles[each % std::size(styles)], each));
+    }
+    return callers;
+}
+
+std::unique_ptr<Script> makeScript(SoakFleet &fleet, VersionProber &prober, PlannedWork &work)
+{
+    if (fleet.settings().plan == Plan::Stops) {
+        return std::make_unique<StopScript>(fleet, prober, work);
+    }
+    return std::make_unique<FaultScript>(fleet, prober);
+}
+
+/// Stops callers and adds their answers.
+template<typename Callers> void takeAnswers(const Callers &callers, std::vector<Seen> &answers)
+{
+    for (const auto &caller : callers) {
+        caller->stop();
+        answers.insert(answers.end(), caller->answers().begin(), caller->answers().end());
+    }
+}
+
+void play(SoakFleet &fleet, Findings &findings)
+{
+    if (const auto missing = waitForService(fleet, startTime)) {
+        findings.add("start", *missing);
+        return;
+    }
+    VersionProber prober(fleet, findings);
+    PlannedWork work(fleet.settings().processes);
+    const bool stops = fleet.settings().plan == Plan::Stops;
+    auto callers
+        = stops ? std::vector<std::unique_ptr<SoakCaller>>() : startCallers(fleet, findings);
+    auto stopCallers = stops ? startStopCallers(fleet, findings, work)
+                             : std::vector<std::unique_ptr<StopCaller>>();
+    const std::unique_ptr<Script> script = makeScript(fleet, prober, work);
+    script->play(fleet.settings().duration);
     if (const auto missing = waitForService(fleet, recoveryTime)) {
         findings.add("recovery",
                      *missing + " " + std::to_string(recoveryTime.count())
                          + " s after the last fault");
     }
     prober.stop();
-    std::size_t served = 0;
-    std::size_t total = 0;
     std::vector<Seen> answers;
-    for (const auto &caller : callers) {
-        caller->stop();
-        answers.insert(answers.end(), caller->answers().begin(), caller->answers().end());
-    }
+    takeAnswers(callers, answers);
+    takeAnswers(stopCallers, answers);
     std::this_thread::sleep_for(lateRuns);
+    std::size_t served = 0;
     for (const Seen &seen : answers) {
         checkRuns(fleet, seen, findings);
+        if (stops) {
+            checkAnswered(fleet, work, seen, findings);
+        }
         served += seen.whole && seen.status == statusOk ? 1 : 0;
-        total += 1;
     }
     checkTimeouts(fleet, answers, findings);
-    std::cout << "seed " << fleet.settings().seed << ": " << total << " requests, " << served
-              << " served whole, " << prober.probes() << " probes, " << script.played().size()
-              << " faults, " << findings.all().size() << " findings\n";
+    std::cout << "seed " << fleet.settings().seed << ": " << answers.size() << " requests, "
+              << served << " served whole, " << prober.probes() << " probes, "
+              << script->played().size() << " faults, " << findings.all().size() << " findings\n";
     if (!findings.all().empty()) {
-        for (const std::string &line : script.played()) {
+        for (const std::string &line : script->played()) {
             std::cout << "  " << line << "\n";
         }
     }
 }
 
+Plan planNamed(const std::string &name)
+{
+    if (name != "random" && name != "stops") {
+        throw std::invalid_argument("there is no plan " + name);
+    }
+    return name == "stops" ? Plan::Stops : Plan::Random;
+}
+
 int run(const SoakOptions &options)
 {
     Findings findings;
@@ -194,7 +246,9 @@
         "seed", "draws the faults", cxxopts::value<std::uint64_t>()->default_value("1"))(
         "seconds", "time with faults", cxxopts::value<int>()->default_value("20"))(
         "processes", "routing processes", cxxopts::value<std::size_t>()->default_value("4"))(
-        "port", "first of 500 ports", cxxopts::value<std::uint16_t>()->default_value("23000"))(
+        "plan", "random or stops", cxxopts::value<std::string>()->default_value("random"))(
+        "port", "first of 8 ports a process and 281 more",
+        cxxopts::value<std::uint16_t>()->default_value("23000"))(
         "folder", "for settings and logs", cxxopts::value<std::string>())("help", "prints this");
     try {
         const auto given = description.parse(count, values);
@@ -204,6 +258,7 @@
         }
         soak::SoakOptions options;
         options.seed = given["seed"].as<std::uint64_t>();
+        options.plan = soak::planNamed(given["plan"].as<std::string>());
         options.duration = seconds(given["seconds"].as<int>());
         options.processes = given["processes"].as<std::size_t>();
         options.firstPort = given["port"].as<std::uint16_t>();
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -9,7 +9,6 @@
 
 namespace beast = boost::beast::http;
 
-constexpr int statusOk = 200;
 constexpr milliseconds pauseBetween {15};
 constexpr milliseconds reconnectPause {60};
 /// Beyond its deadline a caller waits so long for an answer before it hangs up.
@@ -22,38 +21,22 @@
 constexpr std::uint64_t mostDraftEvents = 500;
 constexpr std::uint64_t mostCheckEvents = 60;
 
-bool isGeneration(RequestKind kind)
-{
-    return kind == RequestKind::Draft || kind == RequestKind::Check;
-}
-
 std::string methodOf(RequestKind kind)
 {
     return kind == RequestKind::Look ? "GET" : "POST";
 }
 
-milliseconds deadlineOf(RequestKind kind)
+std::string requestText(const Request &request)
 {
-    switch (kind) {
-    case RequestKind::Draft:
-        return draftDeadline;
-    case RequestKind::Check:
-        return checkDeadline;
-    default:
-        return plainDeadline;
-    }
-}
-
-std::string requestText(RequestKind kind, const std::string &callerId, const std::string &target,
-                        std::uint64_t events, milliseconds deadline)
-{
-    const std::string body = isGeneration(kind) ? "events=" + std::to_string(events)
-        : kind == RequestKind::Order            ? "order " + callerId
-                                                : "";
-    std::string text = methodOf(kind) + " " + target + " HTTP/1.1\r\nHost: shop.example\r\n"
-        + "Azurespindle-Attempt-Id: " + callerId + "\r\nAzurespindle-Key: k1\r\n"
-        + "Azurespindle-Deadline-Ms: " + std::to_string(deadline.count()) + "\r\n";
-    if (isGeneration(kind)) {
+    const std::string body = isGeneration(request.kind) ? "events=" + std::to_string(request.events)
+        : request.kind == RequestKind::Order
+        ? "order " + request.callerId + std::string(request.padding, '.')
+        : "";
+    std::string text = methodOf(request.kind) + " " + request.target
+        + " HTTP/1.1\r\nHost: shop.example\r\n" + "Azurespindle-Attempt-Id: " + request.callerId
+        + "\r\nAzurespindle-Key: k1\r\n"
+        + "Azurespindle-Deadline-Ms: " + std::to_string(request.deadline.count()) + "\r\n";
+    if (isGeneration(request.kind)) {
         text += "Azurespindle-Token-Usage: 3000,2000\r\n";
     }
     return text + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
@@ -112,23 +95,45 @@
     return "unknown";
 }
 
-Seen exchangeOn(const tests::RawConnection &connection, RequestKind kind,
-                const std::string &callerId, const std::string &target, std::uint64_t events,
-                milliseconds deadline)
+bool isGeneration(RequestKind kind)
+{
+    return kind == RequestKind::Draft || kind == RequestKind::Check;
+}
+
+milliseconds routeTimeout(RequestKind kind)
+{
+    switch (kind) {
+    case RequestKind::Draft:
+        return draftDeadline;
+    case RequestKind::Check:
+        return checkDeadline;
+    default:
+        return plainDeadline;
+    }
+}
+
+Seen exchangeOn(const tests::RawConnection &connection, const Request &request,
+                const ReadPace &pace, const std::atomic<bool> *giveUp)
 {
     Seen seen;
-    seen.kind = kind;
-    seen.callerId = callerId;
-    seen.events = events;
+    seen.kind = request.kind;
+    seen.callerId = request.callerId;
+    seen.events = request.events;
+    seen.deadline = request.deadline;
     seen.sent = monotonicNow();
-    connection.send(requestText(kind, callerId, target, events, deadline));
+    connection.send(requestText(request));
+    seen.wholeSent = monotonicNow();
     beast::response_parser<beast::string_body> parser;
     parser.eager(true);
     parser.body_limit(boost::none);
     std::string unread;
-    const Instant hangUp = seen.sent + deadline + hangUpMargin;
-    while (!parser.is_done() && monotonicNow() < hangUp) {
-        const std::optional<std::string> bytes = connection.readSome(readStep);
+    const Instant hangUp = seen.sent + request.deadline + hangUpMargin;
+    while (!parser.is_done()) {
+        seen.hungUp = monotonicNow() >= hangUp || (giveUp != nullptr && *giveUp);
+        if (seen.hungUp) {
+            break;
+        }
+        const std::optional<std::string> bytes = connection.readSome(readStep, pace.mostBytes);
         if (!bytes) {
             continue;
         }
@@ -143,6 +148,7 @@
             seen.parseError = error.message();
             break;
         }
+        std::this_thread::sleep_for(pace.pause);
     }
     seen.ended = monotonicNow();
     seen.whole = parser.is_done();
@@ -227,11 +233,11 @@
     const std::string id = std::string(name(this->kind)) + "-" + std::to_string(this->number) + "-"
         + std::to_string(this->sent);
     const std::uint64_t most = this->kind == RequestKind::Draft ? mostDraftEvents : mostCheckEvents;
-    const std::uint64_t events
+    Request request {this->kind, id, "/" + std::string(name(this->kind)) + "/" + id};
+    request.events
         = isGeneration(this->kind) ? leastEvents + this->random() % (most - leastEvents) : 0;
-    const std::string target = "/" + std::string(name(this->kind)) + "/" + id;
-    Seen answer
-        = exchangeOn(*this->connection, this->kind, id, target, events, deadlineOf(this->kind));
+    request.deadline = routeTimeout(this->kind);
+    Seen answer = exchangeOn(*this->connection, request);
     answer.process = this->process;
     const std::string fault = faultOf(answer);
     if (!fault.empty()) {
--- a/tests/soak/soak_caller.h
+++ b/tests/soak/soak_caller.h
@@ -22,6 +22,29 @@
 };
 
 const char *name(RequestKind kind);
+bool isGeneration(RequestKind kind);
+/// Returns the timeout of the route that serves a kind of request.
+milliseconds routeTimeout(RequestKind kind);
+
+constexpr int statusOk = 200;
+
+/// One request to send.
+struct Request
+{
+    RequestKind kind = RequestKind::Look;
+    std::string callerId;
+    std::string target;
+    std::uint64_t events = 0;  ///< Asked for, of a generation.
+    std::uint64_t padding = 0; ///< Bytes added to the body of an order, which its answer repeats.
+    milliseconds deadline {0}; ///< Told to the process; the caller hangs up some time later.
+};
+
+/// How fast a caller reads.
+struct ReadPace
+{
+    std::size_t mostBytes = 65'536; ///< At once.
+    milliseconds pause {0};         ///< After each time.
+};
 
 /// One request as its caller saw it.
 struct Seen
@@ -30,20 +53,23 @@
     std::string callerId;
     std::size_t process = 0;
     std::uint64_t events = 0; ///< Asked for, of a generation.
+    milliseconds deadline {0};
     Instant sent;
+    Instant wholeSent; ///< When the last byte had been sent.
     Instant ended;
     int status = 0; ///< 0: no head arrived.
     bool whole = false;
+    bool hungUp = false; ///< The caller gave up; the connection was still open.
     std::string echoedId;
     std::string body;
     std::string parseError; ///< Not empty if the bytes are no answer.
 };
 
 /// Sends a request on a connection and reads its answer.
+/// \param giveUp hangs up once it is true, if given.
 /// \return what was seen; \a Seen::whole if the answer came to its end.
-Seen exchangeOn(const tests::RawConnection &connection, RequestKind kind,
-                const std::string &callerId, const std::string &target, std::uint64_t events,
-                milliseconds deadline);
+Seen exchangeOn(const tests::RawConnection &connection, const Request &request,
+                const ReadPace &pace = {}, const std::atomic<bool> *giveUp = nullptr);
 
 /// Returns what is wrong with an answer by itself, or an empty text.
 std::string faultOf(const Seen &seen);
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <fcntl.h>
@@ -27,9 +28,10 @@
 constexpr std::size_t storeLinkOffset = 6;
 constexpr std::size_t portsEach = 8;
 
-constexpr std::uint16_t upstreamPortOffset = 200;
-constexpr std::uint16_t upstreamPortPairs = 140;
-constexpr std::uint16_t storePortOffset = 499;
+/// Behind the blocks of the processes; the port of the store follows.
+constexpr std::size_t upstreamPortPairs = 140;
+/// A stop that cut requests ends with this code.
+constexpr int exitCut = 1;
 /// Until the store shows that a dead engine is gone.
 constexpr milliseconds heartbeatLapse {1'000};
 /// A leaving engine gets nothing after this time, from processes that are calm.
@@ -51,8 +53,7 @@
 SoakFleet::SoakFleet(SoakOptions given, Findings &findings)
     : options(std::move(given)), findings(findings), calmness(this->options.processes)
 {
-    const auto storePort = static_cast<std::uint16_t>(this->options.firstPort + storePortOffset);
-    this->storeStandin = std::make_unique<tests::FakeStore>(storePort);
+    this->storeStandin = std::make_unique<tests::FakeStore>(this->storePort());
     this->publishConfiguration();
     this->engines.resize(this->options.engines);
     for (std::size_t index = 0; index < this->options.engines; ++index) {
@@ -78,7 +79,7 @@
             = std::make_unique<LinkProxy>(this->links, this->processPort(index, memberLinkOffset),
                                           this->processPort(index, memberPortOffset));
         process.storeLink = std::make_unique<LinkProxy>(
-            this->links, this->processPort(index, storeLinkOffset), storePort);
+            this->links, this->processPort(index, storeLinkOffset), this->storePort());
         this->writeSettings(index);
         this->startProcess(index);
     }
@@ -118,7 +119,12 @@
 {
     const auto pair = static_cast<std::uint16_t>(this->upstreamPorts % upstreamPortPairs);
     this->upstreamPorts += 1;
-    return static_cast<std::uint16_t>(this->options.firstPort + upstreamPortOffset + 2 * pair);
+    return static_cast<std::uint16_t>(this->processPort(this->options.processes, 0) + 2 * pair);
+}
+
+std::uint16_t SoakFleet::storePort() const
+{
+    return this->processPort(this->options.processes, 2 * upstreamPortPairs);
 }
 
 void SoakFleet::writeSettings(std::size_t process) const
@@ -135,7 +141,7 @@
         {"seeds",
          {loopback(this->processPort(0, memberLinkOffset)),
           loopback(this->processPort(1, memberLinkOffset))}},
-        {"bounds", {{"retryBurst", 58}, {"stopSeconds", 6}}}};
+        {"bounds", {{"retryBurst", 58}, {"stopSeconds", stopTime.count()}}}};
     std::ofstream(this->options.folder + "/entry-" + std::to_string(process) + ".json")
         << settings.dump(2);
 }
@@ -198,6 +204,27 @@
     process.id = 0;
 }
 
+bool SoakFleet::reapStopped(std::size_t index, Instant stoppedAt)
+{
+    Process &process = this->processes[index];
+    const std::string life
+        = "entry-" + std::to_string(index) + " life " + std::to_string(process.lives);
+    int status = 0;
+    if (waitpid(process.id, &status, WNOHANG) == 0) {
+        if (monotonicNow() - stoppedAt < stopTime) {
+            return false;
+        }
+        this->findings.add("stop",
+                           life + " did not end within " + std::to_string(stopTime.count()) + " s");
+        kill(process.id, SIGKILL);
+        waitpid(process.id, &status, 0);
+    } else if (!WIFEXITED(status) || WEXITSTATUS(status) > exitCut) {
+        this->findings.add("exit", life + " ended with status " + std::to_string(status));
+    }
+    process.id = 0;
+    return true;
+}
+
 std::uint64_t SoakFleet::publishConfiguration()
 {
     this->version += 1;
@@ -305,6 +332,16 @@
     return runs;
 }
 
+bool SoakFleet::finishedBy(const std::string &callerId, Instant time) const
+{
+    const auto has = [&](const auto &standin) { return standin->finishedBy(callerId, time); };
+    return std::any_of(this->plains.begin(), this->plains.end(),
+                       [&](const Plain &plain) { return has(plain.standin); })
+        || std::any_of(this->engines.begin(), this->engines.end(),
+                       [&](const Engine &engine) { return has(engine.standin); })
+        || std::any_of(this->goneEngines.begin(), this->goneEngines.end(), has);
+}
+
 std::size_t SoakFleet::engineRuns(const std::string &callerId) const
 {
     std::size_t runs = 0;
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -14,8 +14,15 @@
 
 namespace azurespindle::soak {
 
+/// What a soak plays.
+enum class Plan {
+    Random, ///< Faults of all kinds.
+    Stops,  ///< Planned work, and callers that meet it.
+};
+
 struct SoakOptions
 {
+    Plan plan = Plan::Random;
     std::uint64_t seed = 1;
     seconds duration {20};
     std::size_t processes = 4;
@@ -33,6 +40,9 @@
 class SoakFleet
 {
 public:
+    /// Longest duration of a graceful stop.
+    static constexpr seconds stopTime {6};
+
     SoakFleet(SoakOptions options, Findings &findings);
     ~SoakFleet();
     SoakFleet(const SoakFleet &) = delete;
@@ -45,6 +55,9 @@
     void signalProcess(std::size_t process, int signal);
     /// Sends a signal that ends the process, and waits for its end at most \a patience.
     void endProcess(std::size_t process, int signal, milliseconds patience);
+    /// Takes note if a process that got SIGTERM at \a stoppedAt has ended, and ends it once its
+    /// stop time is over. \return true if it runs no more.
+    bool reapStopped(std::size_t process, Instant stoppedAt);
     /// Publishes the next version of the configuration. \return its number.
     std::uint64_t publishConfiguration();
     void evacuate(const std::string &zone, bool out);
@@ -80,6 +93,8 @@
     std::size_t plainRuns(const std::string &callerId) const;
     /// Returns how often a generation was begun from its first event, on all engines ever.
     std::size_t engineRuns(const std::string &callerId) const;
+    /// Returns true if an upstream had run a request to its end at \a time.
+    bool finishedBy(const std::string &callerId, Instant time) const;
 
 private:
     struct Process
@@ -108,6 +123,7 @@
     void writeSettings(std::size_t process) const;
     std::uint16_t processPort(std::size_t process, std::size_t offset) const;
     std::uint16_t nextUpstreamPort();
+    std::uint16_t storePort() const;
     void addEngine(std::size_t index);
     void replaceEngine(std::size_t index);
     void checkLeaving(const Engine &engine);
--- a/tests/soak/version_prober.cpp
+++ b/tests/soak/version_prober.cpp
@@ -70,8 +70,8 @@
     const std::string name = "v" + std::to_string(version);
     const std::string id = "probe-" + std::to_string(this->probeCount);
     this->probeCount += 1;
-    const Seen seen
-        = exchangeOn(connection, RequestKind::Look, id, "/" + name + "/" + id, 0, probeDeadline);
+    const Seen seen = exchangeOn(
+        connection, {RequestKind::Look, id, "/" + name + "/" + id, 0, 0, probeDeadline});
     const bool known = seen.status != statusNotFound;
     if (seen.status == 0 || known == inForce || !this->fleet.calm().calmSince(process, sent)) {
         return;
--- a/tests/support/raw_connection.cpp
+++ b/tests/support/raw_connection.cpp
@@ -9,8 +9,13 @@
 
 namespace azurespindle::tests {
 
-RawConnection::RawConnection(std::uint16_t port) : socket(::socket(AF_INET, SOCK_STREAM, 0))
+RawConnection::RawConnection(std::uint16_t port, int receiveBufferBytes)
+    : socket(::socket(AF_INET, SOCK_STREAM, 0))
 {
+    if (receiveBufferBytes > 0) {
+        ::setsockopt(this->socket, SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes,
+                     sizeof(receiveBufferBytes));
+    }
     sockaddr_in address {};
     address.sin_family = AF_INET;
     address.sin_port = htons(port);
@@ -39,14 +44,16 @@
     return ::poll(&waited, 1, static_cast<int>(patience.count())) > 0;
 }
 
-std::optional<std::string> RawConnection::readSome(milliseconds patience) const
+std::optional<std::string> RawConnection::readSome(milliseconds patience,
+                                                   std::size_t mostBytes) const
 {
     if (!this->waitReadable(patience)) {
         return std::nullopt;
     }
-    char buffer[65'536];
-    const ssize_t count = ::recv(this->socket, buffer, sizeof(buffer), 0);
-    return std::string(buffer, static_cast<std::size_t>(std::max<ssize_t>(count, 0)));
+    std::string bytes(mostBytes, '\0');
+    const ssize_t count = ::recv(this->socket, bytes.data(), bytes.size(), 0);
+    bytes.resize(static_cast<std::size_t>(std::max<ssize_t>(count, 0)));
+    return bytes;
 }
 
 std::string RawConnection::readUntil(const std::string &end, milliseconds patience) const
--- a/tests/support/raw_connection.h
+++ b/tests/support/raw_connection.h
@@ -13,16 +13,19 @@
 class RawConnection
 {
 public:
-    explicit RawConnection(std::uint16_t port);
+    /// \param receiveBufferBytes size of the buffer in the system for bytes that are not read yet;
+    /// 0: the system's own choice.
+    explicit RawConnection(std::uint16_t port, int receiveBufferBytes = 0);
     ~RawConnection();
     RawConnection(const RawConnection &) = delete;
     RawConnection &operator=(const RawConnection &) = delete;
 
     bool connected() const { return this->socket >= 0; }
     void send(const std::string &bytes) const;
-    /// Reads what is there. \return nothing if none came for \a patience; no bytes once the other
-    /// side has closed or reset.
-    std::optional<std::string> readSome(milliseconds patience) const;
+    /// Reads what is there, at most so many bytes. \return nothing if none came for \a patience; no
+    /// bytes once the other side has closed or reset.
+    std::optional<std::string> readSome(milliseconds patience,
+                                        std::size_t mostBytes = 65'536) const;
     /// Reads until the other side closes, or nothing came for \a patience.
     std::string readAll(milliseconds patience) const;
     /// Reads until \a end was read, or nothing came for \a patience.
