--- a/tests/support/raw_connection.h
+++ b/tests/support/raw_connection.h
@@ -19,7 +19,10 @@
 class RawConnection
 {
 public:
-    explicit RawConnection(std::uint16_t port, Connecting connecting = Connecting::Finished);
+    /// \param receiveBufferBytes size of the buffer in the system for bytes that are not read yet;
+    /// 0: the system's own choice.
+    explicit RawConnection(std::uint16_t port, Connecting connecting = Connecting::Finished,
+                           int receiveBufferBytes = 0);
     ~RawConnection();
     RawConnection(const RawConnection &) = delete;
     RawConnection &operator=(const RawConnection &) = delete;
@@ -28,9 +31,10 @@
     /// Returns true if a connecting that was begun succeeds within \a patience.
     bool connectedWithin(milliseconds patience) const;
     void send(const std::string &bytes) const;
-    /// Reads what is there. \return nothing if none came for \a patience; no bytes once the other
-    /// side has closed or reset.
-    std::optional<std::string> readSome(milliseconds patience) const;
+    /// Reads what is there, at most so many bytes. \return nothing if none came for \a patience; no
+    /// bytes once the other side has closed or reset.
+    std::optional<std::string> readSome(milliseconds patience,
+                                        std::size_t mostBytes = 65'536) const;
     /// Reads until the other side closes, or nothing came for \a patience.
     std::string readAll(milliseconds patience) const;
     /// Reads until \a end was read, or nothing came for \a patience.
