Go on with what a stopping process took before its stop

What callers saw: a request taken before SIGTERM, with a deadline behind the end of the stop, got 504 as soon as its first attempt was silent or failed, seconds before the end.

The caller of one that may have run gains nothing from an early 504, as it was promised nothing and may not send it elsewhere.

Change: only requests that certainly have not run are refused for the stop when they are queued.

Result: router aStopDoesNotGiveUpRequestsThatItTookBefore fails without the change (1 attempt instead of 2) and passes with it.

--- a/src/routing/router_admission.cpp
+++ b/src/routing/router_admission.cpp
@@ -159,7 +159,8 @@
         if (each == nullptr || !each->queued) {
             continue;
         }
-        if (this->outlastsStop(*each) && !each->relaying) {
+        // One that may have run is retried here, as its caller must not send it elsewhere.
+        if (this->outlastsStop(*each) && !each->relaying && each->mayHaveRunOn.empty()) {
             this->sendReply(*each, this->stoppingReply(*each));
             continue;
         }
--- a/tests/routing/router_test.cpp
+++ b/tests/routing/router_test.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(aStoppingProcessTakesNothingThatItCannotFinish);
     CPPUNIT_TEST(aStoppingProcessRejectsQueuedRequestsThatItCannotFinish);
     CPPUNIT_TEST(aRetryDuringAStopEndsBeforeTheProcess);
+    CPPUNIT_TEST(aStopDoesNotGiveUpRequestsThatItTookBefore);
     CPPUNIT_TEST(aRequestWithoutDataAtTheEndOfAStopIsAnswered);
     CPPUNIT_TEST(aStreamThatFailsBeforeItsFirstEventIsAnswered);
     CPPUNIT_TEST(aRequestThatCrashesUpstreamsIsRejected);
@@ -462,6 +463,19 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.countEffects<ForwardResponse>());
     }
 
+    void aStopDoesNotGiveUpRequestsThatItTookBefore()
+    {
+        RouterHarness harness;
+        harness.configure();
+        harness.addEngine("e1");
+        harness.addEngine("e2");
+        harness.sendRequest("/short/1");
+        harness.handle(StopRequested {harness.now() + milliseconds(7'500)});
+        harness.advanceTime(milliseconds(2'500));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), harness.countEffects<StartAttempt>());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), harness.countEffects<SendLocalReply>());
+    }
+
     void aRequestWithoutDataAtTheEndOfAStopIsAnswered()
     {
         RouterHarness harness;
