Don't cancel a silent attempt that can't be replaced

What callers saw: with one engine in reach, a stream that was silent for 1.5 s was cut at 2.6 s, and a request without a response was given up, though the engine was still at work.

Cause: silence cancelled the attempt to try another upstream, without a look whether there is one. Silence alone is no reason to end a request.

Change: the attempt is only replaced if another upstream may serve the request.

Result: router silenceOfTheOnlyUpstreamEndsNoRequest fails without the change and passes with it.

--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -292,6 +292,8 @@
     void handleStreamEnd(ActiveRequest &active, AttemptEnd end, const std::string &detail);
     /// Returns true if a request may be sent again although it may have been executed.
     bool canRetry(const ActiveRequest &active) const;
+    /// Returns true if an upstream other than the current one may serve the request.
+    bool hasAlternative(const ActiveRequest &active) const;
     void checkDeadline(ActiveRequest &active);
     /// Retries or recovers a request whose upstream has been silent for too long.
     void checkInactivity(ActiveRequest &active);
--- a/src/routing/router_attempts.cpp
+++ b/src/routing/router_attempts.cpp
@@ -413,6 +413,14 @@
                      "the time ran out"});
 }
 
+bool Router::hasAlternative(const ActiveRequest &active) const
+{
+    const std::vector<decision::UpstreamCandidate> candidates = this->candidatesFor(active);
+    return std::any_of(candidates.begin(), candidates.end(), [&](const auto &candidate) {
+        return candidate.upstream != active.upstream.id;
+    });
+}
+
 void Router::checkInactivity(ActiveRequest &active)
 {
     if (!active.running) {
@@ -426,7 +434,7 @@
             return;
         }
         active.nextRecoveryAt = this->now + recoveryInterval;
-        if (this->canRetry(active)) {
+        if (this->canRetry(active) && this->hasAlternative(active)) {
             this->cancelAttempts(active);
             this->handleStreamEnd(active, AttemptEnd::TimedOut, "silent");
             this->placeQueued();
@@ -440,7 +448,7 @@
     const auto silenceTimeout = active.route->kind == RouteKind::Streaming
         ? std::max(streamStartTimeout, active.route->latencyObjective)
         : active.route->latencyObjective * silenceObjectiveFactor + silenceMargin;
-    if (silence > silenceTimeout && this->canRetry(active)) {
+    if (silence > silenceTimeout && this->canRetry(active) && this->hasAlternative(active)) {
         this->cancelAttempts(active);
         this->handleMayHaveRun(active, AttemptEnd::TimedOut, "silent");
         this->placeQueued();
--- a/tests/routing/router_test.cpp
+++ b/tests/routing/router_test.cpp
@@ -37,6 +37,10 @@
     CPPUNIT_TEST(aStoppingProcessRejectsQueuedRequestsThatItCannotFinish);
     CPPUNIT_TEST(aRetryDuringAStopEndsBeforeTheProcess);
     CPPUNIT_TEST(aStopDoesNotGiveUpRequestsThatItTookBefore);
+    CPPUNIT_TEST(aStopDoesNotCutAStreamThatIsRetried);
+    CPPUNIT_TEST(aStopTellsUpstreamsNoMoreTimeThanItHas);
+    CPPUNIT_TEST(aStopDoesNotSay503ToARequestThatMayHaveRun);
+    CPPUNIT_TEST(silenceOfTheOnlyUpstreamEndsNoRequest);
     CPPUNIT_TEST(aRequestWithoutDataAtTheEndOfAStopIsAnswered);
     CPPUNIT_TEST(aStreamThatFailsBeforeItsFirstEventIsAnswered);
     CPPUNIT_TEST(aRequestThatCrashesUpstreamsIsRejected);
@@ -476,6 +480,69 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), harness.countEffects<SendLocalReply>());
     }
 
+    void aStopDoesNotCutAStreamThatIsRetried()
+    {
+        RouterHarness harness;
+        harness.configure();
+        harness.addEngine("e1");
+        const RequestId request = harness.sendRequest("/short/1");
+        harness.receiveStreamHead(request);
+        harness.receiveEvents(request, 3);
+        harness.handle(StopRequested {harness.now() + milliseconds(7'500)});
+        harness.endAttempt(request, AttemptEnd::Lost);
+        harness.advanceTime(milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), harness.countEffects<AbortStream>());
+        harness.addEngine("e2");
+        CPPUNIT_ASSERT_EQUAL(std::string("e2"), harness.lastUpstream());
+    }
+
+    void aStopTellsUpstreamsNoMoreTimeThanItHas()
+    {
+        RouterHarness harness;
+        harness.configure();
+        harness.addPlainUpstream("p1");
+        harness.addPlainUpstream("p2");
+        harness.addPlainUpstream("p3");
+        const RequestId request = harness.sendRequest("/look/1");
+        harness.handle(StopRequested {harness.now() + milliseconds(300)});
+        harness.endAttempt(request, AttemptEnd::Lost);
+        const auto retry = harness.lastEffect<StartAttempt>();
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(2), std::uint32_t(retry->attempt.number));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(300), std::int64_t(retry->plan.timeLeft.count()));
+        harness.advanceTime(milliseconds(280));
+        harness.endAttempt(request, AttemptEnd::ConnectionRefused);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), harness.countEffects<StartAttempt>());
+        CPPUNIT_ASSERT_EQUAL(502, harness.lastReplyStatus());
+    }
+
+    void aStopDoesNotSay503ToARequestThatMayHaveRun()
+    {
+        RouterHarness harness;
+        harness.configure();
+        harness.addEngine("e1");
+        const RequestId request = harness.sendRequest("/short/1");
+        harness.endAttempt(request, AttemptEnd::Lost);
+        harness.handle(StopRequested {harness.now()});
+        harness.handle(StopTimedOut {});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.countEffects<SendLocalReply>());
+        CPPUNIT_ASSERT_EQUAL(504, harness.lastReplyStatus());
+    }
+
+    void silenceOfTheOnlyUpstreamEndsNoRequest()
+    {
+        RouterHarness harness;
+        harness.configure();
+        harness.addEngine("e1");
+        const RequestId started = harness.sendRequest("/short/1");
+        harness.sendRequest("/short/2");
+        harness.receiveStreamHead(started);
+        harness.receiveEvents(started, 3);
+        harness.advanceTime(milliseconds(6'000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), harness.countEffects<CancelAttempt>());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), harness.countEffects<AbortStream>());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), harness.countEffects<SendLocalReply>());
+    }
+
     void aRequestWithoutDataAtTheEndOfAStopIsAnswered()
     {
         RouterHarness harness;
--- a/tests/serving/routing_process_test.cpp
+++ b/tests/serving/routing_process_test.cpp
@@ -375,8 +375,10 @@
         }
         stopping.join();
         std::string unanswered;
+        std::map<int, std::size_t> statuses;
         for (auto &[name, response] : sent) {
             const Response seen = response.get();
+            statuses[seen.status] += 1;
             const bool notTaken = seen.end == http::TransferEnd::ConnectionRefused
                 || seen.end == http::TransferEnd::NotSent;
             if (seen.end != http::TransferEnd::Complete && !notTaken) {
@@ -384,6 +386,8 @@
             }
         }
         CPPUNIT_ASSERT_EQUAL_MESSAGE(unanswered, std::string(), unanswered);
+        CPPUNIT_ASSERT_MESSAGE("orders that can end in time are taken", statuses[504] > 10);
+        CPPUNIT_ASSERT_MESSAGE("what can't is refused", statuses[503] > 10);
         CPPUNIT_ASSERT(generation.get().end != http::TransferEnd::Complete);
     }
 
