Don't take an answer whose head is cut off for a complete one

Cause: libcurl reports success when a connection ends cleanly inside the header fields or after an interim response, so a caller could get a success with part of the server's header fields and no body. Change: Client counts a response as complete only if the blank line after its final status line came; otherwise the connection was lost. RawServer, a stand-in, answers with exactly the bytes and the end that a test gives.

Result: anAnswerThatEndsEarlyIsNotComplete failed before (complete after "X-Cut: 1") and passes. An answer without length that ends cleanly is complete, and one that is reset is not, before and after.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -19,6 +19,7 @@
 constexpr int pollTimeoutMs = 1'000;
 constexpr long maxCachedConnections = 512;
 constexpr long keepAliveSeconds = 15;
+constexpr long firstFinalStatus = 200; ///< Those below belong to interim responses.
 
 /// Initialises libcurl once. This must happen before any thread uses it.
 void initialiseLibrary()
@@ -36,6 +37,7 @@
     curl_slist *headerList = nullptr;
     Headers responseHeaders;
     HeaderFields responseFields;
+    bool headComplete = false; ///< The blank line after the last status line was received.
     bool statusReported = false;
     bool cancelled = false;
 };
@@ -63,8 +65,10 @@
         // Headers received before a further status line belong to an interim (1xx) response.
         transfer.responseHeaders.clear();
         transfer.responseFields.clear();
+        transfer.headComplete = false;
         return size * count;
     }
+    transfer.headComplete = transfer.headComplete || line == "\r\n" || line == "\n";
     const std::size_t colon = line.find(':');
     if (colon != std::string::npos) {
         const std::string originalName = line.substr(0, colon);
@@ -192,7 +196,10 @@
     curl_easy_getinfo(transfer.handle, CURLINFO_OS_ERRNO, &systemError);
     TransferResult result {TransferEnd::ConnectionLost, static_cast<int>(status),
                            curl_easy_strerror(code)};
-    if (code == CURLE_OK) {
+    const bool headCut = !transfer.headComplete || status < firstFinalStatus;
+    if (code == CURLE_OK && headCut) {
+        result.detail = "the connection ended inside the head";
+    } else if (code == CURLE_OK) {
         result.end = TransferEnd::Complete;
         result.detail.clear();
     } else if (code == CURLE_COULDNT_CONNECT) {
