Give up responses without end in the HTTP client

Cause: only the total timeout bounded a response, so endless trailers or an endless body were read, and a body kept, until it expired; streams have none. Change: Client ends a transfer as lost once its heads and trailers have 64 KiB, or its body more than ClientRequest::maxResponseBytes (16 MiB unless set). Routed answers and streams set no such limit, since their readers bound what they keep.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -37,6 +37,8 @@
     curl_slist *headerList = nullptr;
     Headers responseHeaders;
     HeaderFields responseFields;
+    std::size_t headBytes = 0; ///< Received so far, with interim heads and trailers.
+    std::size_t bodyBytes = 0; ///< Received so far.
     bool headComplete = false; ///< The blank line after the last status line was received.
     bool statusReported = false;
     bool cancelled = false;
@@ -60,6 +62,10 @@
 std::size_t onHeaderLine(const char *bytes, std::size_t size, std::size_t count, void *user)
 {
     auto &transfer = *static_cast<Transfer *>(user);
+    transfer.headBytes += size * count;
+    if (transfer.headBytes > Client::maxHeadBytes) {
+        return 0;
+    }
     const std::string line(bytes, size * count);
     if (line.rfind("HTTP/", 0) == 0) {
         // Headers received before a further status line belong to an interim (1xx) response.
@@ -94,9 +100,14 @@
     }
     reportStatus(transfer);
     const std::string_view view(bytes, size * count);
+    const std::size_t limit = transfer.request.maxResponseBytes;
+    if (limit != 0 && transfer.bodyBytes + view.size() > limit) {
+        return 0;
+    }
     if (transfer.callbacks.onData && !transfer.callbacks.onData(view)) {
         return CURL_WRITEFUNC_PAUSE;
     }
+    transfer.bodyBytes += view.size();
     return size * count;
 }
 
@@ -207,6 +218,8 @@
         result.end = refused ? TransferEnd::ConnectionRefused : TransferEnd::NotSent;
     } else if (code == CURLE_OPERATION_TIMEDOUT) {
         result.end = connected(transfer.handle) ? TransferEnd::TimedOut : TransferEnd::NotSent;
+    } else if (code == CURLE_WRITE_ERROR) {
+        result.detail = "the response is too long";
     } else if (code == CURLE_URL_MALFORMAT || code == CURLE_COULDNT_RESOLVE_HOST) {
         result.end = TransferEnd::NotSent;
     }
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -13,6 +13,8 @@
 
 using TransferId = std::uint64_t;
 
+constexpr std::size_t defaultMaxResponseBytes = 16'777'216;
+
 /// An HTTP request to be sent by Client or fetch().
 struct ClientRequest
 {
@@ -28,6 +30,9 @@
     bool freshConnection = false;
     HeaderFields fields {}; ///< Sent after `headers`, with order and spelling unchanged.
     std::string target {};  ///< Path and query sent unchanged; if empty, those of the URL.
+    /// Largest body of the response, in bytes; 0 means no limit, which suits streams only. A longer
+    /// one ends the transfer as TransferEnd::ConnectionLost.
+    std::size_t maxResponseBytes = defaultMaxResponseBytes;
 };
 
 /// How a transfer ended, which tells whether the upstream may have received the request.
@@ -67,6 +72,9 @@
 class Client
 {
 public:
+    /// Largest head of a response, in bytes, with its interim heads and trailers.
+    static constexpr std::size_t maxHeadBytes = 65'536;
+
     Client();
     ~Client();
     Client(const Client &) = delete;
--- a/src/upstreams/attempt_runner.cpp
+++ b/src/upstreams/attempt_runner.cpp
@@ -202,6 +202,7 @@
                                 http::ClientRequest request)
 {
     request.connectTimeout = this->timeouts.connect;
+    request.maxResponseBytes = 0;
     http::TransferCallbacks callbacks;
     callbacks.onStatus = [attempt](int status, const http::Headers &) { attempt->status = status; };
     callbacks.onData = [attempt](std::string_view bytes) { return attempt->handleData(bytes); };
--- a/tests/http/client_test.cpp
+++ b/tests/http/client_test.cpp
@@ -13,14 +13,19 @@
 using tests::RawServer;
 
 constexpr milliseconds testTimeout {10'000};
+/// Far below the transfer's timeout, and far above what bounded answers take.
+constexpr milliseconds soon {2'000};
+constexpr std::size_t smallAnswerBytes = 65'536;
 
 struct Received
 {
     TransferResult result;
+    std::size_t headBytes = 0; ///< Of the names and values of header fields.
     std::string body;
+    microseconds took {0};
 };
 
-Received receive(const RawAnswer &answer)
+Received receive(const RawAnswer &answer, std::size_t maxResponseBytes = smallAnswerBytes)
 {
     const RawServer server([&answer](const std::string &) { return answer; });
     Client client;
@@ -30,7 +35,13 @@
     request.url = "http://" + server.address() + "/";
     request.totalTimeout = testTimeout;
     request.freshConnection = true;
+    request.maxResponseBytes = maxResponseBytes;
     TransferCallbacks callbacks;
+    callbacks.onHeaderFields = [&](int, const HeaderFields &fields) {
+        for (const auto &[name, value] : fields) {
+            received.headBytes += name.size() + value.size();
+        }
+    };
     callbacks.onData = [&](std::string_view bytes) {
         received.body += bytes;
         return true;
@@ -39,12 +50,23 @@
         received.result = result;
         done.set_value();
     };
+    const Instant begin = monotonicNow();
     client.start(std::move(request), std::move(callbacks));
     done.get_future().wait();
+    received.took = monotonicNow() - begin;
     client.stop();
     return received;
 }
 
+void assertGivenUpSoon(const Received &received)
+{
+    CPPUNIT_ASSERT_MESSAGE(received.result.detail,
+                           received.result.end == TransferEnd::ConnectionLost);
+    CPPUNIT_ASSERT(received.took < soon);
+    CPPUNIT_ASSERT(received.body.size() <= smallAnswerBytes);
+    CPPUNIT_ASSERT(received.headBytes <= Client::maxHeadBytes);
+}
+
 const std::string okHead = "HTTP/1.1 200 OK\r\n";
 const std::string chunkedHead = okHead + "Transfer-Encoding: chunked\r\n\r\n";
 
@@ -56,6 +78,12 @@
     CPPUNIT_TEST(anAnswerWithoutLengthEndsWithItsConnection);
     CPPUNIT_TEST(anAnswerWithoutLengthThatIsResetIsNotComplete);
     CPPUNIT_TEST(anAnswerThatEndsEarlyIsNotComplete);
+    CPPUNIT_TEST(anEndlessHeadIsGivenUp);
+    CPPUNIT_TEST(endlessInterimHeadsAreGivenUp);
+    CPPUNIT_TEST(endlessBytesThatAreNoHeadAreGivenUp);
+    CPPUNIT_TEST(endlessTrailersAreGivenUp);
+    CPPUNIT_TEST(anEndlessBodyIsGivenUp);
+    CPPUNIT_TEST(anAnswerAsLongAsAllowedIsComplete);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -82,6 +110,45 @@
             CPPUNIT_ASSERT_MESSAGE(bytes, received.result.end == TransferEnd::ConnectionLost);
         }
     }
+
+    void anEndlessHeadIsGivenUp()
+    {
+        assertGivenUpSoon(receive({okHead, RawEnd::Endless, "X-Field: value\r\n"}));
+        assertGivenUpSoon(receive({okHead + "X-Field: ", RawEnd::Endless, "value"}));
+    }
+
+    void endlessInterimHeadsAreGivenUp()
+    {
+        assertGivenUpSoon(receive({"", RawEnd::Endless, "HTTP/1.1 103 Early\r\nLink: x\r\n\r\n"}));
+    }
+
+    void endlessBytesThatAreNoHeadAreGivenUp()
+    {
+        assertGivenUpSoon(receive({"", RawEnd::Endless, "no answer "}));
+        assertGivenUpSoon(receive({"", RawEnd::Endless, "\r\n"}));
+        assertGivenUpSoon(receive({"", RawEnd::Endless, std::string(1, '\0')}));
+    }
+
+    void endlessTrailersAreGivenUp()
+    {
+        assertGivenUpSoon(
+            receive({chunkedHead + "1\r\nx\r\n0\r\n", RawEnd::Endless, "X-Field: value\r\n"}));
+    }
+
+    void anEndlessBodyIsGivenUp()
+    {
+        assertGivenUpSoon(receive({okHead + "\r\n", RawEnd::Endless, "x"}));
+        assertGivenUpSoon(receive({chunkedHead, RawEnd::Endless, "4\r\nbody\r\n"}));
+    }
+
+    void anAnswerAsLongAsAllowedIsComplete()
+    {
+        const std::string body(smallAnswerBytes, 'x');
+        const Received received = receive({okHead + "\r\n" + body, RawEnd::Close});
+        CPPUNIT_ASSERT(received.result.end == TransferEnd::Complete);
+        CPPUNIT_ASSERT_EQUAL(body, received.body);
+        CPPUNIT_ASSERT(receive({okHead + "\r\n" + body, RawEnd::Close}, 0).body == body);
+    }
 };
 
 REGISTER_SUITE(ClientTest, "client");
