Bound the answers to calls to engines and the store

Cause: the bodies of reports, migrations and pages of the store were kept until the calls' timeouts of 0.5 to 3 s and more, however long, which an endless body turns into hundreds of MB.

The limit of GET /load has no test of its own.

--- a/src/serving/lease_service.cpp
+++ b/src/serving/lease_service.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr milliseconds loadReadTimeout {1'000};
+constexpr std::size_t maxLoadBytes = 262'144;
 constexpr int statusOk = 200;
 constexpr std::size_t maxAdapters = 256;
 
@@ -262,6 +263,7 @@
     request.url = "http://" + address.text() + "/load";
     request.connectTimeout = loadReadTimeout;
     request.totalTimeout = loadReadTimeout;
+    request.maxResponseBytes = maxLoadBytes;
     this->registry.count(metrics::Counter::LoadReads);
     auto body = std::make_shared<std::string>();
     http::TransferCallbacks callbacks;
--- a/tests/platform/engine_client_test.cpp
+++ b/tests/platform/engine_client_test.cpp
@@ -1,14 +1,30 @@
 #include "platform/engine_client.h"
 
 #include "http/server.h"
+#include "support/raw_server.h"
 #include "support/suite.h"
 
 #include <future>
+#include <thread>
 
 namespace azurespindle::platform {
 namespace {
 
 using routing::MigrationStatus;
+using tests::RawAnswer;
+using tests::RawEnd;
+using tests::RawServer;
+
+/// What an engine may send of an endless answer: the kernel's buffers hold some of it.
+constexpr std::size_t maxTakenBytes = 16'777'216;
+const RawAnswer endless {"HTTP/1.1 200 OK\r\n\r\n", RawEnd::Endless, "x"};
+
+void waitUntilClosed(const RawServer &engine)
+{
+    while (engine.requests() == 0 || engine.openConnections() > 0) {
+        std::this_thread::sleep_for(milliseconds(5));
+    }
+}
 
 routing::MigrationResponse responseOf(int status, const std::string &body)
 {
@@ -23,6 +39,9 @@
     CPPUNIT_TEST(migrationResponsesAreParsed);
     CPPUNIT_TEST(reportsAreParsed);
     CPPUNIT_TEST(aMigrationRequestNamesTheRunningRequest);
+    CPPUNIT_TEST(anEndlessMigrationResponseIsGivenUp);
+    CPPUNIT_TEST(anEndlessReportIsGivenUp);
+    CPPUNIT_TEST(anEndlessResponseToAReleaseIsGivenUp);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -74,6 +93,38 @@
         CPPUNIT_ASSERT(response.get_future().get().status == MigrationStatus::Copied);
         client.stop();
     }
+
+    void anEndlessMigrationResponseIsGivenUp()
+    {
+        const RawServer engine([](const std::string &) { return endless; });
+        http::Client client;
+        std::promise<routing::MigrationResponse> response;
+        requestMigration(
+            client, {{1, 1}, engine.address(), "10.0.0.2:80", "9c41", true},
+            [&](const routing::MigrationResponse &parsed) { response.set_value(parsed); });
+        CPPUNIT_ASSERT(response.get_future().get().status == MigrationStatus::Failed);
+        waitUntilClosed(engine);
+        CPPUNIT_ASSERT(engine.endlessBytes() < maxTakenBytes);
+    }
+
+    void anEndlessReportIsGivenUp()
+    {
+        const RawServer engine([](const std::string &) { return endless; });
+        http::Client client;
+        requestReport(client, {"e0", engine.address()},
+                      [](const routing::EngineReport &) { CPPUNIT_FAIL("no report came"); });
+        waitUntilClosed(engine);
+        CPPUNIT_ASSERT(engine.endlessBytes() < maxTakenBytes);
+    }
+
+    void anEndlessResponseToAReleaseIsGivenUp()
+    {
+        const RawServer engine([](const std::string &) { return endless; });
+        http::Client client;
+        releaseCopy(client, {engine.address(), "h"});
+        waitUntilClosed(engine);
+        CPPUNIT_ASSERT(engine.endlessBytes() < maxTakenBytes);
+    }
 };
 
 REGISTER_SUITE(EngineClientTest, "engine_client");
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -1,6 +1,7 @@
 #include "platform/store_client.h"
 
 #include "http/server.h"
+#include "support/raw_server.h"
 #include "support/suite.h"
 
 #include <future>
@@ -24,6 +25,7 @@
     CPPUNIT_TEST(refusalsFailuresAndCompactionAreDistinguished);
     CPPUNIT_TEST(anUnreadableResponseIsAFailure);
     CPPUNIT_TEST(callsSendTheirParameters);
+    CPPUNIT_TEST(anEndlessPageIsGivenUp);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -66,6 +68,27 @@
         }
     }
 
+    void anEndlessPageIsGivenUp()
+    {
+        constexpr std::size_t maxTakenBytes = 25'165'824; // The kernel's buffers hold some of it.
+        const tests::RawServer store([](const std::string &) {
+            return tests::RawAnswer {"HTTP/1.1 200 OK\r\n\r\n", tests::RawEnd::Endless, "x"};
+        });
+        http::Client client;
+        metrics::Registry registry;
+        const routing::StoreCalls calls
+            = makeStoreCalls({"127.0.0.1", store.port()}, client, registry);
+        std::promise<routing::StoreResponse> listed;
+        std::promise<routing::StoreResponse> watched;
+        calls.list("", [&](const routing::StoreResponse &response) { listed.set_value(response); });
+        CPPUNIT_ASSERT(listed.get_future().get().status == StoreCallStatus::Failed);
+        CPPUNIT_ASSERT(store.endlessBytes() < maxTakenBytes);
+        calls.watch(1, milliseconds(5'000),
+                    [&](const routing::StoreResponse &response) { watched.set_value(response); });
+        CPPUNIT_ASSERT(watched.get_future().get().status == StoreCallStatus::Failed);
+        CPPUNIT_ASSERT(store.endlessBytes() < 2 * maxTakenBytes);
+    }
+
     void callsSendTheirParameters()
     {
         std::promise<http::ServerRequest> listed;
