Don't take a stopped stream without chunks for a complete one

Cause: an engine closes a stream that a final copy stops. With chunks that reads as broken off; a stream that ends with its connection reads as complete, and if the answer to the copy was lost too, the caller's stream was ended as complete. Change: ResponseHead tells whether a response ends with its connection; such an end counts as complete during a final copy only if the engine answers that it doesn't run the request any more.

--- a/src/routing/router_migrations.cpp
+++ b/src/routing/router_migrations.cpp
@@ -327,7 +327,10 @@
         migration.retryAt = this->now + failedRetryDelay * migration.failures;
         return;
     }
-    if (migration.sourceCompleted) {
+    // The end of a stopped stream without chunks looks like that of a complete one.
+    const bool completed = migration.sourceCompleted
+        && (!active.head.endsWithConnection || response.status == MigrationStatus::NotRunning);
+    if (completed) {
         this->discardMigration(active, true);
         this->emit(EndStream {active.id});
         this->finishRequest(active);
--- a/src/routing/types.h
+++ b/src/routing/types.h
@@ -174,9 +174,10 @@
     bool notRun = false;        ///< True if the upstream states that it did not execute it.
     bool wrongInstance = false; ///< True if another upstream now listens at the address.
     bool authentic = false;     ///< True if it has the upstream's signature and this request's id.
-    bool requestIdMismatch = false; ///< True if it carries the id of another request.
-    bool eventStream = false;       ///< True if the body is a stream of server-sent events.
-    http::HeaderFields fields;      ///< Header fields for the caller.
+    bool requestIdMismatch = false;  ///< True if it carries the id of another request.
+    bool eventStream = false;        ///< True if the body is a stream of server-sent events.
+    bool endsWithConnection = false; ///< True if neither a length nor chunks tell its end.
+    http::HeaderFields fields;       ///< Header fields for the caller.
 };
 
 /// A reply that this process generates itself instead of forwarding one from an upstream.
--- a/tests/platform/http_translation_test.cpp
+++ b/tests/platform/http_translation_test.cpp
@@ -170,6 +170,10 @@
                        && !head.notRun);
         CPPUNIT_ASSERT_EQUAL(std::string("s"), valueOf(head.fields, "Azurespindle-Server-Seal"));
         CPPUNIT_ASSERT_EQUAL(std::string(), valueOf(head.fields, "Connection"));
+        CPPUNIT_ASSERT(head.endsWithConnection);
+        CPPUNIT_ASSERT(!readHead(request, 200, {{"content-length", "1"}}).endsWithConnection);
+        CPPUNIT_ASSERT(
+            !readHead(request, 200, {{"transfer-encoding", "chunked"}}).endsWithConnection);
         http::HeaderFields mismatched = valid;
         mismatched[0].second = "another";
         CPPUNIT_ASSERT(readHead(request, 200, mismatched).requestIdMismatch);
--- a/tests/routing/router_migrations_test.cpp
+++ b/tests/routing/router_migrations_test.cpp
@@ -74,6 +74,7 @@
     CPPUNIT_TEST(generationsAreNotTakenOverInAnEvacuatedZone);
     CPPUNIT_TEST(aBackupIsNotUsedBeforeItIsReady);
     CPPUNIT_TEST(aSilentStreamIsRecoveredByMigration);
+    CPPUNIT_TEST(aStoppedStreamWithoutChunksIsNotTakenForAComplete);
     CPPUNIT_TEST(anUnrecoverableStreamIsAborted);
     CPPUNIT_TEST(aResumableStreamContinuesAfterItsLastEvent);
     CPPUNIT_TEST(enginesArePolledWhileTheStoreIsUnavailable);
@@ -413,6 +414,32 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), harness.countEffects<StartAttempt>());
     }
 
+    void aStoppedStreamWithoutChunksIsNotTakenForAComplete()
+    {
+        for (const bool endsWithConnection : {false, true}) {
+            for (const MigrationStatus status :
+                 {MigrationStatus::Failed, MigrationStatus::NotRunning}) {
+                RouterHarness harness;
+                const RequestId generation = startGenerationWithoutBackup(harness, 7);
+                ResponseHead head;
+                head.status = 200;
+                head.authentic = true;
+                head.eventStream = true;
+                head.endsWithConnection = endsWithConnection;
+                harness.handle(HeadArrived {{generation, 1}, head});
+                harness.advanceTime(milliseconds(1'600));
+                CPPUNIT_ASSERT(harness.lastEffect<RequestMigration>()->final);
+                harness.endAttempt(generation, AttemptEnd::Complete);
+                respondToFinalCopy(harness, generation, status, "");
+                const bool stopped = endsWithConnection && status == MigrationStatus::Failed;
+                CPPUNIT_ASSERT_EQUAL(std::size_t(stopped ? 0 : 1),
+                                     harness.countEffects<EndStream>());
+                CPPUNIT_ASSERT_EQUAL(std::size_t(stopped ? 1 : 0),
+                                     harness.countEffects<AbortStream>());
+            }
+        }
+    }
+
     void anUnrecoverableStreamIsAborted()
     {
         RouterHarness harness;
