Fail a call whose answer is too long instead of answering with a part

Cause: of an answer to a service call, what went beyond 16 MiB was dropped piece by piece, and the caller got the rest as a complete 200. Change: the HTTP client's limit ends such a call as lost, also when another member forwards it. The stand-ins can send a long answer, end a stream inside an event, and send endless garbage instead of events.

Result: aCallWhoseAnswerIsTooLongIsNotAnsweredWithAPartOfIt failed before (200) and passes (502). aStreamThatEndsInsideAnEventIsResumed and aStreamOfEndlessGarbageIsClosedAndResumed passed before too and stay.

--- a/src/callers/service_api.cpp
+++ b/src/callers/service_api.cpp
@@ -263,6 +263,7 @@
     forwardRequest.connectTimeout = this->timeouts.connect;
     forwardRequest.totalTimeout = this->timeouts.call;
     forwardRequest.freshConnection = true;
+    forwardRequest.maxResponseBytes = maxForwardedBytes;
     auto response = std::make_shared<serving::ServiceResponse>();
     http::TransferCallbacks callbacks;
     callbacks.onStatus = [response](int status, const http::Headers &headers) {
@@ -275,8 +276,7 @@
         }
     };
     callbacks.onData = [response](std::string_view bytes) {
-        const bool withinLimit = response->body.size() + bytes.size() <= maxForwardedBytes;
-        response->body += withinLimit ? bytes : std::string_view();
+        response->body += bytes;
         return true;
     };
     callbacks.onDone = [response, exchange, member](const http::TransferResult &result) {
--- a/src/upstreams/attempt_runner.cpp
+++ b/src/upstreams/attempt_runner.cpp
@@ -12,7 +12,7 @@
 constexpr int statusNotFound = 404;
 constexpr int statusUnavailable = 503;
 constexpr std::size_t maxDetailBytes = 200; ///< Of an error response, for the event log.
-/// Largest response body of a plain service that is kept. Further data is dropped.
+/// Largest response body of a plain service. A larger one fails the attempt.
 constexpr std::size_t maxResponseBytes = 16'777'216;
 
 decision::FailureKind failureOf(http::TransferEnd end)
@@ -246,6 +246,7 @@
     send.body = call.body;
     send.connectTimeout = this->timeouts.connect;
     send.totalTimeout = this->timeouts.call;
+    send.maxResponseBytes = maxResponseBytes;
     send.freshConnection = !session->request().idempotent;
     auto answer = std::make_shared<serving::ServiceResponse>();
     http::TransferCallbacks callbacks;
@@ -257,8 +258,7 @@
         }
     };
     callbacks.onData = [answer](std::string_view bytes) {
-        const bool fits = answer->body.size() + bytes.size() <= maxResponseBytes;
-        answer->body += fits ? bytes : std::string_view();
+        answer->body += bytes;
         return true;
     };
     const decision::RequestId id = start.request;
--- a/tests/serving/entry_process_test.cpp
+++ b/tests/serving/entry_process_test.cpp
@@ -22,6 +22,9 @@
     CPPUNIT_TEST(fiveHundredStreamsAtOnceAreNotMixed);
     CPPUNIT_TEST(aNonStreamedResponseHasAllTokens);
     CPPUNIT_TEST(aLostConnectionIsResumedWithoutGapOrDuplicate);
+    CPPUNIT_TEST(aStreamThatEndsInsideAnEventIsResumed);
+    CPPUNIT_TEST(aStreamOfEndlessGarbageIsClosedAndResumed);
+    CPPUNIT_TEST(aCallWhoseAnswerIsTooLongIsNotAnsweredWithAPartOfIt);
     CPPUNIT_TEST(aStalledConnectionIsReplaced);
     CPPUNIT_TEST(anEngineCrashAfterTheFirstTokenEndsTheStreamWithAnError);
     CPPUNIT_TEST(aCallerDisconnectCancelsItsGeneration);
@@ -117,6 +120,37 @@
         CPPUNIT_ASSERT(metric(fleet, "azurespindle_resumes_total") >= before + 3);
     }
 
+    void aStreamThatEndsInsideAnEventIsResumed()
+    {
+        Fleet &fleet = *shared;
+        tests::Streaming streaming(fleet, 0, 3'000);
+        fleet.fault(0, "end-inside");
+        fleet.fault(1, "end-inside");
+        const std::string mismatch = streamFault(streaming.wait(), 3'000);
+        CPPUNIT_ASSERT_MESSAGE(mismatch, mismatch.empty());
+    }
+
+    void aStreamOfEndlessGarbageIsClosedAndResumed()
+    {
+        Fleet &fleet = *shared;
+        tests::Streaming streaming(fleet, 0, 3'000);
+        fleet.fault(0, "garbage");
+        fleet.fault(1, "garbage");
+        const std::string mismatch = streamFault(streaming.wait(), 3'000);
+        CPPUNIT_ASSERT_MESSAGE(mismatch, mismatch.empty());
+        CPPUNIT_ASSERT(Fleet::eventually([&] {
+            const std::string counts = fleet.engineCounts(0) + fleet.engineCounts(1);
+            return counts.find("\"garbageReaders\":1") == std::string::npos;
+        }));
+    }
+
+    void aCallWhoseAnswerIsTooLongIsNotAnsweredWithAPartOfIt()
+    {
+        const Answer answer
+            = shared->call(0, "/services/orders/new", "long", {{"x-standin", "long"}});
+        CPPUNIT_ASSERT_EQUAL(502, answer.status);
+    }
+
     void aStalledConnectionIsReplaced()
     {
         Fleet &fleet = *shared;
@@ -269,7 +303,7 @@
     }
 
 private:
-    static constexpr int testCount = 13;
+    static constexpr int testCount = 16;
     static inline int testsRun = 0;
     static inline std::unique_ptr<Fleet> shared;
 
--- a/tests/standins/engine_server.cpp
+++ b/tests/standins/engine_server.cpp
@@ -12,6 +12,8 @@
 constexpr Tokens defaultOutput = 32;
 constexpr std::size_t charactersPerToken = 4;
 constexpr seconds unreadLimit {10};
+constexpr std::size_t garbagePieceBytes = 65'536;
+constexpr std::size_t maxGarbageBytes = 67'108'864; ///< To spare the test's memory.
 constexpr const char *firstVersion = "v1";
 const http::Headers sseHeaders {{"content-type", "text/event-stream"}};
 const http::Headers jsonHeaders {{"content-type", "application/json"}};
@@ -118,6 +120,7 @@
     json["adapters"] = this->image.adapters;
     json["ordersTaken"] = this->ordersTaken;
     json["cutByLoads"] = this->cutByLoads;
+    json["garbageReaders"] = this->garbageReaders.size();
     return json.dump();
 }
 
@@ -331,8 +334,27 @@
             stream.readers.clear();
             stream.unreadSince = now;
         }
+    } else if (kind == "end-inside") {
+        for (auto &[id, stream] : this->streams) {
+            for (const http::ExchangePtr &reader : stream.readers) {
+                reader->send("id: " + id);
+                reader->finish();
+            }
+            stream.readers.clear();
+            stream.unreadSince = now;
+        }
+    } else if (kind == "garbage") {
+        for (auto &[id, stream] : this->streams) {
+            for (const http::ExchangePtr &reader : stream.readers) {
+                const auto closed = std::make_shared<std::atomic<bool>>(false);
+                reader->onDisconnected([closed] { *closed = true; });
+                this->garbageReaders.push_back({reader, closed});
+            }
+            stream.readers.clear();
+            stream.unreadSince = now;
+        }
     } else {
-        exchange->respond(400, {}, "kind is crash, cold, stall or cut\n");
+        exchange->respond(400, {}, "kind is crash, cold, stall, cut, end-inside or garbage\n");
         return;
     }
     exchange->respond(200, {}, "done\n");
@@ -349,6 +371,22 @@
     this->seenDeaths = this->model.deaths();
 }
 
+void EngineServer::sendGarbage()
+{
+    std::vector<GarbageReader> open;
+    for (GarbageReader &reader : this->garbageReaders) {
+        if (*reader.closed) {
+            continue;
+        }
+        if (!reader.exchange->congested() && reader.sentBytes < maxGarbageBytes) {
+            reader.exchange->send(std::string(garbagePieceBytes, 'x'));
+            reader.sentBytes += garbagePieceBytes;
+        }
+        open.push_back(std::move(reader));
+    }
+    this->garbageReaders = std::move(open);
+}
+
 void EngineServer::cancelUnread(Instant now)
 {
     for (auto each = this->streams.begin(); each != this->streams.end();) {
@@ -401,6 +439,7 @@
         }
         this->finishLoad(now);
         this->cancelUnread(now);
+        this->sendGarbage();
         const Instant next = this->model.nextStep();
         microseconds wait = std::min<microseconds>(milliseconds(20), next - now);
         wait = std::max<microseconds>(wait, microseconds(100));
--- a/tests/standins/engine_server.h
+++ b/tests/standins/engine_server.h
@@ -50,6 +50,14 @@
         Instant unreadSince;
     };
 
+    /// A reader that is sent bytes that are no event, until it closes.
+    struct GarbageReader
+    {
+        http::ExchangePtr exchange;
+        std::shared_ptr<std::atomic<bool>> closed;
+        std::size_t sentBytes = 0;
+    };
+
     void handle(const http::ServerRequest &request, const http::ExchangePtr &exchange);
     void startGeneration(const http::ServerRequest &request, const http::ExchangePtr &exchange);
     void resumeGeneration(const http::ServerRequest &request, const http::ExchangePtr &exchange);
@@ -63,6 +71,7 @@
     void run();
     void deliver(const std::vector<Emission> &emissions);
     void dropStreams();
+    void sendGarbage();
     void cancelUnread(Instant now);
 
     EngineFaults faults;
@@ -70,6 +79,7 @@
     mutable std::mutex mutex; ///< Guards everything below.
     EngineModel model;
     std::unordered_map<std::string, Stream> streams;
+    std::vector<GarbageReader> garbageReaders;
     std::uint64_t seenDeaths = 0;
     std::uint64_t admitted = 0;
     Instant stalledUntil;
--- a/tests/standins/service_server.cpp
+++ b/tests/standins/service_server.cpp
@@ -11,6 +11,7 @@
 
 const http::Headers jsonHeaders {{"content-type", "application/json"}};
 constexpr std::size_t maxRecorded = 100'000;
+constexpr std::size_t longAnswerBytes = 17'000'000;
 
 } // namespace
 
@@ -51,6 +52,10 @@
         exchange->abort();
         return;
     }
+    if (fault == "long") {
+        exchange->respond(200, jsonHeaders, std::string(longAnswerBytes, 'x'));
+        return;
+    }
     if (fault == "slow") {
         std::this_thread::sleep_for(std::chrono::seconds(1));
     }
