Bound takeovers of a stream that continue nothing

Cause: a stream whose takeover from a backup copy ends without a new event was taken over again at once, from one engine to the other and back until the route's timeout; each takeover reached an engine.

Result: aStreamThatNoBackupContinuesIsNotTakenOverWithoutEnd failed before (no AbortStream after 20 takeovers) and passes.

--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -166,6 +166,8 @@
 
         bool relaying = false; ///< True once a stream is forwarded to the caller.
         bool resuming = false; ///< True until a new attempt of a forwarded stream sends events.
+        /// Attempts in a row that took the stream over and ended without a new event.
+        std::uint32_t fruitlessTakeovers = 0;
         Instant firstEventAt;
         Instant lastEventAt;
         microseconds longestPause {0};       ///< Longest pause between two forwarded events.
--- a/src/routing/router_attempts.cpp
+++ b/src/routing/router_attempts.cpp
@@ -186,6 +186,7 @@
                        {"pauseMs", internal::millisecondsSince(active.lastEventAt, this->now)}});
     }
     this->recordPause(active);
+    active.fruitlessTakeovers = 0;
     active.lastActivityAt = this->now;
     active.lastEventAt = this->now;
     if (active.claim.prefill > 0) {
@@ -378,6 +379,11 @@
     if (active.parallel) {
         return; // The parallel takeover continues or ends the stream.
     }
+    active.fruitlessTakeovers += active.resuming ? 1 : 0;
+    if (active.fruitlessTakeovers >= totalAttemptLimit) {
+        this->abortStream(active, "no upstream continues the stream: " + detail);
+        return;
+    }
     const bool copied = active.migration && active.migration->stage == MigrationStage::Copied;
     if (!copied && this->canUseBackup(active)) {
         this->discardMigration(active, true);
--- a/tests/routing/router_migrations_test.cpp
+++ b/tests/routing/router_migrations_test.cpp
@@ -75,6 +75,7 @@
     CPPUNIT_TEST(aBackupIsNotUsedBeforeItIsReady);
     CPPUNIT_TEST(aSilentStreamIsRecoveredByMigration);
     CPPUNIT_TEST(aStoppedStreamWithoutChunksIsNotTakenForAComplete);
+    CPPUNIT_TEST(aStreamThatNoBackupContinuesIsNotTakenOverWithoutEnd);
     CPPUNIT_TEST(anUnrecoverableStreamIsAborted);
     CPPUNIT_TEST(aResumableStreamContinuesAfterItsLastEvent);
     CPPUNIT_TEST(enginesArePolledWhileTheStoreIsUnavailable);
@@ -440,6 +441,19 @@
         }
     }
 
+    void aStreamThatNoBackupContinuesIsNotTakenOverWithoutEnd()
+    {
+        RouterHarness harness;
+        const RequestId generation = startGenerationWithBackup(harness, 2);
+        for (int takeover = 0; takeover < 20; ++takeover) {
+            harness.advanceTime(milliseconds(100));
+            harness.endAttempt(generation, AttemptEnd::Lost);
+            harness.receiveStreamHead(generation);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.countEffects<AbortStream>());
+        CPPUNIT_ASSERT(harness.countEffects<StartAttempt>() <= 6);
+    }
+
     void anUnrecoverableStreamIsAborted()
     {
         RouterHarness harness;
