Count a stream that ends inside an event as broken off

Cause: the end of a relayed stream was judged by its framing only; a connection or chunks that ended properly inside an event ended the caller's stream as complete, without its last events. Change: the attempt counts as lost if bytes of an unfinished event are left, so the stream is continued or broken off like any other. The bytes of the unfinished event were not passed on before either.

--- a/src/serving/request_forwarder.cpp
+++ b/src/serving/request_forwarder.cpp
@@ -204,9 +204,16 @@
 void RequestForwarder::onDone(const routing::AttemptId &attempt, const http::TransferResult &result)
 {
     this->runLocked([&] {
-        if (this->findTransfer(attempt) != nullptr) {
-            this->dispatch(routing::AttemptEnded {attempt, toAttemptEnd(result), result.detail});
+        const Transfer *transfer = this->findTransfer(attempt);
+        if (transfer == nullptr) {
+            return;
         }
+        const bool insideEvent = result.end == http::TransferEnd::Complete && transfer->relaying
+            && transfer->splitter.pendingBytes() > 0;
+        this->dispatch(insideEvent
+                           ? routing::AttemptEnded {attempt, routing::AttemptEnd::Lost,
+                                                    "the stream ended inside an event"}
+                           : routing::AttemptEnded {attempt, toAttemptEnd(result), result.detail});
     });
 }
 
--- /dev/null
+++ b/tests/serving/request_forwarder_test.cpp
@@ -0,0 +1,273 @@
+#include "serving/request_forwarder.h"
+
+#include "platform/adapter.h"
+#include "platform/fake_platform.h"
+#include "serving/routing_process.h"
+#include "support/raw_server.h"
+#include "support/suite.h"
+
+#include <nlohmann/json.hpp>
+
+#include <future>
+#include <thread>
+
+namespace azurespindle::serving {
+namespace {
+
+using tests::FakeStore;
+using tests::RawAnswer;
+using tests::RawEnd;
+using tests::RawServer;
+
+constexpr std::uint16_t storePort = 22'400;
+constexpr std::uint16_t processPort = 22'410;
+constexpr milliseconds testTimeout {10'000};
+
+const std::string sealedHead = "HTTP/1.1 200 OK\r\nAzurespindle-Server-Seal: seal\r\n";
+const std::string streamHead = sealedHead + "Content-Type: text/event-stream\r\n";
+const std::string chunkedField = "Transfer-Encoding: chunked\r\n";
+
+bool eventually(const std::function<bool()> &condition)
+{
+    const Instant until = monotonicNow() + testTimeout;
+    while (monotonicNow() < until) {
+        if (condition()) {
+            return true;
+        }
+        std::this_thread::sleep_for(milliseconds(5));
+    }
+    return false;
+}
+
+settings::Address address(std::uint16_t port)
+{
+    return {"127.0.0.1", port};
+}
+
+std::string event(int number)
+{
+    return "id: " + std::to_string(number) + "\ndata: d" + std::to_string(number) + "\n\n";
+}
+
+std::string chunk(const std::string &bytes)
+{
+    char size[20];
+    std::snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
+    return size + bytes + "\r\n";
+}
+
+/// A response as the caller received it.
+struct Response
+{
+    int status = 0;
+    http::Headers headers;
+    std::string body;
+    http::TransferEnd end = http::TransferEnd::ConnectionLost;
+    microseconds took {0};
+};
+
+std::atomic<int> lastCallerNumber {0};
+
+std::future<Response> send(http::Client &client, const std::string &path)
+{
+    auto response = std::make_shared<Response>();
+    auto done = std::make_shared<std::promise<Response>>();
+    http::ClientRequest request;
+    request.method = "POST";
+    request.url = "http://127.0.0.1:" + std::to_string(processPort) + path;
+    request.headers = {{"Host", "shop.example"},
+                       {"Azurespindle-Attempt-Id", "f" + std::to_string(lastCallerNumber += 1)},
+                       {"Azurespindle-Token-Usage", "300,200"},
+                       {"Azurespindle-Key", "k1"}};
+    request.body = "x";
+    request.totalTimeout = testTimeout;
+    http::TransferCallbacks callbacks;
+    callbacks.onStatus
+        = [response](int, const http::Headers &headers) { response->headers = headers; };
+    callbacks.onData = [response](std::string_view bytes) {
+        response->body += bytes;
+        return true;
+    };
+    const Instant begin = monotonicNow();
+    callbacks.onDone = [response, done, begin](const http::TransferResult &result) {
+        response->end = result.end;
+        response->status = result.status;
+        response->took = monotonicNow() - begin;
+        done->set_value(*response);
+    };
+    client.start(std::move(request), std::move(callbacks));
+    return done->get_future();
+}
+
+} // namespace
+
+/// Forwards requests to raw servers, whose answers may be anything.
+class RequestForwarderTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RequestForwarderTest);
+    CPPUNIT_TEST(anAnswerWithoutLengthReachesTheCallerWhole);
+    CPPUNIT_TEST(anAnswerWithoutLengthThatIsResetIsNoSuccess);
+    CPPUNIT_TEST(anAnswerWithoutLengthThatIsResetIsRetriedIfItMay);
+    CPPUNIT_TEST(aStreamWithoutChunksEndsAfterItsLastEvent);
+    CPPUNIT_TEST(aStreamThatEndsInsideAnEventIsNotComplete);
+    CPPUNIT_TEST(aStreamThatEndsInsideItsFirstEventIsNotComplete);
+    CPPUNIT_TEST(aStreamThatEndsInsideAnEventIsResumed);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        this->store = std::make_unique<FakeStore>(storePort);
+        this->store->put("op/config", tests::platformConfiguration(1));
+        this->client = std::make_unique<http::Client>();
+        for (std::size_t index = 0; index < 2; ++index) {
+            for (const std::string service : {"models", "desk"}) {
+                this->servers.push_back(std::make_unique<RawServer>(
+                    [this](const std::string &) { return this->nextAnswer(); }));
+                const nlohmann::json record {
+                    {"service", service}, {"address", this->servers.back()->address()},
+                    {"zone", "north"},    {"slots", 100},
+                    {"state", "ready"},   {"cold_left_ms", 0},
+                    {"born", 100},        {"sequence", 1}};
+                this->store->put("servers/" + service + std::to_string(index), record.dump());
+            }
+        }
+        settings::RoutingSettings settings;
+        settings.name = "entry-0";
+        settings.zone = "north";
+        settings.callerAddress = address(processPort);
+        settings.readyAddress = address(processPort + 1);
+        settings.memberAddress = address(processPort + 2);
+        settings.metricsAddress = address(processPort + 3);
+        settings.publisherAddress = address(storePort);
+        settings.seeds = {address(processPort + 2)};
+        settings.bounds.retryBurst = 58.0;
+        this->process = std::make_unique<RoutingProcess>(settings, platform::makePlatformAdapter);
+        CPPUNIT_ASSERT(!this->process->start());
+        CPPUNIT_ASSERT(eventually([this] { return this->process->ready(); }));
+    }
+
+    void tearDown() override
+    {
+        this->process.reset();
+        this->client.reset();
+        this->servers.clear();
+        this->store.reset();
+        this->answers.clear();
+    }
+
+    void anAnswerWithoutLengthReachesTheCallerWhole()
+    {
+        this->answers = {{sealedHead + "\r\nthe body", RawEnd::Close}};
+        for (const char *path : {"/order/1", "/look/1"}) {
+            const Response response = this->call(path);
+            CPPUNIT_ASSERT_EQUAL(200, response.status);
+            CPPUNIT_ASSERT(response.end == http::TransferEnd::Complete);
+            CPPUNIT_ASSERT_EQUAL(std::string("the body"), response.body);
+            CPPUNIT_ASSERT_EQUAL(std::string("8"), response.headers.at("content-length"));
+        }
+    }
+
+    void anAnswerWithoutLengthThatIsResetIsNoSuccess()
+    {
+        this->answers = {{sealedHead + "\r\nthe bo", RawEnd::Reset}};
+        CPPUNIT_ASSERT_EQUAL(502, this->call("/order/1").status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->requests());
+    }
+
+    void anAnswerWithoutLengthThatIsResetIsRetriedIfItMay()
+    {
+        this->answers = {{sealedHead + "\r\nthe bo", RawEnd::Reset},
+                         {sealedHead + "\r\nthe body", RawEnd::Close}};
+        const Response response = this->call("/look/1");
+        CPPUNIT_ASSERT_EQUAL(200, response.status);
+        CPPUNIT_ASSERT_EQUAL(std::string("the body"), response.body);
+    }
+
+    void aStreamWithoutChunksEndsAfterItsLastEvent()
+    {
+        this->answers = {{streamHead + "\r\n" + event(1) + event(2), RawEnd::Close}};
+        for (const char *path : {"/draft/1", "/check/1"}) {
+            const Response response = this->call(path);
+            CPPUNIT_ASSERT(response.end == http::TransferEnd::Complete);
+            CPPUNIT_ASSERT_EQUAL(event(1) + event(2), response.body);
+            CPPUNIT_ASSERT_EQUAL(std::string("chunked"), response.headers.at("transfer-encoding"));
+        }
+    }
+
+    void aStreamThatEndsInsideAnEventIsNotComplete()
+    {
+        const std::string cut = "id: 2\ndata: d";
+        for (const std::string &framed :
+             {streamHead + "\r\n" + event(1) + cut,
+              streamHead + chunkedField + "\r\n" + chunk(event(1) + cut) + chunk("")}) {
+            this->answers = {{framed, RawEnd::Close}};
+            const Response response = this->call("/draft/1");
+            CPPUNIT_ASSERT_MESSAGE(described(response),
+                                   response.end == http::TransferEnd::ConnectionLost);
+            CPPUNIT_ASSERT_EQUAL(event(1), response.body);
+        }
+    }
+
+    void aStreamThatEndsInsideItsFirstEventIsNotComplete()
+    {
+        this->answers = {{streamHead + "\r\nid: 1\ndata: d", RawEnd::Close}};
+        const Response response = this->call("/draft/1");
+        const bool success = response.end == http::TransferEnd::Complete && response.status == 200;
+        CPPUNIT_ASSERT(!success);
+    }
+
+    void aStreamThatEndsInsideAnEventIsResumed()
+    {
+        const std::string cut = "id: 2\ndata: d";
+        for (const std::string &framed :
+             {streamHead + "\r\n" + event(1) + cut,
+              streamHead + chunkedField + "\r\n" + chunk(event(1) + cut) + chunk("")}) {
+            this->answers = {{framed, RawEnd::Close},
+                             {streamHead + "\r\n" + event(2) + event(3), RawEnd::Close}};
+            const Response response = this->call("/check/1");
+            CPPUNIT_ASSERT(response.end == http::TransferEnd::Complete);
+            CPPUNIT_ASSERT_EQUAL(event(1) + event(2) + event(3), response.body);
+        }
+    }
+
+private:
+    /// Returns the first of the answers and removes it, unless it is the last.
+    RawAnswer nextAnswer()
+    {
+        const std::lock_guard lock(this->mutex);
+        RawAnswer answer = this->answers.front();
+        if (this->answers.size() > 1) {
+            this->answers.erase(this->answers.begin());
+        }
+        return answer;
+    }
+
+    static std::string described(const Response &response)
+    {
+        return std::to_string(response.status) + " after " + std::to_string(response.took.count())
+            + " us: " + response.body;
+    }
+
+    Response call(const std::string &path) { return send(*this->client, path).get(); }
+
+    std::size_t requests() const
+    {
+        std::size_t sum = 0;
+        for (const auto &server : this->servers) {
+            sum += server->requests();
+        }
+        return sum;
+    }
+
+    std::mutex mutex; ///< Guards `answers` while a process runs.
+    std::vector<RawAnswer> answers;
+    std::unique_ptr<FakeStore> store;
+    std::unique_ptr<http::Client> client;
+    std::vector<std::unique_ptr<RawServer>> servers;
+    std::unique_ptr<RoutingProcess> process;
+};
+
+REGISTER_SUITE(RequestForwarderTest, "request_forwarder");
+
+} // namespace azurespindle::serving
