Give up a stream whose event has no end

Cause: the bytes of an unfinished event were kept without limit, and scanned anew with each piece, until the caller or the route's timeout ended the request. Bytes of an attempt that had been given up were still kept until its transfer was cancelled. Change: an event over 64 KiB ends the attempt as lost and closes its connection; an attempt that was given up keeps nothing.

Result: anEventWithoutEndBreaksItsStreamOff failed before (the connection was not closed as broken off within the caller's 10 s) and passes. Endless heads and bodies were answered with 502, and the first four of the five kinds retried elsewhere, before too; their tests stay.

--- a/src/serving/request_forwarder.cpp
+++ b/src/serving/request_forwarder.cpp
@@ -150,7 +150,7 @@
 bool RequestForwarder::processData(const routing::AttemptId &attempt, std::string_view bytes)
 {
     Transfer *transfer = this->findTransfer(attempt);
-    if (transfer == nullptr) {
+    if (transfer == nullptr || transfer->givenUp) {
         return true;
     }
     if (transfer->relaying) {
@@ -159,17 +159,31 @@
             return false;
         }
         this->forwardEvents(attempt, session, bytes);
+        const Transfer *relayed = this->findTransfer(attempt);
+        if (relayed != nullptr
+            && relayed->splitter.pendingBytes() > upstreams::EventSplitter::maxEventBytes) {
+            this->giveUp(attempt, "an event is too large");
+        }
         return true;
     }
     if (transfer->body.size() + bytes.size() > maxBufferedResponseBytes) {
-        this->client.cancel(transfer->id);
-        this->dispatch(routing::AttemptEnded {attempt, routing::AttemptEnd::Lost, "too large"});
+        this->giveUp(attempt, "too large");
         return true;
     }
     transfer->body += bytes;
     return true;
 }
 
+void RequestForwarder::giveUp(const routing::AttemptId &attempt, const std::string &detail)
+{
+    Transfer &transfer = *this->findTransfer(attempt);
+    transfer.givenUp = true;
+    transfer.body = {};
+    transfer.splitter = {};
+    this->client.cancel(transfer.id);
+    this->dispatch(routing::AttemptEnded {attempt, routing::AttemptEnd::Lost, detail});
+}
+
 void RequestForwarder::forwardEvents(const routing::AttemptId &attempt, Session &session,
                                      std::string_view bytes)
 {
@@ -204,10 +218,13 @@
 void RequestForwarder::onDone(const routing::AttemptId &attempt, const http::TransferResult &result)
 {
     this->runLocked([&] {
-        const Transfer *transfer = this->findTransfer(attempt);
-        if (transfer == nullptr) {
+        Transfer *transfer = this->findTransfer(attempt);
+        if (transfer == nullptr || transfer->givenUp) {
             return;
         }
+        if (result.end != http::TransferEnd::Complete) {
+            transfer->body = {};
+        }
         const bool insideEvent = result.end == http::TransferEnd::Complete && transfer->relaying
             && transfer->splitter.pendingBytes() > 0;
         this->dispatch(insideEvent
--- a/src/serving/request_forwarder.h
+++ b/src/serving/request_forwarder.h
@@ -80,6 +80,7 @@
         std::string body; ///< Received so far; unused for a relayed stream.
         upstreams::EventSplitter splitter;
         bool relaying = false; ///< Its events are sent to the caller.
+        bool givenUp = false;  ///< Cancelled here; further bytes are dropped.
     };
 
     /// An open request with its current attempts.
@@ -110,6 +111,8 @@
     void runLocked(const std::function<void()> &action);
 
     // The functions below require the lock.
+    /// Closes the connection of an attempt whose response is no sound one, and ends the attempt.
+    void giveUp(const routing::AttemptId &attempt, const std::string &detail);
     void dispatch(const routing::RouterEvent &event);
     void execute(const routing::StartAttempt &effect);
     void execute(const routing::CancelAttempt &effect);
--- a/src/upstreams/event_splitter.h
+++ b/src/upstreams/event_splitter.h
@@ -24,6 +24,9 @@
 class EventSplitter
 {
 public:
+    /// Largest incomplete event in bytes; a larger one is not the beginning of an event.
+    static constexpr std::size_t maxEventBytes = 65'536;
+
     /// Appends \a bytes to the stream. \return the events that they complete, in order.
     std::vector<RawEvent> feed(std::string_view bytes);
 
--- a/tests/serving/request_forwarder_test.cpp
+++ b/tests/serving/request_forwarder_test.cpp
@@ -22,6 +22,8 @@
 constexpr std::uint16_t storePort = 22'400;
 constexpr std::uint16_t processPort = 22'410;
 constexpr milliseconds testTimeout {10'000};
+/// Below the least timeout of a route.
+constexpr milliseconds soon {1'200};
 
 const std::string sealedHead = "HTTP/1.1 200 OK\r\nAzurespindle-Server-Seal: seal\r\n";
 const std::string streamHead = sealedHead + "Content-Type: text/event-stream\r\n";
@@ -112,6 +114,9 @@
     CPPUNIT_TEST(aStreamThatEndsInsideAnEventIsNotComplete);
     CPPUNIT_TEST(aStreamThatEndsInsideItsFirstEventIsNotComplete);
     CPPUNIT_TEST(aStreamThatEndsInsideAnEventIsResumed);
+    CPPUNIT_TEST(endlessBytesInAHeadOrBodyAreAnsweredWith502);
+    CPPUNIT_TEST(endlessBytesAreRetriedElsewhereIfTheRequestMay);
+    CPPUNIT_TEST(anEventWithoutEndBreaksItsStreamOff);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -231,7 +236,56 @@
         }
     }
 
+    void endlessBytesInAHeadOrBodyAreAnsweredWith502()
+    {
+        for (const RawAnswer &endless : endlessAnswers()) {
+            this->answers = {endless};
+            const Response response = this->call("/order/1");
+            const std::string name = endless.bytes + endless.repeated.substr(0, 20);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(name, 502, response.status);
+            CPPUNIT_ASSERT_MESSAGE(name, response.took < soon);
+            this->assertConnectionsClose(name);
+        }
+    }
+
+    void endlessBytesAreRetriedElsewhereIfTheRequestMay()
+    {
+        for (const RawAnswer &endless : endlessAnswers()) {
+            this->answers = {endless, {sealedHead + "\r\nthe body", RawEnd::Close}};
+            const Response response = this->call("/look/1");
+            const std::string name = endless.bytes + endless.repeated.substr(0, 20);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(name + response.body, 200, response.status);
+            this->assertConnectionsClose(name);
+        }
+    }
+
+    void anEventWithoutEndBreaksItsStreamOff()
+    {
+        const RawAnswer endless {streamHead + "\r\n" + event(1) + "data: ", RawEnd::Endless, "x"};
+        this->answers = {endless};
+        const Response broken = this->call("/draft/1");
+        CPPUNIT_ASSERT_MESSAGE(described(broken), broken.end == http::TransferEnd::ConnectionLost);
+        CPPUNIT_ASSERT_EQUAL(event(1), broken.body);
+        CPPUNIT_ASSERT(broken.took < soon);
+        this->assertConnectionsClose("draft");
+        this->answers = {endless, {streamHead + "\r\n" + event(2), RawEnd::Close}};
+        const Response resumed = this->call("/check/1");
+        CPPUNIT_ASSERT(resumed.end == http::TransferEnd::Complete);
+        CPPUNIT_ASSERT_EQUAL(event(1) + event(2), resumed.body);
+        this->assertConnectionsClose("check");
+    }
+
 private:
+    static std::vector<RawAnswer> endlessAnswers()
+    {
+        return {{sealedHead, RawEnd::Endless, "X-Field: value\r\n"},
+                {sealedHead + "X-Field: ", RawEnd::Endless, "value"},
+                {"", RawEnd::Endless, "no answer "},
+                {sealedHead + "\r\n", RawEnd::Endless, "x"},
+                {sealedHead + chunkedField + "\r\n", RawEnd::Endless,
+                 "400\r\n" + std::string(1'024, 'x') + "\r\n"}};
+    }
+
     /// Returns the first of the answers and removes it, unless it is the last.
     RawAnswer nextAnswer()
     {
@@ -251,6 +305,19 @@
 
     Response call(const std::string &path) { return send(*this->client, path).get(); }
 
+    void assertConnectionsClose(const std::string &name) const
+    {
+        const Instant begin = monotonicNow();
+        CPPUNIT_ASSERT_MESSAGE(name, eventually([this] {
+                                   std::size_t open = 0;
+                                   for (const auto &server : this->servers) {
+                                       open += server->openConnections();
+                                   }
+                                   return open == 0;
+                               }));
+        CPPUNIT_ASSERT_MESSAGE(name, monotonicNow() - begin < soon);
+    }
+
     std::size_t requests() const
     {
         std::size_t sum = 0;
