Bound the memory of all responses that are not streamed together

Cause: one response could take 16 MiB, and any number of them that much at once, while a process has 88 MB at worst. Change: 4 MiB for one, and 16 MiB of allocated memory for all; beyond that the longest is given up as lost, so the caller gets a 502, or a retry where that is allowed.

Result: with 40 answers that stop after 2 MiB, manyLongAnswersAtOnceAreBoundedInMemory failed before (all 40 were held, 80 MiB) and passes.

--- a/src/serving/request_forwarder.cpp
+++ b/src/serving/request_forwarder.cpp
@@ -10,6 +10,8 @@
 constexpr const char *routedTrafficClass = "routed";
 constexpr int statusUnavailable = 503;
 constexpr milliseconds stoppingRetryAfter {20};
+/// Responses up to this size are so many at most that their sum is not checked.
+constexpr std::size_t smallResponseBytes = 16'384;
 
 routing::AttemptEnd toAttemptEnd(const http::TransferResult &result)
 {
@@ -171,6 +173,9 @@
         return true;
     }
     transfer->body += bytes;
+    if (transfer->body.size() > smallResponseBytes) {
+        this->boundBufferedBytes();
+    }
     return true;
 }
 
@@ -184,6 +189,32 @@
     this->dispatch(routing::AttemptEnded {attempt, routing::AttemptEnd::Lost, detail});
 }
 
+void RequestForwarder::boundBufferedBytes()
+{
+    while (true) {
+        std::size_t total = 0;
+        std::size_t longest = 0;
+        routing::AttemptId longestAttempt;
+        const auto add = [&](routing::RequestId request, const Transfer &transfer) {
+            total += transfer.body.capacity();
+            if (transfer.body.capacity() > longest) {
+                longest = transfer.body.capacity();
+                longestAttempt = {request, transfer.attempt};
+            }
+        };
+        for (const auto &[request, session] : this->sessions) {
+            add(request, session.currentTransfer);
+            if (session.parallelTransfer) {
+                add(request, *session.parallelTransfer);
+            }
+        }
+        if (total <= maxTotalBufferedBytes) {
+            return;
+        }
+        this->giveUp(longestAttempt, "too large beside others");
+    }
+}
+
 void RequestForwarder::forwardEvents(const routing::AttemptId &attempt, Session &session,
                                      std::string_view bytes)
 {
--- a/src/serving/request_forwarder.h
+++ b/src/serving/request_forwarder.h
@@ -40,7 +40,9 @@
 {
 public:
     /// Largest body, in bytes, of a response that is not streamed; it is buffered in full.
-    static constexpr std::size_t maxBufferedResponseBytes = 16'777'216;
+    static constexpr std::size_t maxBufferedResponseBytes = 4'194'304;
+    /// Memory, in bytes, of all such responses together.
+    static constexpr std::size_t maxTotalBufferedBytes = 16'777'216;
 
     RequestForwarder(routing::RouterOptions options, const routing::PlatformAdapter &adapter,
                      http::Client &client, metrics::Registry &registry, journal::Journal &journal,
@@ -113,6 +115,8 @@
     // The functions below require the lock.
     /// Closes the connection of an attempt whose response is no sound one, and ends the attempt.
     void giveUp(const routing::AttemptId &attempt, const std::string &detail);
+    /// Gives up the longest responses until all together keep to maxTotalBufferedBytes.
+    void boundBufferedBytes();
     void dispatch(const routing::RouterEvent &event);
     void execute(const routing::StartAttempt &effect);
     void execute(const routing::CancelAttempt &effect);
--- a/tests/serving/request_forwarder_test.cpp
+++ b/tests/serving/request_forwarder_test.cpp
@@ -117,6 +117,7 @@
     CPPUNIT_TEST(endlessBytesInAHeadOrBodyAreAnsweredWith502);
     CPPUNIT_TEST(endlessBytesAreRetriedElsewhereIfTheRequestMay);
     CPPUNIT_TEST(anEventWithoutEndBreaksItsStreamOff);
+    CPPUNIT_TEST(manyLongAnswersAtOnceAreBoundedInMemory);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -275,6 +276,29 @@
         this->assertConnectionsClose("check");
     }
 
+    void manyLongAnswersAtOnceAreBoundedInMemory()
+    {
+        constexpr std::size_t answerBytes = 2'097'152;
+        constexpr std::size_t callers = 40;
+        this->answers
+            = {{sealedHead + "Content-Length: 9999999\r\n\r\n" + std::string(answerBytes, 'x'),
+                RawEnd::Hold}};
+        std::vector<std::future<Response>> responses;
+        for (std::size_t caller = 0; caller < callers; ++caller) {
+            responses.push_back(send(*this->client, "/order/1"));
+        }
+        std::size_t failed = 0;
+        for (std::future<Response> &response : responses) {
+            failed += response.wait_for(soon) == std::future_status::ready
+                    && response.get().status == 502
+                ? 1
+                : 0;
+        }
+        const std::size_t held = callers - failed;
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(held) + " are held",
+                               held * answerBytes <= RequestForwarder::maxTotalBufferedBytes);
+    }
+
 private:
     static std::vector<RawAnswer> endlessAnswers()
     {
