Join the strings of the streams under test outside the loops

Cause: the linter refused string concatenations in the heads of two loops. Change: they are named before the loops; the bytes are the same.

--- a/tests/serving/request_forwarder_test.cpp
+++ b/tests/serving/request_forwarder_test.cpp
@@ -203,10 +203,10 @@
 
     void aStreamThatEndsInsideAnEventIsNotComplete()
     {
-        const std::string cut = "id: 2\ndata: d";
-        for (const std::string &framed :
-             {streamHead + "\r\n" + event(1) + cut,
-              streamHead + chunkedField + "\r\n" + chunk(event(1) + cut) + chunk("")}) {
+        const std::string begun = event(1) + "id: 2\ndata: d";
+        const std::string closed = streamHead + "\r\n" + begun;
+        const std::string chunked = streamHead + chunkedField + "\r\n" + chunk(begun) + chunk("");
+        for (const std::string &framed : {closed, chunked}) {
             this->answers = {{framed, RawEnd::Close}};
             const Response response = this->call("/draft/1");
             CPPUNIT_ASSERT_MESSAGE(described(response),
@@ -225,10 +225,10 @@
 
     void aStreamThatEndsInsideAnEventIsResumed()
     {
-        const std::string cut = "id: 2\ndata: d";
-        for (const std::string &framed :
-             {streamHead + "\r\n" + event(1) + cut,
-              streamHead + chunkedField + "\r\n" + chunk(event(1) + cut) + chunk("")}) {
+        const std::string begun = event(1) + "id: 2\ndata: d";
+        const std::string closed = streamHead + "\r\n" + begun;
+        const std::string chunked = streamHead + chunkedField + "\r\n" + chunk(begun) + chunk("");
+        for (const std::string &framed : {closed, chunked}) {
             this->answers = {{framed, RawEnd::Close},
                              {streamHead + "\r\n" + event(2) + event(3), RawEnd::Close}};
             const Response response = this->call("/check/1");
