--- a/src/serving/request_forwarder.cpp
+++ b/src/serving/request_forwarder.cpp
@@ -10,6 +10,8 @@
 constexpr const char *routedTrafficClass = "routed";
 constexpr int statusUnavailable = 503;
 constexpr milliseconds stoppingRetryAfter {20};
+/// Responses up to this size are so many at most that their sum is not checked.
+constexpr std::size_t smallResponseBytes = 16'384;
 
 routing::AttemptEnd toAttemptEnd(const http::TransferResult &result)
 {
@@ -150,7 +152,7 @@
 bool RequestForwarder::processData(const routing::AttemptId &attempt, std::string_view bytes)
 {
     Transfer *transfer = this->findTransfer(attempt);
-    if (transfer == nullptr) {
+    if (transfer == nullptr || transfer->givenUp) {
         return true;
     }
     if (transfer->relaying) {
@@ -159,17 +161,60 @@
             return false;
         }
         this->forwardEvents(attempt, session, bytes);
+        const Transfer *relayed = this->findTransfer(attempt);
+        if (relayed != nullptr
+            && relayed->splitter.pendingBytes() > upstreams::EventSplitter::maxEventBytes) {
+            this->giveUp(attempt, "an event is too large");
+        }
         return true;
     }
     if (transfer->body.size() + bytes.size() > maxBufferedResponseBytes) {
-        this->client.cancel(transfer->id);
-        this->dispatch(routing::AttemptEnded {attempt, routing::AttemptEnd::Lost, "too large"});
+        this->giveUp(attempt, "too large");
         return true;
     }
     transfer->body += bytes;
+    if (transfer->body.size() > smallResponseBytes) {
+        this->boundBufferedBytes();
+    }
     return true;
 }
 
+void RequestForwarder::giveUp(const routing::AttemptId &attempt, const std::string &detail)
+{
+    Transfer &transfer = *this->findTransfer(attempt);
+    transfer.givenUp = true;
+    transfer.body = {};
+    transfer.splitter = {};
+    this->client.cancel(transfer.id);
+    this->dispatch(routing::AttemptEnded {attempt, routing::AttemptEnd::Lost, detail});
+}
+
+void RequestForwarder::boundBufferedBytes()
+{
+    while (true) {
+        std::size_t total = 0;
+        std::size_t longest = 0;
+        routing::AttemptId longestAttempt;
+        const auto add = [&](routing::RequestId request, const Transfer &transfer) {
+            total += transfer.body.capacity();
+            if (transfer.body.capacity() > longest) {
+                longest = transfer.body.capacity();
+                longestAttempt = {request, transfer.attempt};
+            }
+        };
+        for (const auto &[request, session] : this->sessions) {
+            add(request, session.currentTransfer);
+            if (session.parallelTransfer) {
+                add(request, *session.parallelTransfer);
+            }
+        }
+        if (total <= maxTotalBufferedBytes) {
+            return;
+        }
+        this->giveUp(longestAttempt, "too large beside others");
+    }
+}
+
 void RequestForwarder::forwardEvents(const routing::AttemptId &attempt, Session &session,
                                      std::string_view bytes)
 {
@@ -204,9 +249,19 @@
 void RequestForwarder::onDone(const routing::AttemptId &attempt, const http::TransferResult &result)
 {
     this->runLocked([&] {
-        if (this->findTransfer(attempt) != nullptr) {
-            this->dispatch(routing::AttemptEnded {attempt, toAttemptEnd(result), result.detail});
+        Transfer *transfer = this->findTransfer(attempt);
+        if (transfer == nullptr || transfer->givenUp) {
+            return;
+        }
+        if (result.end != http::TransferEnd::Complete) {
+            transfer->body = {};
         }
+        const bool insideEvent = result.end == http::TransferEnd::Complete && transfer->relaying
+            && transfer->splitter.pendingBytes() > 0;
+        this->dispatch(insideEvent
+                           ? routing::AttemptEnded {attempt, routing::AttemptEnd::Lost,
+                                                    "the stream ended inside an event"}
+                           : routing::AttemptEnded {attempt, toAttemptEnd(result), result.detail});
     });
 }
 
--- a/src/serving/request_forwarder.h
+++ b/src/serving/request_forwarder.h
@@ -40,7 +40,9 @@
 {
 public:
     /// Largest body, in bytes, of a response that is not streamed; it is buffered in full.
-    static constexpr std::size_t maxBufferedResponseBytes = 16'777'216;
+    static constexpr std::size_t maxBufferedResponseBytes = 4'194'304;
+    /// Memory, in bytes, of all such responses together.
+    static constexpr std::size_t maxTotalBufferedBytes = 16'777'216;
 
     RequestForwarder(routing::RouterOptions options, const routing::PlatformAdapter &adapter,
                      http::Client &client, metrics::Registry &registry, journal::Journal &journal,
@@ -78,6 +80,7 @@
         std::string body; ///< Received so far; unused for a relayed stream.
         upstreams::EventSplitter splitter;
         bool relaying = false; ///< Its events are sent to the caller.
+        bool givenUp = false;  ///< Cancelled here; further bytes are dropped.
     };
 
     /// An open request with its current attempts.
@@ -108,6 +111,10 @@
     void runLocked(const std::function<void()> &action);
 
     // The functions below require the lock.
+    /// Closes the connection of an attempt whose response is no sound one, and ends the attempt.
+    void giveUp(const routing::AttemptId &attempt, const std::string &detail);
+    /// Gives up the longest responses until all together keep to maxTotalBufferedBytes.
+    void boundBufferedBytes();
     void dispatch(const routing::RouterEvent &event);
     void execute(const routing::StartAttempt &effect);
     void execute(const routing::CancelAttempt &effect);
--- a/src/upstreams/attempt_runner.cpp
+++ b/src/upstreams/attempt_runner.cpp
@@ -12,7 +12,7 @@
 constexpr int statusNotFound = 404;
 constexpr int statusUnavailable = 503;
 constexpr std::size_t maxDetailBytes = 200; ///< Of an error response, for the event log.
-/// Largest response body of a plain service that is kept. Further data is dropped.
+/// Largest response body of a plain service. A larger one fails the attempt.
 constexpr std::size_t maxResponseBytes = 16'777'216;
 
 decision::FailureKind failureOf(http::TransferEnd end)
@@ -202,6 +202,7 @@
                                 http::ClientRequest request)
 {
     request.connectTimeout = this->timeouts.connect;
+    request.maxResponseBytes = 0;
     http::TransferCallbacks callbacks;
     callbacks.onStatus = [attempt](int status, const http::Headers &) { attempt->status = status; };
     callbacks.onData = [attempt](std::string_view bytes) { return attempt->handleData(bytes); };
@@ -245,6 +246,7 @@
     send.body = call.body;
     send.connectTimeout = this->timeouts.connect;
     send.totalTimeout = this->timeouts.call;
+    send.maxResponseBytes = maxResponseBytes;
     send.freshConnection = !session->request().idempotent;
     auto answer = std::make_shared<serving::ServiceResponse>();
     http::TransferCallbacks callbacks;
@@ -256,8 +258,7 @@
         }
     };
     callbacks.onData = [answer](std::string_view bytes) {
-        const bool fits = answer->body.size() + bytes.size() <= maxResponseBytes;
-        answer->body += fits ? bytes : std::string_view();
+        answer->body += bytes;
         return true;
     };
     const decision::RequestId id = start.request;
