Make the soak's plan of stops smaller, and let requests queue in it

Cause: the plan had brought a second class of caller, a record of more than its checks needed and a window of time in which any hung upstream excused a cut. With three plain upstreams, requests seldom queued when a stop ended.

Change: one class of caller with styles; requests and answers in exchange.h; one query for runs. A hung upstream excuses a cut of the requests that it got, and no others. One to three plain upstreams, by seed. Queries without a user are gone.

--- a/tests/platform/fake_platform.cpp
+++ b/tests/platform/fake_platform.cpp
@@ -393,6 +393,12 @@
     return found != this->finishTimes.end() && found->second <= time;
 }
 
+bool FakeService::hungOn(const std::string &requestId) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->hangingExchanges.count(requestId) > 0;
+}
+
 std::size_t FakeService::totalRuns() const
 {
     const std::lock_guard lock(this->mutex);
@@ -426,7 +432,7 @@
     if (this->behaviour == Behaviour::Hangs) {
         exchange->onDisconnected([this] { this->disconnectCount += 1; });
         const std::lock_guard lock(this->mutex);
-        this->hangingExchanges.push_back(exchange);
+        this->hangingExchanges.emplace(requestId, exchange);
         return;
     }
     Work work {requestId,
--- a/tests/platform/fake_platform.h
+++ b/tests/platform/fake_platform.h
@@ -164,6 +164,8 @@
     std::size_t runs(const std::string &requestId) const;
     /// Returns true if the request with this id had been answered here at \a time.
     bool finishedBy(const std::string &requestId, Instant time) const;
+    /// Returns true if the request with this id came while the service hung.
+    bool hungOn(const std::string &requestId) const;
     std::size_t totalRuns() const;
     /// Returns the number of hanging requests whose callers disconnected.
     std::size_t disconnects() const { return this->disconnectCount; }
@@ -193,7 +195,7 @@
     std::map<std::string, std::size_t> runCounts;
     std::map<std::string, Instant> finishTimes; ///< Keyed by request.
     std::vector<Work> works;
-    std::vector<http::ExchangePtr> hangingExchanges;
+    std::multimap<std::string, http::ExchangePtr> hangingExchanges; ///< Keyed by request.
     timer::TimerService timers;
     http::Server server;
 };
--- a/tests/soak/answered.cpp
+++ b/tests/soak/answered.cpp
@@ -7,24 +7,12 @@
 constexpr milliseconds lossSlack {200};
 /// What was sent later than this after SIGTERM has to be answered before the stop ends.
 constexpr milliseconds lateInStop {3'000};
-/// Planned work is named in a finding for so long.
-constexpr milliseconds namedFor {1'000};
 
 std::string millisecondsText(microseconds time)
 {
     return std::to_string(std::chrono::duration_cast<milliseconds>(time).count()) + " ms";
 }
 
-bool isPlain(RequestKind kind)
-{
-    return kind == RequestKind::Order || kind == RequestKind::Look;
-}
-
-std::size_t runsOf(const SoakFleet &fleet, const Seen &seen)
-{
-    return isPlain(seen.kind) ? fleet.plainRuns(seen.callerId) : fleet.engineRuns(seen.callerId);
-}
-
 /// Returns true if the caller or the route allowed no more time, or the caller hung up.
 bool timeWasUp(const Seen &seen)
 {
@@ -36,11 +24,11 @@
 bool heldToTheEnd(const SoakFleet &fleet, const Seen &seen, Instant stoppedAt)
 {
     return seen.sent <= stoppedAt + lateInStop
-        && seen.ended >= stoppedAt + SoakFleet::stopTime * 5 / 6 && !isPlain(seen.kind)
-        && fleet.engineRuns(seen.callerId) > 0 && !fleet.finishedBy(seen.callerId, seen.ended);
+        && seen.ended >= stoppedAt + SoakFleet::stopTime * 5 / 6 && isGeneration(seen.kind)
+        && fleet.runs(seen.callerId) > 0 && !fleet.finishedBy(seen.callerId, seen.ended);
 }
 
-std::string describe(const SoakFleet &fleet, const PlannedWork &work, const Seen &seen,
+std::string describe(const SoakFleet &fleet, const Seen &seen,
                      const std::optional<Instant> &stoppedAt)
 {
     std::string text = seen.callerId + " at entry-" + std::to_string(seen.process) + ": ";
@@ -51,32 +39,31 @@
         text += "closed " + millisecondsText(seen.ended - seen.sent) + " after it was sent ";
     }
     text += seen.status == 0 ? "without a head" : "with status " + std::to_string(seen.status);
-    text += runsOf(fleet, seen) == 0                  ? ", never reached an upstream"
+    text += fleet.runs(seen.callerId) == 0            ? ", never reached an upstream"
         : fleet.finishedBy(seen.callerId, seen.ended) ? ", an upstream had answered in full"
                                                       : ", an upstream was at work";
     return text + "; its time would have been up "
-        + millisecondsText(seen.sent + seen.deadline - seen.ended) + " later"
-        + work.notedBefore(seen.process, seen.ended, namedFor);
+        + millisecondsText(seen.sent + seen.deadline - seen.ended) + " later";
 }
 
 } // namespace
 
-void checkAnswered(const SoakFleet &fleet, const PlannedWork &work, const Seen &seen,
+void checkAnswered(const SoakFleet &fleet, const StopRecord &stops, const Seen &seen,
                    Findings &findings)
 {
     if (seen.whole || timeWasUp(seen)) {
         return;
     }
-    const bool reached = runsOf(fleet, seen) > 0;
+    const bool reached = fleet.runs(seen.callerId) > 0;
     const bool crossed = !reached && seen.ended < seen.wholeSent + lossSlack;
-    if (crossed || (isPlain(seen.kind) && reached && work.plainDisturbed(seen.sent, seen.ended))) {
+    if (crossed || (fleet.hungOn(seen.callerId))) {
         return;
     }
-    const std::optional<Instant> stoppedAt = work.stopDuring(seen.process, seen.sent, seen.ended);
+    const std::optional<Instant> stoppedAt = stops.stopDuring(seen.process, seen.sent, seen.ended);
     if (stoppedAt && heldToTheEnd(fleet, seen, *stoppedAt)) {
         return;
     }
-    findings.add("answered", describe(fleet, work, seen, stoppedAt));
+    findings.add("answered", describe(fleet, seen, stoppedAt));
 }
 
 } // namespace azurespindle::soak
--- a/tests/soak/fault_script.cpp
+++ b/tests/soak/fault_script.cpp
@@ -18,9 +18,6 @@
 
 } // namespace
 
-FaultScript::FaultScript(SoakFleet &fleet, VersionProber &prober) : Script(fleet), prober(prober)
-{ }
-
 void FaultScript::beginOne()
 {
     using Begin = void (FaultScript::*)();
@@ -231,13 +228,6 @@
     this->later(time, [this, plain] { this->fleet.plain(plain).setBehaviour(Behaviour::Answers); });
 }
 
-void FaultScript::changeConfiguration()
-{
-    const std::uint64_t version = this->fleet.publishConfiguration();
-    this->prober.notePublished(version);
-    this->note("configuration " + std::to_string(version));
-}
-
 void FaultScript::evacuateZone()
 {
     if (std::exchange(this->evacuated, true)) {
--- a/tests/soak/fault_script.h
+++ b/tests/soak/fault_script.h
@@ -2,7 +2,6 @@
 #define AZURESPINDLE_TESTS_SOAK_FAULT_SCRIPT_H
 
 #include "script.h"
-#include "version_prober.h"
 
 #include <optional>
 #include <set>
@@ -13,7 +12,7 @@
 class FaultScript : public Script
 {
 public:
-    FaultScript(SoakFleet &fleet, VersionProber &prober);
+    using Script::Script;
 
 private:
     void beginOne() override;
@@ -27,13 +26,11 @@
     void harmEngine();
     void releaseEngine();
     void harmPlain();
-    void changeConfiguration();
     void evacuateZone();
 
     /// Picks a process that runs; none when all are being ended.
     std::optional<std::size_t> pickRunning();
 
-    VersionProber &prober;
     std::set<std::size_t> ended;  ///< Processes that do not run now.
     std::set<std::size_t> paused; ///< Processes that a signal holds.
     std::set<std::size_t> busyEngines;
--- a/tests/soak/link_proxy.cpp
+++ b/tests/soak/link_proxy.cpp
@@ -25,17 +25,8 @@
 
 const char *name(LinkFault fault)
 {
-    switch (fault) {
-    case LinkFault::None:
-        return "none";
-    case LinkFault::Slow:
-        return "slow";
-    case LinkFault::Silent:
-        return "silent";
-    case LinkFault::NoAnswers:
-        return "no-answers";
-    }
-    return "unknown";
+    constexpr const char *names[] = {"none", "slow", "silent", "no-answers"};
+    return names[static_cast<std::size_t>(fault)];
 }
 
 LinkThread::LinkThread() : work(asio::make_work_guard(this->io)), thread([this] { this->io.run(); })
@@ -233,9 +224,4 @@
     asio::post(this->implementation->io, [self = this->implementation] { self->resetAll(); });
 }
 
-LinkFault LinkProxy::fault() const
-{
-    return *this->implementation->fault;
-}
-
 } // namespace azurespindle::soak
--- a/tests/soak/link_proxy.h
+++ b/tests/soak/link_proxy.h
@@ -57,7 +57,6 @@
     void setFault(LinkFault fault);
     /// Resets every connection that is open.
     void resetAll();
-    LinkFault fault() const;
 
 private:
     class Implementation;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -4,7 +4,7 @@
 #include "answered.h"
 #include "fault_script.h"
 #include "journal/journal.h"
-#include "stop_caller.h"
+#include "soak_caller.h"
 #include "stop_script.h"
 #include "version_prober.h"
 
@@ -23,7 +23,7 @@
 constexpr int exitFindings = 1;
 constexpr int exitUsage = 2;
 
-constexpr std::size_t callersOfEachKind = 4;
+constexpr std::size_t steadyCallers = 16;
 /// Callers of a play of stops come in groups, one group a process, but no more.
 constexpr std::size_t mostCallerGroups = 12;
 constexpr seconds startTime {15};
@@ -84,8 +84,7 @@
     if (!once) {
         return;
     }
-    const std::size_t runs = seen.kind == RequestKind::Order ? fleet.plainRuns(seen.callerId)
-                                                             : fleet.engineRuns(seen.callerId);
+    const std::size_t runs = fleet.runs(seen.callerId);
     if (runs > 1) {
         findings.add("at most once",
                      seen.callerId + " ran " + std::to_string(runs) + " times, expected at most 1");
@@ -103,9 +102,9 @@
     std::size_t unanswered = 0;
     std::size_t late = 0;
     for (const Seen &seen : answers) {
-        const bool plain = seen.kind == RequestKind::Order || seen.kind == RequestKind::Look;
         const microseconds took = seen.ended - seen.sent;
-        if (!plain || took < plainTimeout || !fleet.calm().calmSince(seen.process, seen.sent)) {
+        if (isGeneration(seen.kind) || took < plainTimeout
+            || !fleet.calm().calmSince(seen.process, seen.sent)) {
             continue;
         }
         unanswered += 1;
@@ -118,50 +117,32 @@
     }
 }
 
-std::vector<std::unique_ptr<SoakCaller>> startCallers(SoakFleet &fleet, Findings &findings)
+std::vector<std::unique_ptr<SoakCaller>> startCallers(SoakFleet &fleet, Findings &findings,
+                                                      const StopRecord &stops)
 {
+    const std::size_t groups = std::min(fleet.settings().processes, mostCallerGroups);
+    const bool planned = fleet.settings().plan == Plan::Stops;
+    const std::vector<CallerStyle> styles = planned
+        ? std::vector {CallerStyle::Holder, CallerStyle::Kept, CallerStyle::Kept,
+                       CallerStyle::Fresh,  CallerStyle::Slow, CallerStyle::Fresh}
+        : std::vector {CallerStyle::Steady};
+    const std::size_t count = planned ? groups * styles.size() : steadyCallers;
     std::vector<std::unique_ptr<SoakCaller>> callers;
-    for (std::size_t each = 0; each < callersOfEachKind; ++each) {
-        for (const RequestKind kind :
-             {RequestKind::Draft, RequestKind::Check, RequestKind::Order, RequestKind::Look}) {
-            callers.push_back(std::make_unique<SoakCaller>(fleet, findings, kind, callers.size()));
-        }
-    }
-    return callers;
-}
-
-std::vector<std::unique_ptr<StopCaller>> startStopCallers(SoakFleet &fleet, Findings &findings,
-                                                          const PlannedWork &work)
-{
-    constexpr CallerStyle styles[] = {CallerStyle::Holder, CallerStyle::Kept, CallerStyle::Kept,
-                                      CallerStyle::Fresh,  CallerStyle::Slow, CallerStyle::Fresh};
-    const std::size_t count
-        = std::min(fleet.settings().processes, mostCallerGroups) * std::size(styles);
-    std::vector<std::unique_ptr<StopCaller>> callers;
     for (std::size_t each = 0; each < count; ++each) {
-        callers.push_back(std::make_unique<StopCaller>(fleet, findings, work,
-                                                       styles[each % std::size(styles)], each));
+        callers.push_back(std::make_unique<SoakCaller>(fleet, findings, stops,
+                                                       styles[each % styles.size()], each));
     }
     return callers;
 }
 
-std::unique_ptr<Script> makeScript(SoakFleet &fleet, VersionProber &prober, PlannedWork &work)
+std::unique_ptr<Script> makeScript(SoakFleet &fleet, VersionProber &prober, StopRecord &stops)
 {
     if (fleet.settings().plan == Plan::Stops) {
-        return std::make_unique<StopScript>(fleet, prober, work);
+        return std::make_unique<StopScript>(fleet, prober, stops);
     }
     return std::make_unique<FaultScript>(fleet, prober);
 }
 
-/// Stops callers and adds their answers.
-template<typename Callers> void takeAnswers(const Callers &callers, std::vector<Seen> &answers)
-{
-    for (const auto &caller : callers) {
-        caller->stop();
-        answers.insert(answers.end(), caller->answers().begin(), caller->answers().end());
-    }
-}
-
 void play(SoakFleet &fleet, Findings &findings)
 {
     if (const auto missing = waitForService(fleet, startTime)) {
@@ -169,13 +150,10 @@
         return;
     }
     VersionProber prober(fleet, findings);
-    PlannedWork work(fleet.settings().processes);
-    const bool stops = fleet.settings().plan == Plan::Stops;
-    auto callers
-        = stops ? std::vector<std::unique_ptr<SoakCaller>>() : startCallers(fleet, findings);
-    auto stopCallers = stops ? startStopCallers(fleet, findings, work)
-                             : std::vector<std::unique_ptr<StopCaller>>();
-    const std::unique_ptr<Script> script = makeScript(fleet, prober, work);
+    StopRecord stops(fleet.settings().processes);
+    const bool planned = fleet.settings().plan == Plan::Stops;
+    const auto callers = startCallers(fleet, findings, stops);
+    const std::unique_ptr<Script> script = makeScript(fleet, prober, stops);
     script->play(fleet.settings().duration);
     if (const auto missing = waitForService(fleet, recoveryTime)) {
         findings.add("recovery",
@@ -184,14 +162,16 @@
     }
     prober.stop();
     std::vector<Seen> answers;
-    takeAnswers(callers, answers);
-    takeAnswers(stopCallers, answers);
+    for (const auto &caller : callers) {
+        caller->stop();
+        answers.insert(answers.end(), caller->answers().begin(), caller->answers().end());
+    }
     std::this_thread::sleep_for(lateRuns);
     std::size_t served = 0;
     for (const Seen &seen : answers) {
         checkRuns(fleet, seen, findings);
-        if (stops) {
-            checkAnswered(fleet, work, seen, findings);
+        if (planned) {
+            checkAnswered(fleet, stops, seen, findings);
         }
         served += seen.whole && seen.status == statusOk ? 1 : 0;
     }
@@ -206,14 +186,6 @@
     }
 }
 
-Plan planNamed(const std::string &name)
-{
-    if (name != "random" && name != "stops") {
-        throw std::invalid_argument("there is no plan " + name);
-    }
-    return name == "stops" ? Plan::Stops : Plan::Random;
-}
-
 int run(const SoakOptions &options)
 {
     Findings findings;
@@ -258,7 +230,12 @@
         }
         soak::SoakOptions options;
         options.seed = given["seed"].as<std::uint64_t>();
-        options.plan = soak::planNamed(given["plan"].as<std::string>());
+        const std::string plan = given["plan"].as<std::string>();
+        if (plan != "random" && plan != "stops") {
+            throw std::invalid_argument("there is no plan " + plan);
+        }
+        options.plan = plan == "stops" ? soak::Plan::Stops : soak::Plan::Random;
+        options.plains = options.plan == soak::Plan::Stops ? 1 + options.seed % 3 : options.plains;
         options.duration = seconds(given["seconds"].as<int>());
         options.processes = given["processes"].as<std::size_t>();
         options.firstPort = given["port"].as<std::uint16_t>();
--- a/tests/soak/script.cpp
+++ b/tests/soak/script.cpp
@@ -12,7 +12,8 @@
 
 } // namespace
 
-Script::Script(SoakFleet &fleet) : fleet(fleet), random(fleet.settings().seed)
+Script::Script(SoakFleet &fleet, VersionProber &prober)
+    : fleet(fleet), prober(prober), random(fleet.settings().seed)
 { }
 
 void Script::play(seconds duration)
@@ -47,19 +48,21 @@
 
 void Script::healDue(Instant until)
 {
-    while (monotonicNow() < until) {
+    do {
         while (!this->heals.empty() && this->heals.begin()->first <= monotonicNow()) {
             const Heal heal = this->heals.begin()->second;
             this->heals.erase(this->heals.begin());
             heal();
         }
         std::this_thread::sleep_for(healPoll);
-    }
-    if (!this->heals.empty() && this->heals.begin()->first <= until) {
-        const Heal heal = this->heals.begin()->second;
-        this->heals.erase(this->heals.begin());
-        heal();
-    }
+    } while (monotonicNow() < until);
+}
+
+void Script::changeConfiguration()
+{
+    const std::uint64_t version = this->fleet.publishConfiguration();
+    this->prober.notePublished(version);
+    this->note("configuration " + std::to_string(version));
 }
 
 } // namespace azurespindle::soak
--- a/tests/soak/script.h
+++ b/tests/soak/script.h
@@ -2,6 +2,7 @@
 #define AZURESPINDLE_TESTS_SOAK_SCRIPT_H
 
 #include "soak_fleet.h"
+#include "version_prober.h"
 
 #include <functional>
 #include <map>
@@ -15,7 +16,7 @@
 class Script
 {
 public:
-    explicit Script(SoakFleet &fleet);
+    Script(SoakFleet &fleet, VersionProber &prober);
     virtual ~Script() = default;
     Script(const Script &) = delete;
     Script &operator=(const Script &) = delete;
@@ -37,9 +38,13 @@
     /// Calls \a heal once \a delay is over.
     void later(milliseconds delay, Heal heal);
 
+    /// Publishes a configuration and tells the prober.
+    void changeConfiguration();
+
     SoakFleet &fleet;
 
 private:
+    VersionProber &prober;
     void healDue(Instant until);
 
     std::mt19937_64 random;
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -1,186 +1,53 @@
 #include "soak_caller.h"
 
-#include <boost/beast/http.hpp>
-
-#include <optional>
-
 namespace azurespindle::soak {
 namespace {
 
-namespace beast = boost::beast::http;
-
-constexpr milliseconds pauseBetween {15};
+constexpr std::uint64_t steadyPauseMs = 15;
+constexpr std::uint64_t mostPauseMs = 70;
+constexpr std::uint64_t mostHolderPauseMs = 1'200;
 constexpr milliseconds reconnectPause {60};
-/// Beyond its deadline a caller waits so long for an answer before it hangs up.
-constexpr milliseconds hangUpMargin {1'000};
-constexpr milliseconds readStep {100};
-constexpr milliseconds plainDeadline {1'500};
-constexpr milliseconds checkDeadline {6'000};
-constexpr milliseconds draftDeadline {20'000};
+constexpr milliseconds readyPatience {100};
 constexpr std::uint64_t leastEvents = 20;
-constexpr std::uint64_t mostDraftEvents = 500;
-constexpr std::uint64_t mostCheckEvents = 60;
-
-std::string methodOf(RequestKind kind)
-{
-    return kind == RequestKind::Look ? "GET" : "POST";
-}
-
-std::string requestText(const Request &request)
-{
-    const std::string body = isGeneration(request.kind) ? "events=" + std::to_string(request.events)
-        : request.kind == RequestKind::Order
-        ? "order " + request.callerId + std::string(request.padding, '.')
-        : "";
-    std::string text = methodOf(request.kind) + " " + request.target
-        + " HTTP/1.1\r\nHost: shop.example\r\n" + "Azurespindle-Attempt-Id: " + request.callerId
-        + "\r\nAzurespindle-Key: k1\r\n"
-        + "Azurespindle-Deadline-Ms: " + std::to_string(request.deadline.count()) + "\r\n";
-    if (isGeneration(request.kind)) {
-        text += "Azurespindle-Token-Usage: 3000,2000\r\n";
-    }
-    return text + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-}
-
-std::string expectedEvents(const std::string &callerId, std::uint64_t count)
-{
-    std::string text;
-    for (std::uint64_t number = 1; number <= count; ++number) {
-        text += "id: " + std::to_string(number) + "\ndata: " + callerId + ":"
-            + std::to_string(number) + "\n\n";
-    }
-    return text;
-}
-
-/// Returns where two texts part, with a few characters of both.
-std::string difference(const std::string &expected, const std::string &got)
-{
-    constexpr std::size_t shown = 40;
-    std::size_t at = 0;
-    while (at < expected.size() && at < got.size() && expected[at] == got[at]) {
-        ++at;
-    }
-    return "at byte " + std::to_string(at) + " expected '" + expected.substr(at, shown)
-        + "' but got '" + got.substr(at, shown) + "'";
-}
-
-std::string bodyFault(const Seen &seen)
-{
-    if (seen.status != statusOk) {
-        return "";
-    }
-    if (isGeneration(seen.kind)) {
-        const std::string all = expectedEvents(seen.callerId, seen.events);
-        const std::string expected = seen.whole ? all : all.substr(0, seen.body.size());
-        return seen.body == expected ? "" : difference(expected, seen.body);
-    }
-    const bool mine = seen.body.find(seen.callerId) != std::string::npos;
-    return mine || !seen.whole ? "" : "expected its own answer but got '" + seen.body + "'";
-}
-
-} // namespace
-
-const char *name(RequestKind kind)
-{
-    switch (kind) {
-    case RequestKind::Draft:
-        return "draft";
-    case RequestKind::Check:
-        return "check";
-    case RequestKind::Order:
-        return "order";
-    case RequestKind::Look:
-        return "look";
-    }
-    return "unknown";
-}
-
-bool isGeneration(RequestKind kind)
+constexpr std::uint64_t mostSteadyDraftEvents = 500;
+constexpr std::uint64_t mostSteadyCheckEvents = 60;
+constexpr std::uint64_t mostEvents = 600;
+/// Events of a draft that outlasts a stop.
+constexpr std::uint64_t leastHolderEvents = 1'400;
+constexpr std::uint64_t mostHolderEvents = 2'600;
+constexpr std::uint64_t mostOrderBytes = 60'000;
+constexpr int slowReceiveBuffer = 4'096; // bytes
+constexpr std::size_t slowReadBytes = 2'048;
+constexpr milliseconds slowReadPause {25};
+
+const char *name(CallerStyle style)
 {
-    return kind == RequestKind::Draft || kind == RequestKind::Check;
+    constexpr const char *names[] = {"steady", "kept", "fresh", "slow", "holder"};
+    return names[static_cast<std::size_t>(style)];
 }
 
-milliseconds routeTimeout(RequestKind kind)
+/// Returns the kinds that callers of a style draw from; Steady ones keep to one of them.
+std::vector<RequestKind> kindsOf(CallerStyle style)
 {
-    switch (kind) {
-    case RequestKind::Draft:
-        return draftDeadline;
-    case RequestKind::Check:
-        return checkDeadline;
+    using K = RequestKind;
+    switch (style) {
+    case CallerStyle::Steady:
+        return {K::Draft, K::Check, K::Order, K::Look};
+    case CallerStyle::Slow:
+        return {K::Order, K::Check};
+    case CallerStyle::Holder:
+        return {K::Draft};
     default:
-        return plainDeadline;
+        return {K::Look,  K::Look,  K::Look,  K::Look,  K::Look,
+                K::Order, K::Order, K::Check, K::Check, K::Draft};
     }
 }
 
-Seen exchangeOn(const tests::RawConnection &connection, const Request &request,
-                const ReadPace &pace, const std::atomic<bool> *giveUp)
-{
-    Seen seen;
-    seen.kind = request.kind;
-    seen.callerId = request.callerId;
-    seen.events = request.events;
-    seen.deadline = request.deadline;
-    seen.sent = monotonicNow();
-    connection.send(requestText(request));
-    seen.wholeSent = monotonicNow();
-    beast::response_parser<beast::string_body> parser;
-    parser.eager(true);
-    parser.body_limit(boost::none);
-    std::string unread;
-    const Instant hangUp = seen.sent + request.deadline + hangUpMargin;
-    while (!parser.is_done()) {
-        seen.hungUp = monotonicNow() >= hangUp || (giveUp != nullptr && *giveUp);
-        if (seen.hungUp) {
-            break;
-        }
-        const std::optional<std::string> bytes = connection.readSome(readStep, pace.mostBytes);
-        if (!bytes) {
-            continue;
-        }
-        boost::system::error_code error;
-        if (bytes->empty()) {
-            break; // Every answer has a length or chunks: one that is cut is not whole.
-        }
-        unread += *bytes;
-        const std::size_t used = parser.put(boost::asio::buffer(unread), error);
-        unread.erase(0, used);
-        if (error && error != beast::error::need_more) {
-            seen.parseError = error.message();
-            break;
-        }
-        std::this_thread::sleep_for(pace.pause);
-    }
-    seen.ended = monotonicNow();
-    seen.whole = parser.is_done();
-    if (parser.is_header_done()) {
-        seen.status = static_cast<int>(parser.get().result_int());
-        seen.echoedId = std::string(parser.get()["azurespindle-attempt-id"]);
-        seen.body = parser.get().body();
-    }
-    if (seen.whole && !unread.empty()) {
-        seen.parseError = "bytes follow the answer: " + unread;
-    }
-    return seen;
-}
-
-std::string faultOf(const Seen &seen)
-{
-    if (!seen.parseError.empty()) {
-        return "the bytes are no answer: " + seen.parseError;
-    }
-    if (!seen.echoedId.empty() && seen.echoedId != seen.callerId) {
-        return "expected the answer to " + seen.callerId + " but got that to " + seen.echoedId;
-    }
-    const bool turnedAway = seen.status >= 400 && seen.status < 500 && seen.status != 408
-        && seen.status != 421 && seen.status != 429;
-    if (turnedAway) {
-        return "a proper request was turned away with " + std::to_string(seen.status);
-    }
-    return bodyFault(seen);
-}
+} // namespace
 
-SoakCaller::SoakCaller(SoakFleet &fleet, Findings &findings, RequestKind kind, std::uint64_t number)
-    : fleet(fleet), findings(findings), kind(kind), number(number),
+SoakCaller::SoakCaller(SoakFleet &fleet, Findings &findings, const StopRecord &stops,
+                       CallerStyle style, std::uint64_t number)
+    : fleet(fleet), findings(findings), stops(stops), style(style), number(number),
       random(fleet.settings().seed * 1'000 + number), thread([this] { this->run(); })
 { }
 
@@ -199,52 +66,98 @@
 
 void SoakCaller::run()
 {
+    const bool steady = this->style == CallerStyle::Steady;
+    const std::uint64_t leastPause = steady ? steadyPauseMs : 0;
+    const std::uint64_t mostPause = steady   ? steadyPauseMs
+        : this->style == CallerStyle::Holder ? mostHolderPauseMs
+                                             : mostPauseMs;
     while (!this->stopping) {
         if (this->connection == nullptr && !this->connect()) {
             std::this_thread::sleep_for(reconnectPause);
             continue;
         }
         this->sendOne();
-        std::this_thread::sleep_for(pauseBetween);
+        std::this_thread::sleep_for(milliseconds(this->between(leastPause, mostPause)));
     }
 }
 
-/// Connects to a process that says it is ready, as the platform's balancer would.
+std::uint64_t SoakCaller::between(std::uint64_t least, std::uint64_t most)
+{
+    return least + this->random() % (most - least + 1);
+}
+
+std::size_t SoakCaller::chooseProcess()
+{
+    const std::vector<std::size_t> stopped = this->stops.stopping();
+    const bool atStopped = this->style != CallerStyle::Steady && this->style != CallerStyle::Holder
+        && !stopped.empty() && this->random() % 4 != 0;
+    return atStopped ? stopped[this->random() % stopped.size()]
+                     : this->random() % this->fleet.settings().processes;
+}
+
 bool SoakCaller::connect()
 {
-    this->process = this->random() % this->fleet.settings().processes;
-    const tests::RawConnection probe(this->fleet.readyPort(this->process));
-    probe.send("GET /readyz HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");
-    const std::optional<std::string> answer = probe.readSome(readStep);
-    if (!answer || answer->find(" 200 ") == std::string::npos) {
-        return false;
+    this->process = this->chooseProcess();
+    const bool steady = this->style == CallerStyle::Steady;
+    if (steady) {
+        const tests::RawConnection probe(this->fleet.readyPort(this->process));
+        probe.send("GET /readyz HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");
+        const std::optional<std::string> answer = probe.readSome(readyPatience);
+        if (!answer || answer->find(" 200 ") == std::string::npos) {
+            return false;
+        }
     }
-    const std::uint16_t port = this->fleet.callerPort(this->process);
-    this->connection = std::make_unique<tests::RawConnection>(port);
+    this->connection = std::make_unique<tests::RawConnection>(
+        steady ? this->fleet.callerPort(this->process) : this->fleet.directPort(this->process),
+        this->style == CallerStyle::Slow ? slowReceiveBuffer : 0);
     if (!this->connection->connected()) {
         this->connection.reset();
     }
     return this->connection != nullptr;
 }
 
-void SoakCaller::sendOne()
+Request SoakCaller::draw()
 {
+    const bool steady = this->style == CallerStyle::Steady;
+    const std::vector<RequestKind> kinds = kindsOf(this->style);
     this->sent += 1;
-    const std::string id = std::string(name(this->kind)) + "-" + std::to_string(this->number) + "-"
-        + std::to_string(this->sent);
-    const std::uint64_t most = this->kind == RequestKind::Draft ? mostDraftEvents : mostCheckEvents;
-    Request request {this->kind, id, "/" + std::string(name(this->kind)) + "/" + id};
-    request.events
-        = isGeneration(this->kind) ? leastEvents + this->random() % (most - leastEvents) : 0;
-    request.deadline = routeTimeout(this->kind);
-    Seen answer = exchangeOn(*this->connection, request);
+    Request request;
+    request.kind = kinds[(steady ? this->number : this->random()) % kinds.size()];
+    request.callerId = std::string(name(request.kind)) + "-" + name(this->style) + "-"
+        + std::to_string(this->number) + "-" + std::to_string(this->sent);
+    request.target = "/" + std::string(name(request.kind)) + "/" + request.callerId;
+    request.deadline = routeTimeout(request.kind);
+    const std::uint64_t most = !steady       ? mostEvents
+        : request.kind == RequestKind::Draft ? mostSteadyDraftEvents
+                                             : mostSteadyCheckEvents;
+    if (this->style == CallerStyle::Slow) {
+        request.readBytes = slowReadBytes;
+        request.readPause = slowReadPause;
+        request.padding = isGeneration(request.kind) ? 0 : this->between(0, mostOrderBytes);
+    }
+    if (this->style == CallerStyle::Holder) {
+        request.events = this->between(leastHolderEvents, mostHolderEvents);
+    } else if (isGeneration(request.kind)) {
+        request.events = this->between(leastEvents, most);
+    }
+    return request;
+}
+
+void SoakCaller::sendOne()
+{
+    const Request request = this->draw();
+    const bool steady = this->style == CallerStyle::Steady;
+    Seen answer = exchangeOn(*this->connection, request, steady ? nullptr : &this->stopping);
     answer.process = this->process;
     const std::string fault = faultOf(answer);
     if (!fault.empty()) {
         this->findings.add("answer",
-                           id + " at entry-" + std::to_string(this->process) + ": " + fault);
+                           request.callerId + " at entry-" + std::to_string(this->process) + ": "
+                               + fault);
     }
-    const bool usable = answer.whole && this->connection->readSome(milliseconds(0)) == std::nullopt;
+    const bool keeps = steady || this->style == CallerStyle::Kept;
+    const bool usable
+        = keeps && answer.whole && this->connection->readSome(milliseconds(0)) == std::nullopt;
     if (!usable) {
         this->connection.reset();
     }
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -177,48 +177,36 @@
     }
 }
 
-void SoakFleet::endProcess(std::size_t index, int signal, milliseconds patience)
+void SoakFleet::endProcess(std::size_t process, int signal, milliseconds patience)
 {
-    Process &process = this->processes[index];
-    this->signalProcess(index, signal);
-    const Instant until = monotonicNow() + patience;
-    int status = 0;
-    while (waitpid(process.id, &status, WNOHANG) == 0) {
-        if (monotonicNow() >= until) {
-            this->findings.add("stop",
-                               "entry-" + std::to_string(index) + " did not end within "
-                                   + std::to_string(patience.count()) + " ms");
-            kill(process.id, SIGKILL);
-            waitpid(process.id, &status, 0);
-            break;
-        }
+    this->signalProcess(process, signal);
+    const Instant deadline = monotonicNow() + patience;
+    while (!this->reap(process, deadline, 0)) {
         std::this_thread::sleep_for(endPoll);
     }
-    const bool crashed = WIFSIGNALED(status) && WTERMSIG(status) != SIGKILL;
-    if (crashed || (WIFEXITED(status) && WEXITSTATUS(status) != 0)) {
-        this->findings.add("exit",
-                           "entry-" + std::to_string(index) + " life "
-                               + std::to_string(process.lives) + " ended with status "
-                               + std::to_string(status));
-    }
-    process.id = 0;
 }
 
-bool SoakFleet::reapStopped(std::size_t index, Instant stoppedAt)
+bool SoakFleet::reapStopped(std::size_t process, Instant stoppedAt)
+{
+    return this->reap(process, stoppedAt + stopTime, exitCut);
+}
+
+bool SoakFleet::reap(std::size_t index, Instant deadline, int highestCode)
 {
     Process &process = this->processes[index];
     const std::string life
         = "entry-" + std::to_string(index) + " life " + std::to_string(process.lives);
     int status = 0;
     if (waitpid(process.id, &status, WNOHANG) == 0) {
-        if (monotonicNow() - stoppedAt < stopTime) {
+        if (monotonicNow() < deadline) {
             return false;
         }
-        this->findings.add("stop",
-                           life + " did not end within " + std::to_string(stopTime.count()) + " s");
+        this->findings.add("stop", life + " did not end in time");
         kill(process.id, SIGKILL);
         waitpid(process.id, &status, 0);
-    } else if (!WIFEXITED(status) || WEXITSTATUS(status) > exitCut) {
+    }
+    const bool crashed = WIFSIGNALED(status) && WTERMSIG(status) != SIGKILL;
+    if (crashed || (WIFEXITED(status) && WEXITSTATUS(status) > highestCode)) {
         this->findings.add("exit", life + " ended with status " + std::to_string(status));
     }
     process.id = 0;
@@ -323,13 +311,10 @@
     }
 }
 
-std::size_t SoakFleet::plainRuns(const std::string &callerId) const
+bool SoakFleet::hungOn(const std::string &callerId) const
 {
-    std::size_t runs = 0;
-    for (const Plain &plain : this->plains) {
-        runs += plain.standin->runs(callerId);
-    }
-    return runs;
+    return std::any_of(this->plains.begin(), this->plains.end(),
+                       [&](const Plain &plain) { return plain.standin->hungOn(callerId); });
 }
 
 bool SoakFleet::finishedBy(const std::string &callerId, Instant time) const
@@ -342,9 +327,12 @@
         || std::any_of(this->goneEngines.begin(), this->goneEngines.end(), has);
 }
 
-std::size_t SoakFleet::engineRuns(const std::string &callerId) const
+std::size_t SoakFleet::runs(const std::string &callerId) const
 {
     std::size_t runs = 0;
+    for (const Plain &plain : this->plains) {
+        runs += plain.standin->runs(callerId);
+    }
     for (const Engine &engine : this->engines) {
         runs += engine.standin->runs(callerId);
     }
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -77,22 +77,21 @@
     tests::FakeStore &store() { return *this->storeStandin; }
     tests::FakeEngine &engine(std::size_t index) { return *this->engines[index].standin; }
     tests::FakeService &plain(std::size_t index) { return *this->plains[index].standin; }
-    const std::string &engineZone(std::size_t index) const { return this->engines[index].zone; }
     LinkProxy &engineLink(std::size_t index) { return *this->engines[index].link; }
     LinkProxy &plainLink(std::size_t index) { return *this->plains[index].link; }
     LinkProxy &callerLink(std::size_t process) { return *this->processes[process].callerLink; }
     LinkProxy &memberLink(std::size_t process) { return *this->processes[process].memberLink; }
     LinkProxy &storeLink(std::size_t process) { return *this->processes[process].storeLink; }
-    bool leaving(std::size_t engine) const { return this->engines[engine].leaving; }
     /// Returns the port at which callers reach a process, through its link.
     std::uint16_t callerPort(std::size_t process) const;
     /// Returns the port at which a process listens to callers.
     std::uint16_t directPort(std::size_t process) const;
     std::uint16_t readyPort(std::size_t process) const;
-    /// Returns how often a call ran on the plain upstreams.
-    std::size_t plainRuns(const std::string &callerId) const;
-    /// Returns how often a generation was begun from its first event, on all engines ever.
-    std::size_t engineRuns(const std::string &callerId) const;
+    /// Returns how often a call ran, or a generation was begun from its first event, on all
+    /// upstreams ever.
+    std::size_t runs(const std::string &callerId) const;
+    /// Returns true if a plain upstream hung on a request.
+    bool hungOn(const std::string &callerId) const;
     /// Returns true if an upstream had run a request to its end at \a time.
     bool finishedBy(const std::string &callerId, Instant time) const;
 
@@ -120,6 +119,8 @@
         std::unique_ptr<LinkProxy> link;
     };
 
+    /// \param highestCode exit codes above it are a finding, as are signals but SIGKILL.
+    bool reap(std::size_t process, Instant deadline, int highestCode);
     void writeSettings(std::size_t process) const;
     std::uint16_t processPort(std::size_t process, std::size_t offset) const;
     std::uint16_t nextUpstreamPort();
--- a/tests/soak/stop_script.cpp
+++ b/tests/soak/stop_script.cpp
@@ -15,8 +15,8 @@
 
 } // namespace
 
-StopScript::StopScript(SoakFleet &fleet, VersionProber &prober, PlannedWork &work)
-    : Script(fleet), prober(prober), work(work)
+StopScript::StopScript(SoakFleet &fleet, VersionProber &prober, StopRecord &stops)
+    : Script(fleet, prober), stops(stops)
 { }
 
 void StopScript::beginOne()
@@ -31,10 +31,7 @@
 
 void StopScript::stopOne()
 {
-    const std::size_t process = this->pick(this->fleet.settings().processes);
-    if (this->ended.count(process) == 0) {
-        this->stop(process);
-    }
+    this->stop(this->pick(this->fleet.settings().processes));
 }
 
 /// Stops several processes, but for one.
@@ -44,20 +41,18 @@
     const std::size_t first = this->pick(this->fleet.settings().processes);
     for (std::size_t each = 0; each < count; ++each) {
         const std::size_t process = (first + each) % this->fleet.settings().processes;
-        this->later(this->between(0, mostStaggerMs), [this, process] {
-            if (this->ended.count(process) == 0) {
-                this->stop(process);
-            }
-        });
+        this->later(this->between(0, mostStaggerMs), [this, process] { this->stop(process); });
     }
 }
 
 void StopScript::stop(std::size_t process)
 {
+    if (!this->ended.insert(process).second) {
+        return;
+    }
     this->note("stop entry-" + std::to_string(process));
-    this->ended.insert(process);
     this->fleet.calm().disturb(process, SoakFleet::stopTime);
-    this->work.noteStop(process);
+    this->stops.noteStop(process);
     const Instant stoppedAt = monotonicNow();
     this->fleet.signalProcess(process, SIGTERM);
     this->later(endPoll, [this, process, stoppedAt] { this->awaitEnd(process, stoppedAt); });
@@ -69,7 +64,7 @@
         this->later(endPoll, [this, process, stoppedAt] { this->awaitEnd(process, stoppedAt); });
         return;
     }
-    this->work.noteEnded(process);
+    this->stops.noteEnded(process);
     this->later(this->between(0, mostRestartDelayMs), [this, process] {
         this->fleet.calm().disturb(process, atOnce);
         this->fleet.startProcess(process);
@@ -79,35 +74,22 @@
 
 void StopScript::stopAgain()
 {
-    const std::vector<std::size_t> stopping = this->work.stopping();
+    const std::vector<std::size_t> stopping = this->stops.stopping();
     if (stopping.empty()) {
         return;
     }
     const std::size_t process = stopping[this->pick(stopping.size())];
-    const std::string line = "stop entry-" + std::to_string(process) + " again";
-    this->note(line);
-    this->work.note(line, process);
+    this->note("stop entry-" + std::to_string(process) + " again");
     this->fleet.signalProcess(process, SIGTERM);
 }
 
 void StopScript::reloadProcess()
 {
     const std::size_t process = this->pick(this->fleet.settings().processes);
-    const std::string line = "reload entry-" + std::to_string(process);
-    this->note(line);
-    this->work.note(line, process);
+    this->note("reload entry-" + std::to_string(process));
     this->fleet.signalProcess(process, SIGHUP);
 }
 
-void StopScript::changeConfiguration()
-{
-    const std::uint64_t version = this->fleet.publishConfiguration();
-    this->prober.notePublished(version);
-    const std::string line = "configuration " + std::to_string(version);
-    this->note(line);
-    this->work.note(line);
-}
-
 void StopScript::slowPlains()
 {
     const milliseconds workTime = this->between(leastWorkMs, mostWorkMs);
@@ -130,7 +112,6 @@
     const std::size_t plain = this->pick(this->fleet.settings().plains);
     const milliseconds time = this->between(200, 1'500);
     this->note("plain " + std::to_string(plain) + " hangs for " + std::to_string(time.count()));
-    this->work.disturbPlain(time + Calm::contactTime);
     this->fleet.plain(plain).setBehaviour(Behaviour::Hangs);
     this->later(time, [this, plain] { this->fleet.plain(plain).setBehaviour(Behaviour::Answers); });
 }
--- a/tests/soak/stop_script.h
+++ b/tests/soak/stop_script.h
@@ -1,9 +1,8 @@
 #ifndef AZURESPINDLE_TESTS_SOAK_STOP_SCRIPT_H
 #define AZURESPINDLE_TESTS_SOAK_STOP_SCRIPT_H
 
-#include "planned_work.h"
 #include "script.h"
-#include "version_prober.h"
+#include "stop_record.h"
 
 #include <set>
 
@@ -14,7 +13,7 @@
 class StopScript : public Script
 {
 public:
-    StopScript(SoakFleet &fleet, VersionProber &prober, PlannedWork &work);
+    StopScript(SoakFleet &fleet, VersionProber &prober, StopRecord &stops);
 
 private:
     void beginOne() override;
@@ -22,7 +21,6 @@
     void stopMany();
     void stopAgain();
     void reloadProcess();
-    void changeConfiguration();
     void slowPlains();
     void hangPlain();
 
@@ -30,8 +28,7 @@
     /// Starts a process again once it has ended; one that overran its stop time is killed.
     void awaitEnd(std::size_t process, Instant stoppedAt);
 
-    VersionProber &prober;
-    PlannedWork &work;
+    StopRecord &stops;
     std::set<std::size_t> ended; ///< Processes that were stopped and do not run again yet.
 };
 
--- a/tests/soak/version_prober.cpp
+++ b/tests/soak/version_prober.cpp
@@ -1,6 +1,6 @@
 #include "version_prober.h"
 
-#include "soak_caller.h"
+#include "exchange.h"
 
 namespace azurespindle::soak {
 namespace {
