--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -98,6 +98,17 @@
     return found == this->activeRequests.end() ? nullptr : &found->second;
 }
 
+std::vector<RequestId> Router::activeRequestIds() const
+{
+    std::vector<RequestId> ids;
+    ids.reserve(this->activeRequests.size());
+    for (const auto &[id, each] : this->activeRequests) {
+        ids.push_back(id);
+    }
+    std::sort(ids.begin(), ids.end());
+    return ids;
+}
+
 Router::ActiveRequest *Router::findByCurrentAttempt(const AttemptId &attempt)
 {
     ActiveRequest *found = this->findRequest(attempt.request);
@@ -297,21 +308,25 @@
     this->silentZones = event.silentZones;
 }
 
-void Router::on(const StopRequested &)
+void Router::on(const StopRequested &event)
+{
+    this->stop = Stop {this->now, event.endsAt};
+    this->placeQueued();
+}
+
+void Router::on(const StopTimedOut &)
 {
-    this->stopping = true;
+    for (const RequestId id : this->activeRequestIds()) {
+        if (ActiveRequest *each = this->findRequest(id)) {
+            this->endForStop(*each);
+        }
+    }
 }
 
 void Router::on(const TimePassed &)
 {
     this->loads.removeSilent(this->now);
-    std::vector<RequestId> ids;
-    ids.reserve(this->activeRequests.size());
-    for (const auto &[id, each] : this->activeRequests) {
-        ids.push_back(id);
-    }
-    std::sort(ids.begin(), ids.end());
-    for (const RequestId id : ids) {
+    for (const RequestId id : this->activeRequestIds()) {
         if (ActiveRequest *each = this->findRequest(id)) {
             this->checkDeadline(*each);
         }
--- a/src/routing/router_completion.cpp
+++ b/src/routing/router_completion.cpp
@@ -6,10 +6,20 @@
 #include <utility>
 
 namespace azurespindle::routing {
+namespace {
+
+constexpr int statusBadGateway = 502;
+
+} // namespace
+
+bool Router::callerHasData(const ActiveRequest &active)
+{
+    return active.relaying && active.eventCount > 0;
+}
 
 void Router::sendReply(ActiveRequest &active, LocalReply reply)
 {
-    if (active.relaying) {
+    if (callerHasData(active)) {
         this->abortStream(active, reply.reason);
         return;
     }
@@ -31,6 +41,10 @@
 
 void Router::abortStream(ActiveRequest &active, const std::string &reason)
 {
+    if (!callerHasData(active)) {
+        this->sendReply(active, {statusBadGateway, milliseconds(0), reason});
+        return;
+    }
     this->cancelAttempts(active);
     this->discardMigration(active, true);
     this->counters.generationsLost += 1;
@@ -43,6 +57,27 @@
     this->closeRequest(active.id);
 }
 
+void Router::endForStop(ActiveRequest &active)
+{
+    if (!callerHasData(active)) {
+        this->sendReply(active, this->stoppingReply(active));
+        return;
+    }
+    this->cancelAttempts(active);
+    this->discardMigration(active, true);
+    this->journal(active, journal::EventId::RequestCut,
+                  {{"upstream", active.upstream.id},
+                   {"route", active.route->name},
+                   {"takenMsAfterStop",
+                    internal::millisecondsSince(this->stop->requestedAt, active.arrivedAt)},
+                   {"afterMs", internal::millisecondsSince(active.arrivedAt, this->now)},
+                   {"leftMs", internal::millisecondsSince(this->now, active.deadline)},
+                   {"events", std::to_string(active.eventCount)}});
+    this->counters.streamsCutByStop += 1;
+    this->emit(AbortStream {active.id});
+    this->closeRequest(active.id);
+}
+
 void Router::finishRequest(ActiveRequest &active)
 {
     std::vector<journal::Field> fields {
--- a/src/routing/router_events.h
+++ b/src/routing/router_events.h
@@ -175,15 +175,22 @@
 struct TimePassed
 { };
 
-/// This process is about to stop.
+/// This process is about to stop. From now on it takes and places only requests whose deadline lies
+/// before the end of the stop, because the others might be left unanswered.
 struct StopRequested
+{
+    Instant endsAt; ///< Time at which StopTimedOut follows.
+};
+
+/// The time for stopping is over: every request has to end now.
+struct StopTimedOut
 { };
 
 using RouterEvent
     = std::variant<RequestArrived, CallerLeft, HeadArrived, EventsArrived, AttemptEnded,
                    MigrationResponseArrived, EngineReportArrived, FleetStateChanged,
                    StoreAvailabilityChanged, PeerReportArrived, ZoneReportArrived,
-                   PeerCrashReported, ProcessesChanged, TimePassed, StopRequested>;
+                   PeerCrashReported, ProcessesChanged, TimePassed, StopRequested, StopTimedOut>;
 
 // Effects: actions that the router requests. ------------------------------------------------
 
--- a/tests/routing/router_test.cpp
+++ b/tests/routing/router_test.cpp
@@ -33,7 +33,11 @@
     CPPUNIT_TEST(aRequestIsQueuedForCapacityAndRejectedBeforeItsDeadline);
     CPPUNIT_TEST(requestsForAServiceWithoutUpstreamsAreRejectedAtOnce);
     CPPUNIT_TEST(requestsOfHigherPriorityArePlacedFirst);
-    CPPUNIT_TEST(aStoppingProcessRejectsNonResumableGenerationsOnly);
+    CPPUNIT_TEST(aStoppingProcessTakesNothingThatItCannotFinish);
+    CPPUNIT_TEST(aStoppingProcessRejectsQueuedRequestsThatItCannotFinish);
+    CPPUNIT_TEST(aRetryDuringAStopEndsBeforeTheProcess);
+    CPPUNIT_TEST(aRequestWithoutDataAtTheEndOfAStopIsAnswered);
+    CPPUNIT_TEST(aStreamThatFailsBeforeItsFirstEventIsAnswered);
     CPPUNIT_TEST(aRequestThatCrashesUpstreamsIsRejected);
     CPPUNIT_TEST(retriesStayWithinTheBudget);
     CPPUNIT_TEST(aResponseToAnotherRequestIsNotForwarded);
@@ -404,17 +408,93 @@
                              std::uint64_t(harness.lastEffect<StartAttempt>()->attempt.request));
     }
 
-    void aStoppingProcessRejectsNonResumableGenerationsOnly()
+    void aStoppingProcessTakesNothingThatItCannotFinish()
     {
         RouterHarness harness;
         harness.configure();
         harness.addPlainUpstream("p1");
         harness.addEngine("e1");
-        harness.handle(StopRequested {});
+        harness.handle(StopRequested {harness.now() + milliseconds(7'500)});
         harness.sendRequest("/order/1");
         CPPUNIT_ASSERT_EQUAL(std::string("p1"), harness.lastUpstream());
         harness.sendRequest("/long/1");
         CPPUNIT_ASSERT_EQUAL(503, harness.lastReplyStatus());
+        harness.clearEffects();
+        harness.sendRequest("/short/1");
+        CPPUNIT_ASSERT_EQUAL(503, harness.lastReplyStatus());
+        harness.advanceTime(milliseconds(6'500));
+        harness.clearEffects();
+        harness.sendRequest("/order/2");
+        CPPUNIT_ASSERT_EQUAL(std::string("p1"), harness.lastUpstream());
+        harness.advanceTime(milliseconds(20));
+        harness.clearEffects();
+        harness.sendRequest("/order/3");
+        CPPUNIT_ASSERT_EQUAL(503, harness.lastReplyStatus());
+        CPPUNIT_ASSERT_EQUAL(std::string("none"), harness.lastUpstream());
+    }
+
+    void aStoppingProcessRejectsQueuedRequestsThatItCannotFinish()
+    {
+        RouterHarness harness;
+        harness.configure();
+        harness.sendRequest("/long/1");
+        CPPUNIT_ASSERT_EQUAL(0, harness.lastReplyStatus());
+        harness.handle(StopRequested {harness.now() + milliseconds(7'500)});
+        CPPUNIT_ASSERT_EQUAL(503, harness.lastReplyStatus());
+    }
+
+    void aRetryDuringAStopEndsBeforeTheProcess()
+    {
+        RouterHarness harness;
+        harness.configure();
+        harness.addPlainUpstream("p1");
+        harness.addPlainUpstream("p2");
+        const RequestId request = harness.sendRequest("/look/1");
+        harness.handle(StopRequested {harness.now() + milliseconds(7'500)});
+        harness.endAttempt(request, AttemptEnd::Complete, 500);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), harness.countEffects<StartAttempt>());
+        harness.clearEffects();
+        harness.advanceTime(milliseconds(500));
+        const auto retried = harness.sendRequest("/look/2");
+        harness.handle(StopRequested {harness.now() + milliseconds(30)});
+        harness.endAttempt(retried, AttemptEnd::Complete, 500);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.countEffects<StartAttempt>());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.countEffects<ForwardResponse>());
+    }
+
+    void aRequestWithoutDataAtTheEndOfAStopIsAnswered()
+    {
+        RouterHarness harness;
+        harness.configure();
+        harness.addPlainUpstream("p1");
+        harness.addEngine("e1");
+        harness.sendRequest("/order/1");
+        const RequestId silent = harness.sendRequest("/short/1");
+        const RequestId streaming = harness.sendRequest("/long/1");
+        harness.receiveStreamHead(silent);
+        harness.receiveStreamHead(streaming);
+        harness.receiveEvents(streaming, 2);
+        harness.handle(StopRequested {harness.now()});
+        harness.clearEffects();
+        harness.handle(StopTimedOut {});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), harness.countEffects<SendLocalReply>());
+        CPPUNIT_ASSERT_EQUAL(504, harness.lastReplyStatus());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.countEffects<AbortStream>());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(streaming),
+                             std::uint64_t(harness.lastEffect<AbortStream>()->request));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), harness.countEffects<CancelAttempt>());
+    }
+
+    void aStreamThatFailsBeforeItsFirstEventIsAnswered()
+    {
+        RouterHarness harness;
+        harness.configure();
+        harness.addEngine("e1");
+        const RequestId request = harness.sendRequest("/long/1");
+        harness.receiveStreamHead(request);
+        harness.endAttempt(request, AttemptEnd::Lost);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), harness.countEffects<AbortStream>());
+        CPPUNIT_ASSERT_EQUAL(502, harness.lastReplyStatus());
     }
 
     void aRequestThatCrashesUpstreamsIsRejected()
