Wait for the event that aVersionIsRolledOutWithoutAbortingAStream checks

Seen: all three engines had loaded v2, but /explain had no order-accepted for e0. Cause: the test waited until the engines ran the version, not until the members had seen it. The members read an engine's report every 2 s. With e0 as the last engine the test read /explain too early. Change: the test waits for the version and the event of every engine, within the same 90 s, and checks the event of all three engines instead of only e0.

--- a/tests/serving/order_service_test.cpp
+++ b/tests/serving/order_service_test.cpp
@@ -37,7 +37,7 @@
         fleet.configure(R"("exceptions":[)" + versionException("north") + ","
                         + versionException("south") + "," + versionException("east") + "]");
         const Instant deadline = monotonicNow() + seconds(90);
-        while (!rolledOut(fleet) && monotonicNow() < deadline) {
+        while (!(rolledOut(fleet) && allAccepted(fleet)) && monotonicNow() < deadline) {
             std::this_thread::sleep_for(milliseconds(100));
         }
         stop = true;
@@ -53,9 +53,11 @@
         for (const std::string &fault : faults) {
             CPPUNIT_ASSERT_EQUAL(std::string(), fault);
         }
-        const std::string explained
-            = fleet.get(0, "/explain?id=e0").body + fleet.get(1, "/explain?id=e0").body;
-        CPPUNIT_ASSERT_MESSAGE(explained, explained.find("order-accepted") != std::string::npos);
+        for (std::size_t engine = 0; engine < engines; ++engine) {
+            const std::string explained = explain(fleet, engine);
+            CPPUNIT_ASSERT_MESSAGE(explained,
+                                   explained.find("order-accepted") != std::string::npos);
+        }
         const std::string status = fleet.get(0, "/status").body + fleet.get(1, "/status").body;
         CPPUNIT_ASSERT_MESSAGE(status, status.find("\"wanted\": \":v2\"") != std::string::npos);
     }
@@ -69,6 +71,22 @@
         return R"({"zone":")" + zone + R"(","reason":"test","set":{"version":"v2"}})";
     }
 
+    static std::string explain(Fleet &fleet, std::size_t engine)
+    {
+        const std::string path = "/explain?id=e" + std::to_string(engine);
+        return fleet.get(0, path).body + fleet.get(1, path).body;
+    }
+
+    /// The members see an engine's version some time after the engine has it.
+    static bool allAccepted(Fleet &fleet)
+    {
+        bool all = true;
+        for (std::size_t engine = 0; engine < engines; ++engine) {
+            all = all && explain(fleet, engine).find("order-accepted") != std::string::npos;
+        }
+        return all;
+    }
+
     static bool rolledOut(const Fleet &fleet)
     {
         bool all = true;
