Answer what has arrived when a server stops

Seen: requests that had arrived, and answers that were given, lost in the stop of a server: their connection was closed without an answer. Tests hold up the server's worker thread to make it certain. Cause: stop() ended the worker threads without a look at what was unread or unsent. Change: stop() reads what has arrived and answers it with 503 (not run, stopping), sends what is unsent of complete responses for at most 250 ms, closes connections that wait for nothing, and only then ends the threads. refuseRequests() lets the server answer by itself before the parts that the handler uses are stopped; the entry process calls it first in its stop.

--- a/src/http/internal/connection.cpp
+++ b/src/http/internal/connection.cpp
@@ -2,6 +2,7 @@
 
 #include "http/internal/connection_exchange.h"
 
+#include <sys/socket.h>
 #include <utility>
 
 namespace azurespindle::http::internal {
@@ -27,6 +28,18 @@
     return std::static_pointer_cast<Connection>(peer->tryGetData(connectionData));
 }
 
+bool hasUnsentResponse(const Connection &connection)
+{
+    const auto completed = connection.completed.lock();
+    return completed != nullptr && completed->unsentBytes() > 0;
+}
+
+bool hasUnreadBytes(const Peer &peer)
+{
+    char byte = 0;
+    return ::recv(peer.fd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void notifyDisconnected(ServerState &state, const std::shared_ptr<Peer> &peer)
 {
     const std::shared_ptr<Connection> connection = connectionOf(peer);
@@ -34,6 +47,9 @@
         return;
     }
     state.openConnections -= 1;
+    if (const auto completed = connection->completed.lock()) {
+        completed->discardUnsent();
+    }
     const std::shared_ptr<ConnectionExchange> exchange = std::move(connection->exchange);
     if (exchange != nullptr) {
         exchange->handleDisconnect();
--- a/src/http/internal/connection.h
+++ b/src/http/internal/connection.h
@@ -24,6 +24,9 @@
     bool closing = false;      ///< Close after the current response; ignore further input.
     Instant lastActivity; ///< Time of connecting, of a request's first byte or of a response's end.
     std::shared_ptr<ConnectionExchange> exchange; ///< The response in progress, or nullptr.
+    /// The last complete response, whose bytes may still be unsent.
+    std::weak_ptr<ConnectionExchange> completed;
+    bool used = false; ///< A request was read from it.
     /// Processes the next pipelined request after a response is complete.
     std::function<void()> onResponseComplete;
 };
@@ -35,6 +38,12 @@
 /// Returns the Connection attached to \a peer, or nullptr.
 std::shared_ptr<Connection> connectionOf(const std::shared_ptr<Pistache::Tcp::Peer> &peer);
 
+/// Returns true if a complete response is partly unsent.
+bool hasUnsentResponse(const Connection &connection);
+
+/// Returns true if bytes have arrived that onInput() has not got yet.
+bool hasUnreadBytes(const Pistache::Tcp::Peer &peer);
+
 /// Marks the connection as closed and notifies its exchange. Further calls have no effect.
 void notifyDisconnected(ServerState &state, const std::shared_ptr<Pistache::Tcp::Peer> &peer);
 
--- a/src/http/internal/connection_exchange.cpp
+++ b/src/http/internal/connection_exchange.cpp
@@ -153,6 +153,7 @@
     const std::shared_ptr<Connection> connection = connectionOf(this->peer);
     auto self = this->shared_from_this();
     if (last) {
+        connection->completed = self;
         connection->exchange.reset();
         connection->lastActivity = monotonicNow();
         connection->closing = connection->closing || this->closeAfterResponse;
@@ -245,6 +246,21 @@
     }
 }
 
+void ConnectionExchange::discardUnsent()
+{
+    const std::lock_guard lock(this->mutex);
+    this->disconnected = true;
+    this->pending.clear();
+    this->bytesInTransport = 0;
+    this->markEnded();
+}
+
+bool ConnectionExchange::isComplete() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->complete;
+}
+
 microseconds ConnectionExchange::stallDuration(Instant now) const
 {
     const std::lock_guard lock(this->mutex);
--- a/src/http/internal/connection_exchange.h
+++ b/src/http/internal/connection_exchange.h
@@ -35,6 +35,10 @@
 
     /// Discards unsent bytes and calls the onDisconnected callback. Call on the owning thread only.
     void handleDisconnect();
+    /// Discards the unsent bytes of a complete response. Call on the owning thread only.
+    void discardUnsent();
+    /// Returns true if the whole response was given, though it may be unsent.
+    bool isComplete() const;
     /// Returns the time since unsent bytes last made progress, or 0 if there are none. Call on the
     /// owning thread only.
     microseconds stallDuration(Instant now) const;
--- a/src/http/internal/connection_handler.cpp
+++ b/src/http/internal/connection_handler.cpp
@@ -13,6 +13,7 @@
 /// Limit on buffered bytes of pipelined requests while an earlier request is being processed.
 constexpr std::size_t maxPipelinedBytes = 262'144;
 constexpr int statusUnavailable = 503;
+constexpr milliseconds stoppingRetry {100};
 
 } // namespace
 
@@ -80,10 +81,17 @@
 void ConnectionHandler::dispatch(const ServerRequest &request, Connection &connection,
                                  const std::shared_ptr<Peer> &peer)
 {
-    const bool close = !request.keepAlive || this->state->draining;
+    const bool close = !request.keepAlive || this->state->draining || this->state->refusing;
     auto exchange
         = std::make_shared<ConnectionExchange>(this->state, this->owningTransport(), peer, close);
     connection.exchange = exchange;
+    connection.used = true;
+    if (this->state->refusing) {
+        const Problem problem {statusUnavailable,          0,         "stopping",
+                               "this process is stopping", "not-run", stoppingRetry};
+        exchange->respond(problem.status, problem.headers(), problem.body());
+        return;
+    }
     this->state->handler(request, exchange);
 }
 
--- a/src/http/internal/posting_transport.cpp
+++ b/src/http/internal/posting_transport.cpp
@@ -13,6 +13,8 @@
 /// Idle time after which a connection is closed while the server drains. It is not zero because a
 /// caller that has just connected is about to send its first request.
 constexpr milliseconds drainIdleTimeout {300};
+/// Time in which the first request of a new connection is awaited when the server stops.
+constexpr milliseconds firstRequestGrace {50};
 
 } // namespace
 
@@ -88,10 +90,19 @@
             }
             continue;
         }
+        if (hasUnsentResponse(*connection)) {
+            const auto completed = connection->completed.lock();
+            if (completed != nullptr && completed->stallDuration(now) > limits.writeTimeout) {
+                expired.push_back(peer);
+            }
+            continue;
+        }
         const milliseconds timeout
             = connection->reader.hasPendingInput() ? limits.requestTimeout : limits.idleTimeout;
         const bool idle = !connection->reader.hasPendingInput() && age > drainIdleTimeout;
-        if (age > timeout || (draining && idle)) {
+        const bool isDue = age > timeout || (draining && idle);
+        // A request may have arrived that this thread has not read yet.
+        if (isDue && (connection->reader.hasPendingInput() || !hasUnreadBytes(*peer))) {
             expired.push_back(peer);
         }
     }
@@ -100,4 +111,32 @@
     }
 }
 
+std::size_t PostingTransport::closeFinished()
+{
+    const Instant now = monotonicNow();
+    std::size_t underWay = 0;
+    std::vector<std::shared_ptr<Peer>> finished;
+    for (const auto &[fd, peer] : this->peers) {
+        const std::shared_ptr<Connection> connection = connectionOf(peer);
+        if (connection == nullptr || connection->exchange != nullptr) {
+            const bool answered = connection != nullptr && connection->exchange->isComplete();
+            underWay += answered ? 1 : 0;
+            continue;
+        }
+        const bool aboutToSend
+            = !connection->used && now - connection->lastActivity < firstRequestGrace;
+        const bool reading = !connection->closing
+            && (connection->reader.hasPendingInput() || aboutToSend || hasUnreadBytes(*peer));
+        if (reading || hasUnsentResponse(*connection)) {
+            underWay += 1;
+        } else {
+            finished.push_back(peer);
+        }
+    }
+    for (const std::shared_ptr<Peer> &peer : finished) {
+        this->disconnect(peer);
+    }
+    return underWay;
+}
+
 } // namespace azurespindle::http::internal
--- a/src/http/internal/posting_transport.h
+++ b/src/http/internal/posting_transport.h
@@ -36,6 +36,9 @@
     /// Closes connections that exceeded a timeout and, if \a draining, idle ones. Call on the
     /// owning thread only.
     void enforceTimeouts(bool draining);
+    /// Closes the connections that wait for nothing. Call on the owning thread only.
+    /// \return the number of connections that still have a request or response under way.
+    std::size_t closeFinished();
 
 private:
     std::shared_ptr<Pistache::Tcp::Handler> handlerPrototype;
--- a/src/http/internal/server_state.cpp
+++ b/src/http/internal/server_state.cpp
@@ -2,6 +2,7 @@
 
 #include "http/internal/posting_transport.h"
 
+#include <future>
 #include <utility>
 
 namespace azurespindle::http::internal {
@@ -46,9 +47,26 @@
     this->enforceTimeouts();
 }
 
-void ServerState::close()
+std::optional<std::size_t> ServerState::closeFinished(Instant deadline)
 {
-    this->closed = true;
+    std::vector<std::future<std::size_t>> counts;
+    for (const auto &transport : this->transports()) {
+        const auto count = std::make_shared<std::promise<std::size_t>>();
+        counts.push_back(count->get_future());
+        const std::weak_ptr<PostingTransport> weak = transport;
+        transport->post([weak, count] {
+            const auto alive = weak.lock();
+            count->set_value(alive == nullptr ? 0 : alive->closeFinished());
+        });
+    }
+    std::size_t sum = 0;
+    for (std::future<std::size_t> &count : counts) {
+        if (count.wait_for(deadline - monotonicNow()) != std::future_status::ready) {
+            return std::nullopt;
+        }
+        sum += count.get();
+    }
+    return sum;
 }
 
 void ServerState::enforceTimeouts()
--- a/src/http/internal/server_state.h
+++ b/src/http/internal/server_state.h
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <vector>
 
 namespace azurespindle::http::internal {
@@ -21,7 +22,12 @@
     void addTransport(const std::weak_ptr<PostingTransport> &transport);
     void drain();
     void enforceTimeouts();
-    void close();
+    /// Lets every further request be answered with 503 instead of being passed to the handler.
+    void refuseRequests() { this->refusing = true; }
+    /// Closes the connections that wait for nothing, once every request that has arrived was read.
+    /// \return the number of connections that still have a request or response under way, or
+    /// nothing if the worker threads did not come to it before \a deadline.
+    std::optional<std::size_t> closeFinished(Instant deadline);
     void setLimits(const settings::CallerLimits &limits);
     settings::CallerLimits limits() const;
 
@@ -29,7 +35,7 @@
     std::atomic<std::size_t> openExchanges {0};
     std::atomic<std::size_t> openConnections {0};
     std::atomic<bool> draining {false};
-    std::atomic<bool> closed {false};
+    std::atomic<bool> refusing {false};
 
 private:
     std::vector<std::shared_ptr<PostingTransport>> transports();
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -5,12 +5,17 @@
 
 #include <pistache/listener.h>
 
+#include <thread>
+
 namespace azurespindle::http {
 namespace {
 
 /// Connections that wait to be accepted. The system drops a connect beyond it without an answer, so
 /// that it takes as many as a server serves by default; net.core.somaxconn caps it.
 constexpr int listenBacklog = 4'096;
+/// Longest wait for unsent responses when the server stops.
+constexpr milliseconds stopFlushTime {250};
+constexpr milliseconds stopPollInterval {1};
 
 } // namespace
 
@@ -88,11 +93,20 @@
     if (impl.listener == nullptr) {
         return;
     }
-    impl.shared->close();
+    impl.shared->refuseRequests();
+    const Instant deadline = monotonicNow() + stopFlushTime;
+    while (impl.shared->closeFinished(deadline).value_or(0) > 0 && monotonicNow() < deadline) {
+        std::this_thread::sleep_for(stopPollInterval);
+    }
     impl.listener->shutdown();
     impl.listener.reset();
 }
 
+void Server::refuseRequests()
+{
+    this->implementation->shared->refuseRequests();
+}
+
 void Server::drain()
 {
     this->implementation->shared->drain();
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -105,8 +105,13 @@
 
     /// Listens and serves on its own threads. \return BindFailed if the address cannot be bound.
     std::error_code start();
-    /// Stops listening and closes every connection.
+    /// Answers requests that have arrived but not reached the handler with 503, sends what is
+    /// unsent of complete responses for at most 250 ms, stops listening and closes every
+    /// connection. A response that is not complete is cut.
     void stop();
+    /// Answers every further request with 503 (not run) without calling the handler. Call this
+    /// before anything that the handler uses is stopped.
+    void refuseRequests();
     /// Closes idle connections and sends `Connection: close` with every further response.
     void drain();
     /// Closes connections that exceeded a timeout. Call this about once a second.
--- a/src/serving/entry_process.cpp
+++ b/src/serving/entry_process.cpp
@@ -212,6 +212,7 @@
 
 void EntryProcess::stop()
 {
+    this->server.refuseRequests();
     // Components that call back are stopped before those that they call.
     this->timers.stop();
     this->client.stop();
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -6,6 +6,7 @@
 
 #include <condition_variable>
 #include <csignal>
+#include <future>
 #include <random>
 #include <sys/wait.h>
 #include <thread>
@@ -83,6 +84,10 @@
     CPPUNIT_TEST(malformedRequestsAreRejectedWithoutAffectingOtherConnections);
     CPPUNIT_TEST(disconnectIsReportedOnce);
     CPPUNIT_TEST(aBurstOfConnectionsIsTakenWhileTheServerHasNoProcessorTime);
+    CPPUNIT_TEST(aRequestThatArrivesAsItsIdleConnectionIsClosedIsAnswered);
+    CPPUNIT_TEST(aResponseStillUnsentIsNotCutWhenTheServerDrains);
+    CPPUNIT_TEST(aResponseStillUnsentWhenTheServerStopsArrives);
+    CPPUNIT_TEST(requestsThatArriveAsTheServerStopsAreRefusedAndNotDropped);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -266,7 +271,142 @@
         CPPUNIT_ASSERT_EQUAL(burst, connected);
     }
 
+    void aRequestThatArrivesAsItsIdleConnectionIsClosedIsAnswered()
+    {
+        BlockableServer blockable;
+        const tests::RawConnection kept(blockable.server.port());
+        kept.send("GET / HTTP/1.1\r\n\r\n");
+        kept.readUntil("ok", receiveTimeout);
+        std::this_thread::sleep_for(idleLongEnough);
+        const tests::RawConnection blocking(blockable.server.port());
+        blockable.block(blocking);
+        blockable.server.drain();
+        kept.send("GET / HTTP/1.1\r\n\r\n");
+        std::this_thread::sleep_for(arrivalTime);
+        blockable.release();
+        const std::string answer = kept.readUntil("ok", receiveTimeout);
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.find("200 OK") != std::string::npos);
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.find("connection: close") != std::string::npos);
+    }
+
+    void aResponseStillUnsentIsNotCutWhenTheServerDrains()
+    {
+        const std::string large(100'000'000, 'x'); // More than the system buffers.
+        Server server(anyPort, {}, 1, [&](const ServerRequest &, const ExchangePtr &exchange) {
+            exchange->respond(200, {}, large);
+        });
+        CPPUNIT_ASSERT(!server.start());
+        const tests::RawConnection reader(server.port());
+        reader.send("GET / HTTP/1.1\r\n\r\n");
+        const std::string received = reader.readSome(receiveTimeout).value_or("");
+        server.drain();
+        for (int sweep = 0; sweep < 3; ++sweep) {
+            std::this_thread::sleep_for(idleLongEnough);
+            server.enforceTimeouts();
+        }
+        std::this_thread::sleep_for(arrivalTime);
+        CPPUNIT_ASSERT(received.size() + reader.readAll(receiveTimeout).size() > large.size());
+    }
+
+    void aResponseStillUnsentWhenTheServerStopsArrives()
+    {
+        BlockableServer blockable;
+        const tests::RawConnection waiting(blockable.server.port());
+        waiting.send("GET /later HTTP/1.1\r\n\r\n");
+        const ExchangePtr later = blockable.takeLater();
+        const tests::RawConnection blocking(blockable.server.port());
+        blockable.block(blocking);
+        later->respond(200, {}, "ok");
+        blockable.stopWhileBlocked();
+        const std::string answer = waiting.readUntil("ok", receiveTimeout);
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.find("200 OK") != std::string::npos);
+        const std::string released = blocking.readUntil("ok", receiveTimeout);
+        CPPUNIT_ASSERT_MESSAGE(released, released.find("200 OK") != std::string::npos);
+    }
+
+    void requestsThatArriveAsTheServerStopsAreRefusedAndNotDropped()
+    {
+        BlockableServer blockable;
+        const tests::RawConnection kept(blockable.server.port());
+        kept.send("GET / HTTP/1.1\r\n\r\n");
+        kept.readUntil("ok", receiveTimeout);
+        const tests::RawConnection blocking(blockable.server.port());
+        blockable.block(blocking);
+        const tests::RawConnection fresh(blockable.server.port());
+        for (const tests::RawConnection *each : {&kept, &fresh}) {
+            each->send("GET / HTTP/1.1\r\n\r\n");
+        }
+        const int handledBefore = blockable.handled;
+        blockable.stopWhileBlocked();
+        for (const tests::RawConnection *each : {&kept, &fresh}) {
+            const std::string answer = each->readUntil("}", receiveTimeout);
+            CPPUNIT_ASSERT_MESSAGE(answer, answer.find("HTTP/1.1 503") != std::string::npos);
+            CPPUNIT_ASSERT_MESSAGE(answer, answer.find("not-run") != std::string::npos);
+            CPPUNIT_ASSERT_MESSAGE(answer, answer.find("connection: close") != std::string::npos);
+        }
+        CPPUNIT_ASSERT_EQUAL(handledBefore, blockable.handled.load());
+    }
+
 private:
+    /// Longer than an idle connection is kept while a server drains.
+    static constexpr milliseconds idleLongEnough {400};
+    /// Time in which bytes surely reach the other side.
+    static constexpr milliseconds arrivalTime {50};
+
+    /// A server whose only worker thread is busy from block() to release().
+    class BlockableServer
+    {
+    public:
+        BlockableServer()
+            : server(anyPort, {}, 1, [this](const ServerRequest &request, const ExchangePtr &each) {
+                  this->handle(request, each);
+              })
+        {
+            CPPUNIT_ASSERT(!this->server.start());
+        }
+
+        void block(const tests::RawConnection &connection)
+        {
+            connection.send("GET /block HTTP/1.1\r\n\r\n");
+            this->blocked.get_future().wait();
+        }
+
+        void release() { this->released.set_value(); }
+        ExchangePtr takeLater() { return this->later.get_future().get(); }
+
+        void stopWhileBlocked()
+        {
+            std::thread stopping([this] { this->server.stop(); });
+            std::this_thread::sleep_for(arrivalTime);
+            this->release();
+            stopping.join();
+        }
+
+        std::atomic<int> handled {0};
+
+    private:
+        void handle(const ServerRequest &request, const ExchangePtr &exchange)
+        {
+            this->handled += 1;
+            if (request.path == "/later") {
+                this->later.set_value(exchange);
+                return;
+            }
+            if (request.path == "/block") {
+                this->blocked.set_value();
+                this->released.get_future().wait();
+            }
+            exchange->respond(200, {}, "ok");
+        }
+
+        std::promise<void> blocked;
+        std::promise<void> released;
+        std::promise<ExchangePtr> later;
+
+    public:
+        Server server; ///< Last, because its handler uses the others.
+    };
+
     /// A server in a process of its own that is stopped (SIGSTOP) once it listens.
     class PausedServer
     {
