Reproduce engines crashed again and again by one part of a prompt

Several routers share engines and their crash reports; requests of which no two are alike share a part that crashes each engine that begins to write on it.

--- a/tests/routing/router_harness.cpp
+++ b/tests/routing/router_harness.cpp
@@ -95,6 +95,12 @@
     this->publish();
 }
 
+void RouterHarness::restart(const std::string &id)
+{
+    this->state.upstreams.at(id).incarnation += 1;
+    this->publish();
+}
+
 void RouterHarness::setCold(const std::string &id, milliseconds left)
 {
     this->state.upstreams.at(id).coldTimeLeft = left;
@@ -108,7 +114,7 @@
 }
 
 RequestId RouterHarness::sendRequest(const std::string &path, const std::string &key,
-                                     const std::string &body)
+                                     const std::string &body, const std::vector<PromptPart> &parts)
 {
     this->lastRequest += 1;
     auto request = std::make_shared<RoutedRequest>();
@@ -119,6 +125,7 @@
     request->path = path;
     request->key = key;
     request->body = body.empty() ? request->callerRequestId : body;
+    request->promptParts = parts;
     const bool engine = path.rfind("/long/", 0) == 0 || path.rfind("/short/", 0) == 0;
     request->promptTokens = engine ? longPrompt : 0;
     request->maxOutputTokens = engine ? 2'204 : 0;
--- a/tests/routing/router_harness.h
+++ b/tests/routing/router_harness.h
@@ -26,11 +26,14 @@
     void addPlainUpstream(const std::string &id, const std::string &zone = "north");
     void setDraining(const std::string &id);
     void remove(const std::string &id);
+    /// Publishes the next lifetime of an upstream.
+    void restart(const std::string &id);
     void setCold(const std::string &id, milliseconds left);
     void evacuateZone(const std::string &zone);
     /// Sends a request of a caller and returns its id.
     routing::RequestId sendRequest(const std::string &path, const std::string &key = "k1",
-                                   const std::string &body = "");
+                                   const std::string &body = "",
+                                   const std::vector<routing::PromptPart> &parts = {});
     void handle(const routing::RouterEvent &event);
     /// Advances the time in steps of Router::tickInterval.
     void advanceTime(milliseconds time);
@@ -67,6 +70,17 @@
         }
         return number;
     }
+    /// Returns the recorded effects of a type, in order.
+    template<typename Effect> std::vector<Effect> allEffects() const
+    {
+        std::vector<Effect> found;
+        for (const routing::RouterEffect &each : this->effects) {
+            if (const auto *match = std::get_if<Effect>(&each)) {
+                found.push_back(*match);
+            }
+        }
+        return found;
+    }
     /// Returns the id of the upstream of the last recorded StartAttempt, or "none".
     std::string lastUpstream() const;
     /// Returns the status of the last recorded local reply, or 0.
