Refuse the part of a prompt that crashes each engine

Callers saw engine after engine crash, with the streams of others on it: requests of which no two are alike share a part that crashes each engine that begins to write on it. Crashes were blamed on a fingerprint of the whole request, which never came twice, and only when the store showed the next lifetime, 2.6 to 3.7 s later.

Crashes are now counted for each shared part of the lost requests (CrashSuspects). An answer that begins clears all parts of its request, so the parts that sound requests share do not add up. At the third crash since, a part is refused, unless its crashes are explained by a part that the request does not hold. A loss counts 250 ms after it, when the engine's other connections here ended too and no other engine's did at that moment; otherwise the store decides as before. Reports go to all members with the crash reports, and blocked parts with the zones' full reports, so that a process that starts later knows them. A lost suspect is not sent to a second engine. The reply is 503 without Retry-After, as for a blocked request.

--- a/src/journal/event_id.h
+++ b/src/journal/event_id.h
@@ -39,6 +39,9 @@
     LeaseChanged = 306,
     CrashSuspected = 307,
     CrashCleared = 308,
+    PromptPartsSuspected = 309,
+    PromptPartBlocked = 310,
+    PromptPartsCleared = 311,
 
     ConfigurationAccepted = 400,
     ConfigurationRefused = 401,
--- a/src/members/internal/frame_codec.h
+++ b/src/members/internal/frame_codec.h
@@ -47,6 +47,7 @@
     }
 
     std::uint32_t size() const { return this->array.size; }
+    bool atEnd() const { return this->position >= this->array.size; }
 
 private:
     msgpack::object_array array {};
@@ -87,6 +88,8 @@
 void read(const Object &from, routing::PublishedItem &item);
 void write(Packer &out, const routing::UpstreamObservation &observation);
 void read(const Object &from, routing::UpstreamObservation &observation);
+void write(Packer &out, const decision::PartCrashes &blocked);
+void read(const Object &from, decision::PartCrashes &blocked);
 void write(Packer &out, const RouterReport &report);
 void read(const Object &from, RouterReport &report);
 void write(Packer &out, const ViewRequest &request);
--- a/src/members/internal/routing_codec.cpp
+++ b/src/members/internal/routing_codec.cpp
@@ -75,15 +75,30 @@
     observation.timeUntilExit = milliseconds(in.as<std::int64_t>());
 }
 
+void write(Packer &out, const decision::PartCrashes &blocked)
+{
+    out.pack_array(2);
+    out.pack(blocked.part);
+    out.pack(blocked.crashes);
+}
+
+void read(const Object &from, decision::PartCrashes &blocked)
+{
+    ArrayReader in(from);
+    blocked.part = in.as<decision::PromptPartId>();
+    blocked.crashes = in.as<std::vector<decision::CrashId>>();
+}
+
 void write(Packer &out, const RouterReport &report)
 {
-    out.pack_array(6);
+    out.pack_array(7);
     out.pack(report.complete);
     out.pack(report.viewRevision);
     out.pack(report.readsStore);
     packList(out, report.claims);
     packList(out, report.requestCounts);
     packList(out, report.observations);
+    packList(out, report.blockedParts);
 }
 
 void read(const Object &from, RouterReport &report)
@@ -95,15 +110,19 @@
     unpackList(in.next(), report.claims);
     unpackList(in.next(), report.requestCounts);
     unpackList(in.next(), report.observations);
+    if (!in.atEnd()) { // Absent in frames of older members.
+        unpackList(in.next(), report.blockedParts);
+    }
 }
 
 void write(Packer &out, const ZoneReport &report)
 {
-    out.pack_array(4);
+    out.pack_array(5);
     out.pack(report.zone);
     out.pack(report.processCount);
     packList(out, report.claims);
     packList(out, report.requestCounts);
+    packList(out, report.blockedParts);
 }
 
 void read(const Object &from, ZoneReport &report)
@@ -113,6 +132,9 @@
     report.processCount = in.as<std::uint32_t>();
     unpackList(in.next(), report.claims);
     unpackList(in.next(), report.requestCounts);
+    if (!in.atEnd()) { // Absent in frames of older members.
+        unpackList(in.next(), report.blockedParts);
+    }
 }
 
 void write(Packer &out, const ViewRequest &request)
--- a/src/members/messages.cpp
+++ b/src/members/messages.cpp
@@ -140,12 +140,13 @@
 
 void write(Packer &out, const CrashReport &crash)
 {
-    out.pack_array(5);
+    out.pack_array(6);
     out.pack(crash.pool);
     out.pack(crash.fingerprint);
     out.pack(crash.source);
     out.pack(crash.number);
     out.pack(static_cast<std::uint8_t>(crash.status));
+    out.pack(crash.parts);
 }
 
 void read(const Object &from, CrashReport &crash)
@@ -156,6 +157,9 @@
     crash.source = in.as<std::string>();
     crash.number = in.as<std::uint64_t>();
     crash.status = in.enumeration<CrashStatus>(CrashStatus::Cleared);
+    if (!in.atEnd()) { // Absent in frames of older members.
+        crash.parts = in.as<std::vector<decision::PromptPartId>>();
+    }
 }
 
 /// Unpacks \a body as the alternative of Message at index \a type. Throws type_error if there is no
--- a/src/members/messages.h
+++ b/src/members/messages.h
@@ -2,6 +2,7 @@
 #define AZURESPINDLE_MEMBERS_MESSAGES_H
 
 #include "base/error.h"
+#include "decision/crash_suspects.h"
 #include "decision/engine_order.h"
 #include "decision/fleet_retry_budget.h"
 #include "decision/lease_manager.h"
@@ -134,6 +135,9 @@
     std::string source;       ///< Upstream that died, or member on which the request completed.
     std::uint64_t number = 0; ///< Boot number of that upstream, or that member's request number.
     CrashStatus status = CrashStatus::Suspected;
+    /// Prompt parts that the report is about instead of a request, whose fingerprint then only
+    /// tells reports apart.
+    std::vector<decision::PromptPartId> parts {};
     bool operator==(const CrashReport &other) const = default;
 };
 
@@ -160,6 +164,7 @@
     std::vector<decision::UpstreamClaim> claims;
     std::vector<decision::RequestCounts> requestCounts;
     std::vector<routing::UpstreamObservation> observations;
+    std::vector<decision::PartCrashes> blockedParts {};
     bool operator==(const RouterReport &other) const = default;
 };
 
@@ -170,6 +175,7 @@
     std::uint32_t processCount = 0; ///< Number of processes included in the sums.
     std::vector<decision::UpstreamClaim> claims;
     std::vector<decision::RequestCounts> requestCounts;
+    std::vector<decision::PartCrashes> blockedParts {};
     bool operator==(const ZoneReport &other) const = default;
 };
 
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -274,6 +274,7 @@
 {
     this->loads.updatePeer(event.peer, event.claims, event.isSnapshot, this->now);
     this->retryBudget.updatePeer(event.peer, event.requestCounts, this->now);
+    this->crashSuspects.merge(event.blockedParts, this->now);
     for (const UpstreamObservation &observation : event.observations) {
         this->applyObservation(observation);
     }
@@ -281,15 +282,11 @@
 
 void Router::on(const ZoneReportArrived &event)
 {
+    this->crashSuspects.merge(event.blockedParts, this->now);
     this->loads.updateZone(event.zone, event.claims, this->now);
     this->retryBudget.updateZone(event.zone, event.requestCounts, event.processes, this->now);
 }
 
-void Router::on(const PeerCrashReported &event)
-{
-    this->crashes.recordCrash(event.fingerprint, event.upstream, event.incarnation, this->now);
-}
-
 void Router::on(const ProcessesChanged &event)
 {
     this->retryBudget.setProcessCount(event.count);
@@ -305,6 +302,7 @@
 void Router::on(const TimePassed &)
 {
     this->loads.removeSilent(this->now);
+    this->judgeLosses();
     std::vector<RequestId> ids;
     ids.reserve(this->activeRequests.size());
     for (const auto &[id, each] : this->activeRequests) {
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -2,6 +2,7 @@
 #define AZURESPINDLE_ROUTING_ROUTER_H
 
 #include "decision/cold_start_limiter.h"
+#include "decision/crash_suspects.h"
 #include "decision/crash_tracker.h"
 #include "decision/engine_choice.h"
 #include "decision/fleet_retry_budget.h"
@@ -73,6 +74,11 @@
     {
         return this->loads.ownAndPeerClaims();
     }
+    /// Returns the blocked prompt parts, for peers that may not know them.
+    std::vector<decision::PartCrashes> blockedParts(Instant now) const
+    {
+        return this->crashSuspects.blockedParts(now);
+    }
     const decision::FleetRetryBudget &fleetRetryBudget() const { return this->retryBudget; }
     /// Returns this process's request counts.
     std::vector<decision::RequestCounts> requestCounts(Instant now) const
@@ -135,6 +141,8 @@
         std::vector<std::string> workspaceRegions;
         std::uint32_t priority = 0; ///< Priority in the queue; 0 is the most urgent.
         std::uint64_t fingerprint = 0;
+        /// Parts of the prompt that other requests may share: all but the last.
+        std::vector<decision::PromptPartId> sharedParts;
         Instant arrivedAt;
         Instant deadline;
         bool queued = false;
@@ -194,6 +202,15 @@
         std::string upstream;
         std::uint64_t incarnation = 0;
         Instant lostAt;
+        std::vector<decision::PromptPartId> parts;
+        bool partsJudged = false; ///< True once it is settled whether a crash lost the parts.
+    };
+
+    /// The end of a connection to an upstream before the response was complete.
+    struct ConnectionLoss
+    {
+        Instant at;
+        std::string upstream;
     };
 
     /// Connection failures to the upstreams of one zone.
@@ -291,6 +308,25 @@
 
     // Crashes (router_crashes.cpp)
 
+    /// Returns the reply for a request that must not run as it or its prompt crashes upstreams, or
+    /// nothing.
+    std::optional<LocalReply> crashRejection(const ActiveRequest &active) const;
+    /// Rejects a queued request if it must not run any more. \return true if it was rejected.
+    bool rejectIfCrashing(ActiveRequest &active);
+    /// Returns true if a lost request may crash a further upstream.
+    bool mayCrashAgain(const ActiveRequest &active) const;
+    /// Records that an answer to the request has begun.
+    void clearParts(const ActiveRequest &active);
+    void recordLoss(const std::string &upstream);
+    /// Reports the prompt parts of lost attempts as soon as the losses look like crashes, since the
+    /// store shows a crash only seconds later.
+    void judgeLosses();
+    /// Returns true if the upstream still runs other attempts, or was about to exit.
+    bool survives(const SuspectedCrash &loss) const;
+    /// Returns true if this process lost connections to other upstreams at the same moment.
+    bool lostOthersWith(const SuspectedCrash &loss) const;
+    void reportParts(SuspectedCrash &loss);
+    void recordPartCrash(const CrashReport &crash);
     /// Records that the current attempt may have crashed its upstream.
     void suspectCrash(const ActiveRequest &active);
     /// Reports the suspected crashes whose upstreams have disappeared or restarted.
@@ -385,6 +421,8 @@
     decision::FleetRetryBudget retryBudget;
     decision::ColdStartLimiter coldStartLimiter;
     decision::CrashTracker crashes;
+    decision::CrashSuspects crashSuspects;
+    std::vector<ConnectionLoss> recentLosses;
     RecentMap<std::string, decision::LengthForecast> forecasts {maxForecasts}; ///< By route.
     std::vector<SuspectedCrash> suspectedCrashes;
     RouterStatus counters;
--- a/src/routing/router_admission.cpp
+++ b/src/routing/router_admission.cpp
@@ -43,6 +43,16 @@
     return XXH3_64bits(text.data(), text.size());
 }
 
+/// Returns the ids of the prompt parts that other requests may share: all but the last.
+std::vector<decision::PromptPartId> sharedPartsOf(const RoutedRequest &request)
+{
+    std::vector<decision::PromptPartId> shared;
+    for (std::size_t part = 0; part + 1 < request.promptParts.size(); ++part) {
+        shared.push_back(request.promptParts[part].id);
+    }
+    return shared;
+}
+
 const std::string &pickService(const Route &route, std::uint64_t tieBreaker)
 {
     double total = 0.0;
@@ -114,8 +124,9 @@
     const milliseconds allowed = request.deadline.value_or(route.timeout);
     arrived.deadline = this->now + std::min(allowed, route.timeout);
     arrived.fingerprint = fingerprintOf(request);
-    if (this->crashes.isBlocked(arrived.fingerprint, this->now)) {
-        return LocalReply {statusUnavailable, milliseconds(0), "upstreams died running it"};
+    arrived.sharedParts = sharedPartsOf(request);
+    if (const auto rejection = this->crashRejection(arrived)) {
+        return rejection;
     }
     const bool nonResumableStream = route.kind == RouteKind::Streaming && !route.resumable;
     if (this->stopping && nonResumableStream) {
@@ -159,7 +170,7 @@
         if (each == nullptr || !each->queued || contains(full, each->serviceName)) {
             continue;
         }
-        if (!this->tryPlace(*each)) {
+        if (!this->rejectIfCrashing(*each) && !this->tryPlace(*each)) {
             full.push_back(each->serviceName);
         }
     }
--- a/src/routing/router_attempts.cpp
+++ b/src/routing/router_attempts.cpp
@@ -194,6 +194,9 @@
         this->loads.subtract(active.upstream.id, prefill);
         active.claim.prefill = 0;
     }
+    if (active.eventCount == 0) {
+        this->clearParts(active);
+    }
     active.eventCount += event.count;
     active.lastEventId = std::max(active.lastEventId, event.lastEventId);
     if (active.eventCount - active.claimUpdatedAtEvent >= claimUpdateInterval) {
@@ -254,6 +257,9 @@
 
 void Router::handleAttemptEnd(ActiveRequest &active, AttemptEnd end, const std::string &detail)
 {
+    if (end == AttemptEnd::Lost) {
+        this->recordLoss(active.upstream.id);
+    }
     if (end == AttemptEnd::ConnectionRefused) {
         const UpstreamObservation refused {active.upstream.id, active.upstream.incarnation,
                                            UpstreamObservation::Kind::ConnectionRefused,
@@ -289,6 +295,9 @@
                && !active.head.requestIdMismatch && !active.relaying
                && (active.head.status < statusServerError || !this->canRetry(active))) {
         this->crashes.clearSuspect(active.fingerprint);
+        if (active.head.status == statusOk) {
+            this->clearParts(active);
+        }
         this->emit(ForwardResponse {{active.id, active.attempt}});
         this->finishRequest(active);
     } else {
@@ -336,7 +345,8 @@
     if (end == AttemptEnd::Lost) {
         this->suspectCrash(active);
     }
-    const bool retry = this->canRetry(active);
+    const bool mayCrash = end == AttemptEnd::Lost && this->mayCrashAgain(active);
+    const bool retry = this->canRetry(active) && !mayCrash;
     active.mayHaveRunOn.push_back(active.upstream.id);
     if (retry) {
         this->enqueue(active);
@@ -391,7 +401,7 @@
         return;
     }
     this->discardMigration(active, false);
-    if (this->canRetry(active)) {
+    if (this->canRetry(active) && !this->mayCrashAgain(active)) {
         active.mayHaveRunOn.push_back(active.upstream.id);
         this->unreliableUntil[active.upstream.id] = this->now + failedPenalty;
         this->enqueue(active);
--- a/src/routing/router_events.h
+++ b/src/routing/router_events.h
@@ -1,6 +1,7 @@
 #ifndef AZURESPINDLE_ROUTING_ROUTER_EVENTS_H
 #define AZURESPINDLE_ROUTING_ROUTER_EVENTS_H
 
+#include "decision/crash_suspects.h"
 #include "decision/fleet_retry_budget.h"
 #include "decision/load_table.h"
 #include "journal/event_id.h"
@@ -143,6 +144,7 @@
     std::vector<decision::UpstreamClaim> claims;
     std::vector<decision::RequestCounts> requestCounts;
     std::vector<UpstreamObservation> observations;
+    std::vector<decision::PartCrashes> blockedParts {}; ///< Prompt parts that the peer has blocked.
 };
 
 /// Another zone reported the total claims and request counts of its processes.
@@ -152,16 +154,28 @@
     std::size_t processes = 0; ///< Number of processes that the report covers.
     std::vector<decision::UpstreamClaim> claims;
     std::vector<decision::RequestCounts> requestCounts;
+    std::vector<decision::PartCrashes> blockedParts {}; ///< Prompt parts that the zone has blocked.
 };
 
-/// A peer reported an upstream that crashed while executing a request with this fingerprint.
-struct PeerCrashReported
+/// What a process reports about a crash.
+struct CrashReport
 {
+    /// Fingerprint of a request that the upstream executed; if \a parts is set, it only tells
+    /// reports about different parts apart.
     std::uint64_t fingerprint = 0;
     std::string upstream;
     std::uint64_t incarnation = 0;
+    /// Shared prompt parts of requests that the crash lost before their answers began.
+    std::vector<decision::PromptPartId> parts {};
+    /// True if an answer to a request with \a parts has begun, which clears them. The other fields
+    /// then only tell reports apart.
+    bool cleared = false;
 };
 
+/// A peer sent a report about a crash.
+struct PeerCrashReported : CrashReport
+{ };
+
 /// The number of entry processes changed, or the zones that they are heard from.
 struct ProcessesChanged
 {
@@ -257,13 +271,9 @@
     std::string handle;
 };
 
-/// Tells the peers that an upstream crashed while executing a request with this fingerprint.
-struct BroadcastCrash
-{
-    std::uint64_t fingerprint = 0;
-    std::string upstream;
-    std::uint64_t incarnation = 0;
-};
+/// Sends the peers a report about a crash.
+struct BroadcastCrash : CrashReport
+{ };
 
 /// Marks the last effect of a request.
 struct RequestClosed
--- a/src/serving/request_forwarder.cpp
+++ b/src/serving/request_forwarder.cpp
@@ -376,7 +376,14 @@
     const Instant now = monotonicNow();
     const decision::FleetRetryBudget &budget = this->router.fleetRetryBudget();
     return {"", static_cast<std::uint32_t>(budget.countedProcesses(now)),
-            this->router.claimsWithPeers(), budget.ownAndPeerCounts(now)};
+            this->router.claimsWithPeers(), budget.ownAndPeerCounts(now),
+            this->router.blockedParts(now)};
+}
+
+std::vector<decision::PartCrashes> RequestForwarder::blockedParts() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->router.blockedParts(monotonicNow());
 }
 
 std::vector<decision::RequestCounts> RequestForwarder::arrivals() const
--- a/src/serving/request_forwarder.h
+++ b/src/serving/request_forwarder.h
@@ -69,6 +69,7 @@
     /// Returns the claims and arrival counts of this process and its peers together. The zone's
     /// name is left empty for the caller to fill in.
     members::ZoneReport zoneReport() const;
+    std::vector<decision::PartCrashes> blockedParts() const;
 
 private:
     /// The HTTP transfer of one attempt.
--- a/src/serving/routing_process.cpp
+++ b/src/serving/routing_process.cpp
@@ -99,13 +99,16 @@
                                const PlatformAdapterFactory &makeAdapter)
     : settings(std::move(initialSettings)), memberSettings(toMemberSettings(this->settings)),
       startTime(monotonicNow()), adapter(makeAdapter(this->settings, this->client, this->registry)),
-      forwarder(toRouterOptions(this->settings), this->adapter, this->client, this->registry,
-                this->journal,
-                {[this](const routing::BroadcastCrash &crash) {
-                     this->coordinator.broadcastCrash(
-                         {"", crash.fingerprint, crash.upstream, crash.incarnation});
-                 },
-                 [this] { this->reportChanges(); }}),
+      forwarder(
+          toRouterOptions(this->settings), this->adapter, this->client, this->registry,
+          this->journal,
+          {[this](const routing::BroadcastCrash &crash) {
+               this->coordinator.broadcastCrash(
+                   {"", crash.fingerprint, crash.upstream, crash.incarnation,
+                    crash.cleared ? members::CrashStatus::Cleared : members::CrashStatus::Suspected,
+                    crash.parts});
+           },
+           [this] { this->reportChanges(); }}),
       relay(this->settings.name, this->settings.zone),
       coordinator(this->memberSettings, makeSelfRecord(this->settings), this->client, this->timers,
                   this->registry, this->journal, this->coordinatorHooks()),
@@ -150,12 +153,14 @@
     hooks.onPermitRequests = [](const std::string &, const members::PermitRequests &) {};
     hooks.onPermitAnswers = [](const members::PermitAnswers &) {};
     hooks.onCrashReport = [this](const members::CrashReport &report) {
-        this->forwarder.handle(
-            routing::PeerCrashReported {report.fingerprint, report.source, report.number});
+        this->forwarder.handle(routing::PeerCrashReported {
+            {report.fingerprint, report.source, report.number, report.parts,
+             report.status == members::CrashStatus::Cleared}});
     };
     hooks.onRouterReport = [this](const std::string &from, const members::RouterReport &report) {
-        this->forwarder.handle(routing::PeerReportArrived {
-            from, report.complete, report.claims, report.requestCounts, report.observations});
+        this->forwarder.handle(
+            routing::PeerReportArrived {from, report.complete, report.claims, report.requestCounts,
+                                        report.observations, report.blockedParts});
         this->view.handleReport(from, report);
         this->relay.recordMemberHeard(from, monotonicNow());
     };
@@ -327,6 +332,9 @@
     report.claims = full ? this->forwarder.claims() : std::move(changed);
     report.observations = std::move(observations);
     report.requestCounts = this->forwarder.arrivals();
+    if (full) {
+        report.blockedParts = this->forwarder.blockedParts();
+    }
     for (const std::string &member : this->relay.reportRecipients()) {
         this->coordinator.send(member, report);
     }
@@ -352,7 +360,8 @@
     }
     this->relay.recordZoneHeard(report.zone, monotonicNow());
     this->forwarder.handle(routing::ZoneReportArrived {report.zone, report.processCount,
-                                                       report.claims, report.requestCounts});
+                                                       report.claims, report.requestCounts,
+                                                       report.blockedParts});
     if (this->relay.forwardsFrom(from)) {
         this->sendToZone(report);
     }
--- a/tests/members/messages_test.cpp
+++ b/tests/members/messages_test.cpp
@@ -31,6 +31,7 @@
         LeaseRequests {{{"h", "e", 1, 2, {1, 2, 3, 4, 5, 6}, {{7, 2.5F, true, 8}}}}},
         LeaseGrants {{grant}},
         CrashReport {"p", 1, "e", 2, CrashStatus::Cleared},
+        CrashReport {"", 1, "e", 2, CrashStatus::Suspected, {3, 4}},
         PermitRequests {{{"s#1", "p", "e", 3, decision::OrderPhase::Draining, true, true}}},
         PermitAnswers {{{"e", 3, true, true, milliseconds(5), "why"}}},
         RouterReport {true,
@@ -38,10 +39,11 @@
                       true,
                       {{"e", {1, 2, 3}}},
                       {{"s", 4, 5}},
-                      {{"e", 6, routing::UpstreamObservation::Kind::Draining, milliseconds(7)}}},
+                      {{"e", 6, routing::UpstreamObservation::Kind::Draining, milliseconds(7)}},
+                      {{7, {8, 9}}}},
         ViewRequest {8},
         ViewChanges {{true, 1, 2, {{"k", std::string("\0v", 2), 2, false}, {"d", "", 3, true}}}},
-        ZoneReport {"z", 2, {{"e", {1, 2, 3}}}, {{"s", 4, 5}}}};
+        ZoneReport {"z", 2, {{"e", {1, 2, 3}}}, {{"s", 4, 5}}, {{7, {8}}}}};
 }
 
 /// Applies one to four random edits, each of which overwrites, removes or inserts bytes.
@@ -73,6 +75,7 @@
     CPPUNIT_TEST(mutatedFramesNeverCrashTheDecoder);
     CPPUNIT_TEST(aFrameWithTrailingBytesIsRefused);
     CPPUNIT_TEST(anotherProtocolVersionIsRefused);
+    CPPUNIT_TEST(aCrashReportOfAnOlderMemberIsRead);
     CPPUNIT_TEST(mutatedDocumentsAndBodiesNeverCrashTheParsers);
     CPPUNIT_TEST(engineStreamsAreReadInChunksOfAnySize);
     CPPUNIT_TEST_SUITE_END();
@@ -117,6 +120,20 @@
         CPPUNIT_ASSERT(decode(bytes).error().message().find("version 9") != std::string::npos);
     }
 
+    void aCrashReportOfAnOlderMemberIsRead()
+    {
+        const CrashReport report {"", 5, "e", 6, CrashStatus::Suspected};
+        std::string bytes = encode(report);
+        // The older format has no list of parts, which is the last of six fields.
+        const std::size_t body = bytes.find('\x96');
+        CPPUNIT_ASSERT(body != std::string::npos && bytes.back() == '\x90');
+        bytes[body] = '\x95';
+        bytes.pop_back();
+        const auto decoded = decode(bytes);
+        CPPUNIT_ASSERT(decoded.ok());
+        CPPUNIT_ASSERT(decoded.value() == Message(report));
+    }
+
     void mutatedDocumentsAndBodiesNeverCrashTheParsers()
     {
         std::mt19937 random(2);
--- a/tests/routing/crashing_fleet.cpp
+++ b/tests/routing/crashing_fleet.cpp
@@ -12,6 +12,7 @@
 /// Delay from a crash until the store shows the next lifetime.
 constexpr milliseconds publicationDelay {3'500};
 constexpr milliseconds reportDelay {100};
+constexpr milliseconds fullReportInterval {1'000};
 constexpr milliseconds writeTime {400};
 constexpr Tokens partTokens = 100;
 
@@ -42,7 +43,8 @@
     return this->processes.size() - 1;
 }
 
-void CrashingFleet::send(std::size_t process, const std::vector<std::uint64_t> &sharedParts)
+void CrashingFleet::send(std::size_t process, const std::vector<std::uint64_t> &sharedParts,
+                         const std::string &path)
 {
     std::vector<PromptPart> parts;
     for (const std::uint64_t part : sharedParts) {
@@ -53,7 +55,7 @@
     const bool isDeadly
         = std::find(sharedParts.begin(), sharedParts.end(), deadlyPart) != sharedParts.end();
     this->soundCount += isDeadly ? 0 : 1;
-    const RequestId request = this->processes.at(process)->sendRequest("/long/1", "k1", "", parts);
+    const RequestId request = this->processes.at(process)->sendRequest(path, "k1", "", parts);
     this->deadly[{process, request}] = isDeadly;
     this->perform(process);
 }
@@ -69,9 +71,7 @@
     const std::vector<StartAttempt> starts = harness.allEffects<StartAttempt>();
     const std::vector<CancelAttempt> cancels = harness.allEffects<CancelAttempt>();
     for (const BroadcastCrash &crash : harness.allEffects<BroadcastCrash>()) {
-        this->reports.push_back({this->now() + reportDelay,
-                                 process,
-                                 {crash.fingerprint, crash.upstream, crash.incarnation}});
+        this->reports.push_back({this->now() + reportDelay, process, {crash}});
     }
     harness.clearEffects();
     for (const CancelAttempt &cancel : cancels) {
@@ -191,9 +191,37 @@
             }
         }
     }
+    if (this->now() >= this->nextReportAt) {
+        this->nextReportAt = this->now() + fullReportInterval;
+        this->exchangeReports();
+    }
     this->progress();
 }
 
+void CrashingFleet::exchangeReports()
+{
+    for (std::size_t from = 0; from < this->processes.size(); ++from) {
+        PeerReportArrived report;
+        report.peer = "process" + std::to_string(from);
+        report.blockedParts = this->processes[from]->router.blockedParts(this->now());
+        for (std::size_t to = 0; to < this->processes.size(); ++to) {
+            if (to != from) {
+                this->processes[to]->handle(report);
+                this->perform(to);
+            }
+        }
+    }
+}
+
+bool CrashingFleet::blocksSoundPart() const
+{
+    return std::any_of(this->processes.begin(), this->processes.end(), [this](const auto &process) {
+        const auto blocked = process->router.blockedParts(this->now());
+        return std::any_of(blocked.begin(), blocked.end(),
+                           [](const auto &each) { return each.part != deadlyPart; });
+    });
+}
+
 void CrashingFleet::advanceTime(milliseconds time)
 {
     const Instant until = this->now() + time;
--- a/tests/routing/crashing_fleet.h
+++ b/tests/routing/crashing_fleet.h
@@ -25,7 +25,8 @@
     // Commands
 
     /// Sends a request, whose last part is its own, at a process.
-    void send(std::size_t process, const std::vector<std::uint64_t> &sharedParts);
+    void send(std::size_t process, const std::vector<std::uint64_t> &sharedParts,
+              const std::string &path = "/long/1");
     void advanceTime(milliseconds time);
     /// Crashes an engine, whatever it runs.
     void crash(const std::string &engine);
@@ -37,6 +38,8 @@
     // Queries
 
     std::size_t crashes() const { return this->crashTimes.size(); }
+    /// Returns the number of requests with the deadly part that reached an engine.
+    std::size_t deadlyRunCount() const { return this->deadlyRuns.size(); }
     /// Returns the number of requests with the deadly part that reached an engine later than
     /// \a delay after the fifth crash.
     std::size_t deadlyRunsAfterFifthCrash(milliseconds delay) const;
@@ -44,6 +47,8 @@
     std::size_t soundSent() const { return this->soundCount; }
     /// Returns the number of sound requests that began at their first attempt.
     std::size_t soundBegun() const { return this->begunCount; }
+    /// Returns true if a process has blocked a part other than the deadly one.
+    bool blocksSoundPart() const;
     Instant now() const { return this->processes.front()->now(); }
     RouterHarness &process(std::size_t number) { return *this->processes.at(number); }
 
@@ -68,6 +73,7 @@
     };
 
     void step();
+    void exchangeReports();
     void progress();
     /// Performs the effects of a process until there are none.
     void perform(std::size_t process);
@@ -81,6 +87,7 @@
     std::vector<std::pair<Instant, std::string>> restarts;             ///< Not published yet.
     std::vector<Instant> crashTimes;
     std::vector<Instant> deadlyRuns;
+    Instant nextReportAt;
     std::uint64_t lastOwnPart = 1'000'000;
     std::size_t soundCount = 0;
     std::size_t begunCount = 0;
