Don't block an innocent part for one crash of another cause

A part that the tainted requests share with a few sound ones was let through only while all of its crashes were also those of the deadly part. One crash of another cause, with few answers in between, would have blocked it for an hour, and no answer could have cleared it then.

Now the crashes that a likelier blocked part explains, which the request does not hold, are taken off the count. A part with which an answer has begun is never likelier than one without. Blocked parts learned from a peer's full report are journaled too.

aCrashOfAnotherCauseDoesNotBlockAnInnocentPart fails on the code before. Suites crash_suspects, router_crashes, router and router_migrations pass (a build at -O0).

--- a/src/decision/crash_suspects.cpp
+++ b/src/decision/crash_suspects.cpp
@@ -51,7 +51,7 @@
     return blocked;
 }
 
-bool CrashSuspects::clear(PromptPartId part)
+bool CrashSuspects::clearPart(PromptPartId part)
 {
     const Suspect *known = this->suspects.find(part);
     if (known == nullptr || known->crashes.empty()) {
@@ -72,7 +72,7 @@
     std::vector<PromptPartId> cleared;
     for (const PromptPartId part : parts) {
         this->trusted.touch(part) = true;
-        if (this->clear(part)) {
+        if (this->clearPart(part)) {
             cleared.push_back(part);
         }
     }
@@ -82,13 +82,15 @@
 void CrashSuspects::clear(const std::vector<PromptPartId> &parts)
 {
     for (const PromptPartId part : parts) {
-        this->clear(part);
+        this->clearPart(part);
     }
 }
 
-void CrashSuspects::merge(const std::vector<PartCrashes> &blocked, Instant now)
+std::vector<PromptPartId> CrashSuspects::merge(const std::vector<PartCrashes> &reports, Instant now)
 {
-    for (const PartCrashes &reported : blocked) {
+    std::vector<PromptPartId> blocked;
+    for (const PartCrashes &reported : reports) {
+        const bool wasBlocked = this->reachesBlock(reported.part, now);
         for (const CrashId crash : reported.crashes) {
             const Suspect *known = this->suspects.find(reported.part);
             if (known != nullptr
@@ -100,7 +102,11 @@
                 suspect.lastCrash = now;
             }
         }
+        if (!wasBlocked && this->reachesBlock(reported.part, now)) {
+            blocked.push_back(reported.part);
+        }
     }
+    return blocked;
 }
 
 const CrashSuspects::Suspect *CrashSuspects::find(PromptPartId part, Instant now) const
@@ -115,30 +121,45 @@
     return suspect == nullptr ? 0 : suspect->crashes.size();
 }
 
+std::size_t CrashSuspects::blockingCount(PromptPartId part) const
+{
+    return this->trusted.find(part) != nullptr ? crashesToBlockTrusted : crashesToBlock;
+}
+
 bool CrashSuspects::reachesBlock(PromptPartId part, Instant now) const
 {
-    const bool isTrusted = this->trusted.find(part) != nullptr;
-    return this->crashCount(part, now) >= (isTrusted ? crashesToBlockTrusted : crashesToBlock);
+    return this->crashCount(part, now) >= this->blockingCount(part);
 }
 
-bool CrashSuspects::isExplained(const Suspect &suspect, const std::vector<PromptPartId> &parts,
-                                Instant now) const
+bool CrashSuspects::wasAnswered(PromptPartId part, const Suspect &suspect) const
 {
-    bool explained = false;
-    this->suspects.forEach([&](PromptPartId part, const Suspect &other) {
-        const auto isOthers = [&](CrashId crash) { return contains(other.crashes, crash); };
-        explained = explained
-            || (!contains(parts, part) && this->reachesBlock(part, now)
-                && std::all_of(suspect.crashes.begin(), suspect.crashes.end(), isOthers));
+    return !suspect.clearedOf.empty() || this->trusted.find(part) != nullptr;
+}
+
+std::size_t CrashSuspects::unexplainedCrashes(PromptPartId part,
+                                              const std::vector<PromptPartId> &parts,
+                                              Instant now) const
+{
+    const Suspect &suspect = *this->find(part, now);
+    std::vector<CrashId> unexplained = suspect.crashes;
+    this->suspects.forEach([&](PromptPartId otherPart, const Suspect &other) {
+        const bool answered = this->wasAnswered(part, suspect);
+        const bool likelier = answered == this->wasAnswered(otherPart, other)
+            ? other.crashes.size() >= suspect.crashes.size()
+            : answered;
+        if (likelier && !contains(parts, otherPart) && this->reachesBlock(otherPart, now)) {
+            std::erase_if(unexplained,
+                          [&](CrashId crash) { return contains(other.crashes, crash); });
+        }
     });
-    return explained;
+    return unexplained.size();
 }
 
 bool CrashSuspects::isBlocked(const std::vector<PromptPartId> &parts, Instant now) const
 {
     return std::any_of(parts.begin(), parts.end(), [&](PromptPartId part) {
         return this->reachesBlock(part, now)
-            && !this->isExplained(*this->find(part, now), parts, now);
+            && this->unexplainedCrashes(part, parts, now) >= this->blockingCount(part);
     });
 }
 
--- a/src/decision/crash_suspects.h
+++ b/src/decision/crash_suspects.h
@@ -61,12 +61,13 @@
     /// Records that a peer cleared these parts.
     void clear(const std::vector<PromptPartId> &parts);
     /// Adds the suspects that a peer has blocked, but for the crashes of which they were cleared.
-    void merge(const std::vector<PartCrashes> &blocked, Instant now);
+    /// \return the parts that were not blocked before.
+    std::vector<PromptPartId> merge(const std::vector<PartCrashes> &blocked, Instant now);
 
     // Queries
 
-    /// Returns true if a request with these parts must not run: one of them is blocked, and its
-    /// crashes are not explained by a part that the request does not hold.
+    /// Returns true if a request with these parts must not run: one of them is blocked, even
+    /// without the crashes that are explained by a part that the request does not hold.
     bool isBlocked(const std::vector<PromptPartId> &parts, Instant now) const;
     /// Returns true if a request with these parts may crash a further upstream.
     bool isSuspect(const std::vector<PromptPartId> &parts, Instant now) const;
@@ -88,11 +89,14 @@
 
     const Suspect *find(PromptPartId part, Instant now) const;
     bool reachesBlock(PromptPartId part, Instant now) const;
-    /// Returns true if a blocked part not among \a parts is suspected of all crashes of \a suspect.
-    bool isExplained(const Suspect &suspect, const std::vector<PromptPartId> &parts,
-                     Instant now) const;
+    std::size_t blockingCount(PromptPartId part) const;
+    /// Returns the number of a part's crashes of which no likelier part is suspected that is not
+    /// among \a parts.
+    std::size_t unexplainedCrashes(PromptPartId part, const std::vector<PromptPartId> &parts,
+                                   Instant now) const;
+    bool wasAnswered(PromptPartId part, const Suspect &suspect) const;
     /// \return true if the part was a suspect.
-    bool clear(PromptPartId part);
+    bool clearPart(PromptPartId part);
     bool add(Suspect &suspect, CrashId crash);
 
     RecentMap<PromptPartId, Suspect> suspects {maxSuspects};
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -274,7 +274,7 @@
 {
     this->loads.updatePeer(event.peer, event.claims, event.isSnapshot, this->now);
     this->retryBudget.updatePeer(event.peer, event.requestCounts, this->now);
-    this->crashSuspects.merge(event.blockedParts, this->now);
+    this->mergeBlockedParts(event.blockedParts);
     for (const UpstreamObservation &observation : event.observations) {
         this->applyObservation(observation);
     }
@@ -282,7 +282,7 @@
 
 void Router::on(const ZoneReportArrived &event)
 {
-    this->crashSuspects.merge(event.blockedParts, this->now);
+    this->mergeBlockedParts(event.blockedParts);
     this->loads.updateZone(event.zone, event.claims, this->now);
     this->retryBudget.updateZone(event.zone, event.requestCounts, event.processes, this->now);
 }
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -327,6 +327,8 @@
     bool lostOthersWith(const SuspectedCrash &loss) const;
     void reportParts(SuspectedCrash &loss);
     void recordPartCrash(const CrashReport &crash);
+    void mergeBlockedParts(const std::vector<decision::PartCrashes> &reports);
+    void journalBlocked(const std::vector<decision::PromptPartId> &parts);
     /// Records that the current attempt may have crashed its upstream.
     void suspectCrash(const ActiveRequest &active);
     /// Reports the suspected crashes whose upstreams have disappeared or restarted.
--- a/src/routing/router_crashes.cpp
+++ b/src/routing/router_crashes.cpp
@@ -147,8 +147,17 @@
 {
     const decision::CrashId id
         = decision::CrashSuspects::crashId(crash.upstream, crash.incarnation);
-    for (const decision::PromptPartId part :
-         this->crashSuspects.recordCrash(crash.parts, id, this->now)) {
+    this->journalBlocked(this->crashSuspects.recordCrash(crash.parts, id, this->now));
+}
+
+void Router::mergeBlockedParts(const std::vector<decision::PartCrashes> &reports)
+{
+    this->journalBlocked(this->crashSuspects.merge(reports, this->now));
+}
+
+void Router::journalBlocked(const std::vector<decision::PromptPartId> &parts)
+{
+    for (const decision::PromptPartId part : parts) {
         this->emit(WriteJournal {
             {journal::EventId::PromptPartBlocked,
              {{"part", internal::partsText(std::vector<decision::PromptPartId> {part})},
--- a/tests/decision/crash_suspects_test.cpp
+++ b/tests/decision/crash_suspects_test.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(oneCrashReportedByManyCountsOnce);
     CPPUNIT_TEST(aPartThatIsAnsweredIsNotBlocked);
     CPPUNIT_TEST(aPartIsNotBlockedForTheCrashesOfAnother);
+    CPPUNIT_TEST(aCrashOfAnotherCauseDoesNotBlockAnInnocentPart);
     CPPUNIT_TEST(aPartThatTurnsDeadlyIsBlocked);
     CPPUNIT_TEST(manyCrashesAtOnceBlameNoPart);
     CPPUNIT_TEST(aProcessThatStartsLaterLearnsTheBlock);
@@ -86,6 +87,21 @@
         CPPUNIT_ASSERT(!suspects.isBlocked({shared, other}, moment(5)));
     }
 
+    void aCrashOfAnotherCauseDoesNotBlockAnInnocentPart()
+    {
+        CrashSuspects suspects;
+        suspects.recordCrash({shared}, 1, moment(1));
+        suspects.clear({shared});
+        for (int crash = 2; crash <= 4; ++crash) {
+            suspects.recordCrash({shared, deadly}, crash, moment(crash));
+        }
+        suspects.recordCrash({shared, other}, 5, moment(5));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), suspects.crashCount(shared, moment(5)));
+        CPPUNIT_ASSERT(!suspects.isBlocked({shared, other}, moment(5)));
+        CPPUNIT_ASSERT(suspects.isBlocked({shared, deadly}, moment(5)));
+        CPPUNIT_ASSERT(suspects.isBlocked({deadly}, moment(5)));
+    }
+
     void aPartThatTurnsDeadlyIsBlocked()
     {
         CrashSuspects suspects;
@@ -127,7 +143,7 @@
             peer.recordCrash({shared}, crash, moment(crash));
             suspects.recordCrash({shared}, crash, moment(crash));
         }
-        suspects.clear(std::vector<PromptPartId> {shared});
+        suspects.clear({shared});
         CPPUNIT_ASSERT(!suspects.isBlocked({shared}, moment(4)));
         suspects.merge(peer.blockedParts(moment(4)), moment(4));
         CPPUNIT_ASSERT(!suspects.isBlocked({shared}, moment(4)));
