--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -285,6 +285,7 @@
 {
     this->loads.updatePeer(event.peer, event.claims, event.isSnapshot, this->now);
     this->retryBudget.updatePeer(event.peer, event.requestCounts, this->now);
+    this->mergeBlockedParts(event.blockedParts);
     for (const UpstreamObservation &observation : event.observations) {
         this->applyObservation(observation);
     }
@@ -292,15 +293,11 @@
 
 void Router::on(const ZoneReportArrived &event)
 {
+    this->mergeBlockedParts(event.blockedParts);
     this->loads.updateZone(event.zone, event.claims, this->now);
     this->retryBudget.updateZone(event.zone, event.requestCounts, event.processes, this->now);
 }
 
-void Router::on(const PeerCrashReported &event)
-{
-    this->crashes.recordCrash(event.fingerprint, event.upstream, event.incarnation, this->now);
-}
-
 void Router::on(const ProcessesChanged &event)
 {
     this->retryBudget.setProcessCount(event.count);
@@ -326,6 +323,7 @@
 void Router::on(const TimePassed &)
 {
     this->loads.removeSilent(this->now);
+    this->judgeLosses();
     for (const RequestId id : this->activeRequestIds()) {
         if (ActiveRequest *each = this->findRequest(id)) {
             this->checkDeadline(*each);
