--- a/src/routing/router_admission.cpp
+++ b/src/routing/router_admission.cpp
@@ -170,7 +170,7 @@
         if (each == nullptr || !each->queued) {
             continue;
         }
-        // One that may have run is retried here, as its caller must not send it elsewhere.
+        // One that may have run is retried here, as its caller may not be able to send it again.
         if (this->outlastsStop(*each) && !each->relaying && each->mayHaveRunOn.empty()) {
             this->sendReply(*each, this->stoppingReply(*each));
             continue;
--- a/src/routing/router_events.h
+++ b/src/routing/router_events.h
@@ -189,8 +189,9 @@
 struct TimePassed
 { };
 
-/// This process is about to stop. From now on it takes and places only requests whose deadline lies
-/// before the end of the stop, because the others might be left unanswered.
+/// This process is about to stop. From now on it takes only requests whose deadline lies before the
+/// end of the stop, because others might be left unanswered. What it took before goes on, unless it
+/// has not been sent yet and may outlast the stop.
 struct StopRequested
 {
     Instant endsAt; ///< Time at which StopTimedOut follows.
