Send the last answers of a stop before anything else is stopped

Cause: after the last request the process waited a fixed 60 ms, then stopped store, timers and client, and the HTTP server last, whatever was unread or unsent by then.

Change: the HTTP server is stopped first.

--- a/src/serving/routing_process.cpp
+++ b/src/serving/routing_process.cpp
@@ -27,10 +27,6 @@
 constexpr milliseconds balancerRemovalTime {2'300};
 /// Part of the stop time that is reserved for sending the last responses and exiting.
 constexpr milliseconds stopReserve {500};
-/// Part of stopReserve in which the responses that ended the last requests are sent.
-constexpr milliseconds responseSendTime {200};
-/// Pause before the servers stop, in which the last bytes reach the callers.
-constexpr milliseconds flushTime {60};
 /// Processes assumed in the fleet during joinPeriod, as not all members are known yet.
 constexpr std::size_t assumedProcessesWhileJoining = 12;
 constexpr seconds joinPeriod {6};
@@ -376,7 +372,6 @@
     this->journalReadinessChange();
     const Instant stopStarted = monotonicNow();
     const Instant requestsEndAt = stopStarted + this->settings.bounds.stopTimeout - stopReserve;
-    const Instant sendUntil = requestsEndAt + responseSendTime;
     this->forwarder.handle(routing::StopRequested {requestsEndAt});
     this->coordinator.leave();
     this->callerServer.drain();
@@ -396,8 +391,7 @@
     waitWhile(hasOpenRequests, requestsEndAt);
     this->forwarder.handle(routing::StopTimedOut {});
     const std::size_t cut = this->forwarder.status().streamsCutByStop;
-    waitWhile([&] { return this->callerServer.openExchanges() > 0; }, sendUntil);
-    std::this_thread::sleep_for(flushTime);
+    this->callerServer.stop();
     this->journal.record({journal::EventId::ProcessStopped,
                           {{"member", this->settings.name},
                            {"cut", std::to_string(cut)},
