--- a/src/routing/internal/journal_text.h
+++ b/src/routing/internal/journal_text.h
@@ -34,6 +34,7 @@
 inline std::string partsText(const std::vector<PromptPart> &parts)
 {
     std::vector<std::uint64_t> ids;
+    ids.reserve(parts.size());
     for (const PromptPart &part : parts) {
         ids.push_back(part.id);
     }
--- a/src/routing/router_admission.cpp
+++ b/src/routing/router_admission.cpp
@@ -47,6 +47,7 @@
 std::vector<decision::PromptPartId> sharedPartsOf(const RoutedRequest &request)
 {
     std::vector<decision::PromptPartId> shared;
+    shared.reserve(request.promptParts.size());
     for (std::size_t part = 0; part + 1 < request.promptParts.size(); ++part) {
         shared.push_back(request.promptParts[part].id);
     }
--- a/tests/routing/crashing_fleet.cpp
+++ b/tests/routing/crashing_fleet.cpp
@@ -47,6 +47,7 @@
                          const std::string &path)
 {
     std::vector<PromptPart> parts;
+    parts.reserve(sharedParts.size() + 1);
     for (const std::uint64_t part : sharedParts) {
         parts.push_back({part, partTokens});
     }
