--- a/src/routing/router_admission.cpp
+++ b/src/routing/router_admission.cpp
@@ -126,7 +126,7 @@
     arrived.deadline = this->now + std::min(allowed, route.timeout);
     arrived.fingerprint = fingerprintOf(request);
     arrived.sharedParts = sharedPartsOf(request);
-    if (const auto rejection = this->crashRejection(arrived)) {
+    if (auto rejection = this->crashRejection(arrived)) {
         return rejection;
     }
     const bool nonResumableStream = route.kind == RouteKind::Streaming && !route.resumable;
--- a/tests/routing/router_crashes_test.cpp
+++ b/tests/routing/router_crashes_test.cpp
@@ -1,6 +1,7 @@
 #include "routing/crashing_fleet.h"
 #include "support/suite.h"
 
+#include <algorithm>
 #include <random>
 
 namespace azurespindle::routing {
@@ -25,6 +26,18 @@
     milliseconds time {20'000};
 };
 
+const std::vector<PromptPart> parts {{1, 100}, {2, 100}};
+
+/// Returns the number of reports that suspect prompt parts.
+std::size_t partReports(const tests::RouterHarness &harness)
+{
+    const auto reports = harness.allEffects<BroadcastCrash>();
+    return static_cast<std::size_t>(
+        std::count_if(reports.begin(), reports.end(), [](const BroadcastCrash &report) {
+            return !report.parts.empty() && !report.cleared;
+        }));
+}
+
 void sendMixed(CrashingFleet &fleet, std::mt19937 &random, const Mixture &mixture)
 {
     std::uniform_real_distribution<double> uniform(0.0, 1.0);
@@ -48,6 +61,8 @@
     CPPUNIT_TEST(aPromptPartCannotKeepCrashingEngines);
     CPPUNIT_TEST(aCallerWithATaintedPromptIsServed);
     CPPUNIT_TEST(resetConnectionsBlameNoPart);
+    CPPUNIT_TEST(aLossAtAnEngineThatRunsOnBlamesNoPart);
+    CPPUNIT_TEST(lossesAtSeveralEnginesAtOnceWaitForTheStore);
     CPPUNIT_TEST(enginesThatCrashTogetherBlameNoPart);
     CPPUNIT_TEST(aProcessThatStartsLaterRefusesThePart);
     CPPUNIT_TEST(aSuspectIsNotRetriedOnAnotherEngine);
@@ -104,6 +119,39 @@
         CPPUNIT_ASSERT(2 * fleet.soundBegun() >= fleet.soundSent());
     }
 
+    void aLossAtAnEngineThatRunsOnBlamesNoPart()
+    {
+        tests::RouterHarness harness;
+        harness.configure();
+        harness.addEngine("e1");
+        const RequestId lost = harness.sendRequest("/long/1", "k1", "", parts);
+        const RequestId other = harness.sendRequest("/long/1", "k1", "", parts);
+        harness.advanceTime(milliseconds(100));
+        harness.endAttempt(lost, AttemptEnd::Lost);
+        harness.advanceTime(milliseconds(500));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), partReports(harness));
+        harness.endAttempt(other, AttemptEnd::Lost);
+        harness.advanceTime(milliseconds(500));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), partReports(harness));
+    }
+
+    void lossesAtSeveralEnginesAtOnceWaitForTheStore()
+    {
+        tests::RouterHarness harness;
+        harness.configure();
+        harness.addEngine("e1");
+        const RequestId first = harness.sendRequest("/long/1", "k1", "", parts);
+        harness.addEngine("e2");
+        const RequestId second = harness.sendRequest("/long/1", "k1", "", parts);
+        CPPUNIT_ASSERT_EQUAL(std::string("e2"), harness.lastUpstream());
+        harness.endAttempt(first, AttemptEnd::Lost);
+        harness.endAttempt(second, AttemptEnd::Lost);
+        harness.advanceTime(milliseconds(500));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), partReports(harness));
+        harness.restart("e1");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), partReports(harness));
+    }
+
     void enginesThatCrashTogetherBlameNoPart()
     {
         CrashingFleet fleet(processes, engines);
