--- a/src/routing/router_admission.cpp
+++ b/src/routing/router_admission.cpp
@@ -48,6 +48,7 @@
 std::vector<decision::PromptPartId> sharedPartsOf(const RoutedRequest &request)
 {
     std::vector<decision::PromptPartId> shared;
+    shared.reserve(request.promptParts.size());
     for (std::size_t part = 0; part + 1 < request.promptParts.size(); ++part) {
         shared.push_back(request.promptParts[part].id);
     }
@@ -126,7 +127,7 @@
     arrived.deadline = this->now + std::min(allowed, route.timeout);
     arrived.fingerprint = fingerprintOf(request);
     arrived.sharedParts = sharedPartsOf(request);
-    if (const auto rejection = this->crashRejection(arrived)) {
+    if (auto rejection = this->crashRejection(arrived)) {
         return rejection;
     }
     if (this->outlastsStop(arrived)) {
