--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -291,7 +291,8 @@
 
     void aResponseStillUnsentIsNotCutWhenTheServerDrains()
     {
-        const std::string large(100'000'000, 'x'); // More than the system buffers.
+        std::string large;
+        large.resize(100'000'000, 'x'); // More than the system buffers.
         Server server(anyPort, {}, 1, [&](const ServerRequest &, const ExchangePtr &exchange) {
             exchange->respond(200, {}, large);
         });
