Don't cancel a silent attempt for an upstream without room

What callers saw: with a second engine that is full, a silent stream was cancelled, could not be placed, and was cut.

Change: an alternative is one that the placement would choose now. The choice and what a request needs of an engine are functions of their own.

Result: router silenceBesideAFullUpstreamEndsNoRequest fails if any other upstream counts, and passes now.

--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -256,6 +256,14 @@
     void placeQueued();
     void enqueue(ActiveRequest &active);
     void dequeue(ActiveRequest &active);
+    /// Returns what a request needs of an engine.
+    decision::RequestDemand demandOf(const ActiveRequest &active) const;
+    /// Returns the index of the best candidate with capacity, or nothing.
+    std::optional<std::size_t>
+    chooseCandidate(const ActiveRequest &active,
+                    const std::vector<decision::UpstreamCandidate> &candidates);
+    /// Returns true if an upstream other than the current one could serve the request now.
+    bool hasAlternative(const ActiveRequest &active);
     /// Sends a request to an upstream. \return false if none has capacity.
     bool tryPlace(ActiveRequest &active);
     std::vector<decision::UpstreamCandidate> candidatesFor(const ActiveRequest &active) const;
@@ -311,8 +319,6 @@
     void handleStreamEnd(ActiveRequest &active, AttemptEnd end, const std::string &detail);
     /// Returns true if a request may be sent again although it may have been executed.
     bool canRetry(const ActiveRequest &active) const;
-    /// Returns true if an upstream other than the current one may serve the request.
-    bool hasAlternative(const ActiveRequest &active) const;
     void checkDeadline(ActiveRequest &active);
     /// Retries or recovers a request whose upstream has been silent for too long.
     void checkInactivity(ActiveRequest &active);
--- a/src/routing/router_admission.cpp
+++ b/src/routing/router_admission.cpp
@@ -281,23 +281,44 @@
                                + (1.0 - forecastWeight) * fromMaximum);
 }
 
-bool Router::tryPlace(ActiveRequest &active)
+decision::RequestDemand Router::demandOf(const ActiveRequest &active) const
 {
-    const std::vector<decision::UpstreamCandidate> candidates = this->candidatesFor(active);
-    const bool isEngine = active.service != nullptr && active.service->engine;
     const Tokens prompt = active.request->promptTokens;
     const auto claimedOutput = static_cast<Tokens>(
         claimedOutputFraction * static_cast<double>(this->expectedOutputTokens(active, 0)));
-    const decision::RequestDemand demand {prompt, prompt + claimedOutput, false, false};
-    const auto chosen = isEngine
-        ? decision::chooseEngine(candidates, demand, this->nextTieBreaker())
+    return {prompt, prompt + claimedOutput, false, false};
+}
+
+std::optional<std::size_t>
+Router::chooseCandidate(const ActiveRequest &active,
+                        const std::vector<decision::UpstreamCandidate> &candidates)
+{
+    const bool isEngine = active.service != nullptr && active.service->engine;
+    return isEngine
+        ? decision::chooseEngine(candidates, this->demandOf(active), this->nextTieBreaker())
         : decision::choosePlainUpstream(candidates, this->nextTieBreaker());
+}
+
+bool Router::hasAlternative(const ActiveRequest &active)
+{
+    std::vector<decision::UpstreamCandidate> candidates = this->candidatesFor(active);
+    std::erase_if(candidates, [&](const decision::UpstreamCandidate &candidate) {
+        return candidate.upstream == active.upstream.id;
+    });
+    return this->chooseCandidate(active, candidates).has_value();
+}
+
+bool Router::tryPlace(ActiveRequest &active)
+{
+    const std::vector<decision::UpstreamCandidate> candidates = this->candidatesFor(active);
+    const auto chosen = this->chooseCandidate(active, candidates);
     if (!chosen) {
         return false;
     }
     const UpstreamRecord upstream = *this->findUpstream(candidates[*chosen].upstream);
+    const bool isEngine = active.service != nullptr && active.service->engine;
     const decision::ResourceClaim claim = isEngine
-        ? decision::ResourceClaim {1, demand.memory, prompt}
+        ? decision::ResourceClaim {1, this->demandOf(active).memory, active.request->promptTokens}
         : decision::ResourceClaim {1, 0, 0};
     this->dequeue(active);
     this->startAttempt(active, upstream, claim, std::nullopt);
--- a/src/routing/router_attempts.cpp
+++ b/src/routing/router_attempts.cpp
@@ -430,14 +430,6 @@
                      "the time ran out"});
 }
 
-bool Router::hasAlternative(const ActiveRequest &active) const
-{
-    const std::vector<decision::UpstreamCandidate> candidates = this->candidatesFor(active);
-    return std::any_of(candidates.begin(), candidates.end(), [&](const auto &candidate) {
-        return candidate.upstream != active.upstream.id;
-    });
-}
-
 void Router::checkInactivity(ActiveRequest &active)
 {
     if (!active.running) {
--- a/tests/routing/router_test.cpp
+++ b/tests/routing/router_test.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(aStopTellsUpstreamsNoMoreTimeThanItHas);
     CPPUNIT_TEST(aStopDoesNotSay503ToARequestThatMayHaveRun);
     CPPUNIT_TEST(silenceOfTheOnlyUpstreamEndsNoRequest);
+    CPPUNIT_TEST(silenceBesideAFullUpstreamEndsNoRequest);
     CPPUNIT_TEST(aRequestWithoutDataAtTheEndOfAStopIsAnswered);
     CPPUNIT_TEST(aStreamThatFailsBeforeItsFirstEventIsAnswered);
     CPPUNIT_TEST(aRequestThatCrashesUpstreamsIsRejected);
@@ -543,6 +544,25 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), harness.countEffects<SendLocalReply>());
     }
 
+    void silenceBesideAFullUpstreamEndsNoRequest()
+    {
+        RouterHarness harness;
+        harness.configure();
+        harness.addEngine("e1");
+        const RequestId started = harness.sendRequest("/short/1");
+        harness.receiveStreamHead(started);
+        harness.receiveEvents(started, 3);
+        harness.addEngine("e2");
+        const decision::ResourceClaim all {24, 34'000, 0};
+        harness.handle(PeerReportArrived {"peer", true, {{"e2", all}}, {}, {}});
+        for (int second = 0; second < 6; ++second) {
+            harness.advanceTime(milliseconds(1'000));
+            harness.handle(PeerReportArrived {"peer", true, {{"e2", all}}, {}, {}});
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), harness.countEffects<CancelAttempt>());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), harness.countEffects<AbortStream>());
+    }
+
     void aRequestWithoutDataAtTheEndOfAStopIsAnswered()
     {
         RouterHarness harness;
