Name the time that a request has left

canRetry() compared the difference of two calls, which the formatter took for template arguments. timeLeft() stands for it in all three places. No behaviour changes; the router suites pass.

--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -281,8 +281,8 @@
     milliseconds retryAfter(const ActiveRequest &active) const;
     /// Returns true if the process may end before the request does.
     bool outlastsStop(const ActiveRequest &active) const;
-    /// Returns the time by which a request has to end: its deadline, or the end of the stop.
-    Instant endOf(const ActiveRequest &active) const;
+    /// Returns the time in which a request has to end: until its deadline or the end of the stop.
+    microseconds timeLeft(const ActiveRequest &active) const;
     /// Returns the reply to a request that cannot be served before the process ends.
     LocalReply stoppingReply(const ActiveRequest &active) const;
 
--- a/src/routing/router_admission.cpp
+++ b/src/routing/router_admission.cpp
@@ -341,9 +341,11 @@
     return this->stop && active.deadline > this->stop->endsAt;
 }
 
-Instant Router::endOf(const ActiveRequest &active) const
+microseconds Router::timeLeft(const ActiveRequest &active) const
 {
-    return this->stop ? std::min(active.deadline, this->stop->endsAt) : active.deadline;
+    const Instant end
+        = this->stop ? std::min(active.deadline, this->stop->endsAt) : active.deadline;
+    return end - this->now;
 }
 
 LocalReply Router::stoppingReply(const ActiveRequest &active) const
--- a/src/routing/router_attempts.cpp
+++ b/src/routing/router_attempts.cpp
@@ -47,8 +47,8 @@
 {
     AttemptPlan plan;
     plan.upstream = upstream;
-    plan.timeLeft = std::max(
-        milliseconds(1), std::chrono::duration_cast<milliseconds>(this->endOf(active) - this->now));
+    plan.timeLeft = std::max(milliseconds(1),
+                             std::chrono::duration_cast<milliseconds>(this->timeLeft(active)));
     plan.workspace = active.workspace;
     plan.toEngine = active.service != nullptr && active.service->engine;
     plan.priority = std::clamp(active.priority, highestPriority, lowestPriority);
@@ -313,7 +313,7 @@
     // The attempt that just ended is not in mayHaveRunOn yet.
     const bool attemptsLeft = active.mayHaveRunOn.size() + 1 < active.route->maxAttempts;
     return mayRepeat && attemptsLeft
-        && active.attemptCount<totalAttemptLimit &&this->endOf(active) - this->now> minTimeForRetry
+        && active.attemptCount<totalAttemptLimit &&this->timeLeft(active)> minTimeForRetry
         && this->retryBudget.allows(active.serviceName, active.eventCount > 0, this->now);
 }
 
@@ -332,7 +332,7 @@
     const bool withinBudget = active.possibleDeliveries == 0
         || this->retryBudget.allows(active.serviceName, false, this->now);
     if (active.attemptCount < totalAttemptLimit && withinBudget
-        && this->endOf(active) - this->now > minTimeForRetry) {
+        && this->timeLeft(active) > minTimeForRetry) {
         this->enqueue(active);
         return;
     }
