Log who read, sent and received an update of the published state

Cause: after a large configuration the logs told when a process had applied a version, but not when it had received it, from whom, how many bytes that took, and how often the same changes came again. So the hypotheses of the incident (distribution, decoding, recovery) could not be told apart from logs; the monitoring's bytes hinted at repeats.

Change: events 412 to 414 for large updates received and sent and for each request for missing changes; counters of the bytes received, of the part that was known already, and of the requests.

Measured: suites view_synchronizer, store_watcher, store_client, routing_process, event_id, coordinator and published_view pass. No decision changes.

--- a/src/journal/event_id.cpp
+++ b/src/journal/event_id.cpp
@@ -83,6 +83,13 @@
          "The settings file was read again; `changed` tells what was taken over."},
         {E::LogLinesDropped, "log-lines-dropped", S::Warning,
          "The log was not read fast enough; `count` lines are missing before this one."},
+        {E::ViewUpdateReceived, "view-update-received", S::Info,
+         "A large update of the published state arrived from the store or a member; `outcome` is "
+         "applied, known (all of it was known) or gap (earlier changes are missing)."},
+        {E::ViewUpdateRequested, "view-update-requested", S::Info,
+         "This process lags behind a member, which it asked for the missing changes."},
+        {E::ViewUpdateSent, "view-update-sent", S::Info,
+         "A large update of the published state was sent to one member or to the zone."},
         {E::MemberJoined, "member-joined", S::Info, "Another entry process is a member now."},
         {E::MemberSuspected, "member-suspected", S::Warning,
          "A member is silent; it is removed unless it speaks up."},
--- a/src/journal/event_id.h
+++ b/src/journal/event_id.h
@@ -56,6 +56,9 @@
     ReadinessChanged = 409,
     SettingsReloaded = 410,
     LogLinesDropped = 411,
+    ViewUpdateReceived = 412,
+    ViewUpdateRequested = 413,
+    ViewUpdateSent = 414,
 
     MemberJoined = 500,
     MemberSuspected = 501,
--- a/src/members/coordinator.cpp
+++ b/src/members/coordinator.cpp
@@ -43,8 +43,8 @@
                   watchCallbacks(*this, DocumentKind::VmList, journal)),
       network(settings.memberAddress, registry,
               {[this](const MemberRecord &record) { this->onHello(record); },
-               [this](const std::string &from, const Message &message) {
-                   this->onMessage(from, message);
+               [this](const std::string &from, const Message &message, std::size_t bytes) {
+                   this->onMessage(from, message, bytes);
                },
                [this](const std::string &from, const Error &error) {
                    this->journal.record({journal::EventId::FrameRefused,
--- a/src/members/coordinator.h
+++ b/src/members/coordinator.h
@@ -34,7 +34,9 @@
     std::function<bool(const std::string &member)> isReachable {};
     std::function<void(const std::string &from, const RouterReport &report)> onRouterReport {};
     std::function<void(const std::string &from, const ViewRequest &request)> onViewRequest {};
-    std::function<void(const ViewChanges &changes)> onViewChanges {};
+    /// \param bytes size of the frame that held the changes.
+    std::function<void(const std::string &from, const ViewChanges &changes, std::size_t bytes)>
+        onViewChanges {};
     std::function<void(const std::string &from, const ZoneReport &report)> onZoneReport {};
 };
 
@@ -108,7 +110,7 @@
     using Records = std::vector<MemberRecord>;
 
     void onHello(const MemberRecord &record);
-    void onMessage(const std::string &from, const Message &message);
+    void onMessage(const std::string &from, const Message &message, std::size_t bytes);
     void handle(const std::string &from, const Heartbeat &heartbeat);
     void handle(const std::string &from, const MembershipUpdate &update);
     void handle(const std::string &from, const DocumentRequest &request);
--- a/src/members/coordinator_messages.cpp
+++ b/src/members/coordinator_messages.cpp
@@ -31,7 +31,7 @@
     this->publishChanges(changed);
 }
 
-void Coordinator::onMessage(const std::string &from, const Message &message)
+void Coordinator::onMessage(const std::string &from, const Message &message, std::size_t bytes)
 {
     if (const auto *heartbeat = std::get_if<Heartbeat>(&message)) {
         this->handle(from, *heartbeat);
@@ -61,7 +61,7 @@
         }
     } else if (const auto *changes = std::get_if<ViewChanges>(&message)) {
         if (this->hooks.onViewChanges) {
-            this->hooks.onViewChanges(*changes);
+            this->hooks.onViewChanges(from, *changes, bytes);
         }
     } else if (const auto *zoneReport = std::get_if<ZoneReport>(&message)) {
         if (this->hooks.onZoneReport) {
--- a/src/members/peer_network.cpp
+++ b/src/members/peer_network.cpp
@@ -315,7 +315,8 @@
             this->refuseFrame(link, {ErrorCode::FrameMalformed, "first message is not a Hello"});
             return;
         } else {
-            this->callbacks.onMessage(link->member, message.value());
+            this->callbacks.onMessage(link->member, message.value(),
+                                      link->payload.size() + lengthBytes);
         }
         if (link->open) {
             this->readPrefix(link);
--- a/src/members/peer_network.h
+++ b/src/members/peer_network.h
@@ -18,7 +18,9 @@
 {
     /// A member identified itself, on a connection opened by either side.
     std::function<void(const MemberRecord &record)> onHello;
-    std::function<void(const std::string &from, const Message &message)> onMessage;
+    /// \param bytes size of the frame that held the message.
+    std::function<void(const std::string &from, const Message &message, std::size_t bytes)>
+        onMessage;
     /// A frame was refused, and its connection is closed. \a from is "unknown" before a Hello.
     std::function<void(const std::string &from, const Error &error)> onMalformedFrame;
     /// Returns whether frames from a member are accepted; if unset, all are. Tests use it to
--- a/src/metrics/registry.cpp
+++ b/src/metrics/registry.cpp
@@ -47,6 +47,9 @@
     "azurespindle_frame_bytes_received_total",
     "azurespindle_configuration_reads_total",
     "azurespindle_load_reads_total",
+    "azurespindle_view_bytes_received_total",
+    "azurespindle_view_bytes_known_total",
+    "azurespindle_view_requests_total",
 };
 
 Histogram createHistogram(std::size_t measure)
--- a/src/metrics/registry.h
+++ b/src/metrics/registry.h
@@ -39,8 +39,11 @@
     FrameBytesReceived,
     ConfigurationReads, ///< Requests sent to the configuration service or the VM list.
     LoadReads,          ///< Requests for load reports sent to engines.
+    ViewBytesReceived,  ///< Size of the received updates of the published state.
+    ViewBytesKnown,     ///< The part of ViewBytesReceived whose changes were all known already.
+    ViewRequests,       ///< Requests for missing changes sent to members.
 };
-constexpr std::size_t counterCount = 11;
+constexpr std::size_t counterCount = 14;
 
 /// Metrics registry with one series of histograms for each workspace and traffic class, and
 /// counters of the whole process. Thread-safe.
--- a/src/routing/store_watcher.cpp
+++ b/src/routing/store_watcher.cpp
@@ -89,6 +89,7 @@
     if (after.empty()) {
         const std::lock_guard lock(this->mutex);
         this->listing = {true, 0, 0, {}};
+        this->listingBytes = 0;
     }
     this->calls.list(after, [self = this->shared_from_this()](const StoreResponse &page) {
         self->onPage(page);
@@ -103,8 +104,11 @@
         return;
     }
     ViewUpdate update;
+    std::size_t bytes = 0;
     {
         const std::lock_guard lock(this->mutex);
+        this->listingBytes += page.bytes;
+        bytes = this->listingBytes;
         // The pages do not form a consistent snapshot, so the watch starts at the revision of the
         // first page to report changes made between pages.
         this->listing.revision
@@ -120,7 +124,7 @@
         this->listFrom(page.items.back().key);
         return;
     }
-    this->hooks.onUpdate(update);
+    this->hooks.onUpdate(update, bytes);
     this->scheduleNext(milliseconds(0));
 }
 
@@ -139,7 +143,8 @@
                                                                       : retryDelay);
         return;
     }
-    const bool applied = this->hooks.onUpdate({false, after, changes.revision, changes.items});
+    const bool applied
+        = this->hooks.onUpdate({false, after, changes.revision, changes.items}, changes.bytes);
     {
         const std::lock_guard lock(this->mutex);
         this->knownRevision = std::max(this->knownRevision, changes.revision);
--- a/src/routing/store_watcher.h
+++ b/src/routing/store_watcher.h
@@ -31,6 +31,7 @@
     std::vector<PublishedItem> items;
     bool hasMore = false;       ///< True if the listing has further pages.
     std::uint64_t revision = 0; ///< Revision of the store that the response reflects.
+    std::size_t bytes = 0;      ///< Size of the response's body.
 };
 
 using StoreResponseHandler = std::function<void(const StoreResponse &response)>;
@@ -51,7 +52,8 @@
 {
     /// Applies changes. \return false if changes are missing before \a update, which makes the
     /// watcher list all items again.
-    std::function<bool(const ViewUpdate &update)> onUpdate;
+    /// \param bytes size of the responses that brought the update.
+    std::function<bool(const ViewUpdate &update, std::size_t bytes)> onUpdate;
     /// Called when a call fails after one that succeeded.
     std::function<void()> onUnavailable;
     /// Called when a call succeeds after one that failed. \a outage is the time between the two.
@@ -114,7 +116,8 @@
     std::uint64_t knownRevision = 0; ///< Revision up to which all changes are known.
     Instant lastResponse = Instant::min();
     Instant unavailableSince;
-    ViewUpdate listing; ///< Pages of the current listing that were received so far.
+    ViewUpdate listing;           ///< Pages of the current listing that were received so far.
+    std::size_t listingBytes = 0; ///< Size of these pages.
 };
 
 } // namespace azurespindle::routing
--- a/src/serving/routing_process.cpp
+++ b/src/serving/routing_process.cpp
@@ -113,7 +113,8 @@
       relay(this->settings.name, this->settings.zone),
       coordinator(this->memberSettings, makeSelfRecord(this->settings), this->client, this->timers,
                   this->registry, this->journal, this->coordinatorHooks()),
-      view(this->adapter.decodeItem, this->adapter.store, this->timers, this->journal,
+      view(this->adapter.decodeItem, this->adapter.store, this->timers, this->registry,
+           this->journal,
            {[this](const auto &state) { this->applyFleetState(state); },
             [this](const std::string &member, const members::Message &message) {
                 this->coordinator.send(member, message);
@@ -172,7 +173,9 @@
         this->view.sendChanges(from, request);
     };
     hooks.onViewChanges
-        = [this](const members::ViewChanges &changes) { this->view.applyChanges(changes); };
+        = [this](const std::string &from, const members::ViewChanges &changes, std::size_t bytes) {
+              this->view.applyChanges(changes, {from, bytes});
+          };
     return hooks;
 }
 
--- a/src/serving/view_synchronizer.cpp
+++ b/src/serving/view_synchronizer.cpp
@@ -9,19 +9,31 @@
 /// Shortest outage of the store after which records may have expired: upstreams renew them at
 /// shorter intervals.
 constexpr milliseconds minOutageForExpiry {1'500};
+/// UpdateOrigin::source of an update that this process read itself.
+constexpr const char *storeSource = "store";
+
+std::size_t valueBytes(const routing::ViewUpdate &update)
+{
+    std::size_t bytes = 0;
+    for (const routing::PublishedItem &item : update.items) {
+        bytes += item.value.size();
+    }
+    return bytes;
+}
 
 } // namespace
 
 ViewSynchronizer::ViewSynchronizer(routing::ItemDecoder decoder, routing::StoreCalls calls,
-                                   timer::TimerService &timers, journal::Journal &journal,
-                                   ViewSynchronizerHooks hooks)
-    : journal(journal), hooks(std::move(hooks)), view(std::move(decoder)),
+                                   timer::TimerService &timers, metrics::Registry &registry,
+                                   journal::Journal &journal, ViewSynchronizerHooks hooks)
+    : registry(registry), journal(journal), hooks(std::move(hooks)), view(std::move(decoder)),
       watcher(std::make_shared<routing::StoreWatcher>(
           std::move(calls),
           routing::StoreWatcherHooks {
-              [this](const routing::ViewUpdate &update) {
-                  const bool applied = this->applyUpdate(update);
+              [this](const routing::ViewUpdate &update, std::size_t bytes) {
+                  const bool applied = this->applyUpdate(update, {storeSource, bytes});
                   if (applied && !update.items.empty() && !update.isSnapshot) {
+                      this->journalSent(update, "zone");
                       this->hooks.sendToZone({update});
                   }
                   return applied;
@@ -45,26 +57,67 @@
     this->watcher->setActive(true);
 }
 
-bool ViewSynchronizer::applyUpdate(const routing::ViewUpdate &update)
+bool ViewSynchronizer::applyUpdate(const routing::ViewUpdate &update, const UpdateOrigin &origin)
 {
     const std::lock_guard order(this->publishMutex);
     bool applied = false;
+    bool known = false;
+    const Instant startedAt = monotonicNow();
     std::shared_ptr<const routing::FleetState> before;
     std::shared_ptr<const routing::FleetState> after;
     std::vector<journal::Entry> entries;
     {
         const std::lock_guard lock(this->mutex);
         before = this->view.state();
-        applied = this->view.applyUpdate(update, monotonicNow());
+        known = !update.items.empty() && update.revision <= this->view.revision();
+        applied = this->view.applyUpdate(update, startedAt);
         after = this->view.state();
         entries = this->view.takeJournalEntries();
     }
+    this->registry.count(metrics::Counter::ViewBytesReceived, origin.bytes);
+    this->registry.count(metrics::Counter::ViewBytesKnown, known ? origin.bytes : 0);
+    this->journalReceived(update, origin, known ? "known" : (applied ? "applied" : "gap"),
+                          monotonicNow() - startedAt);
     if (after != before) {
         this->publish(after, std::move(entries));
     }
     return applied;
 }
 
+void ViewSynchronizer::journalReceived(const routing::ViewUpdate &update,
+                                       const UpdateOrigin &origin, const char *outcome,
+                                       microseconds applyTime)
+{
+    if (origin.bytes < largeUpdateBytes) {
+        return;
+    }
+    this->journal.record({journal::EventId::ViewUpdateReceived,
+                          {{"source", origin.source},
+                           {"outcome", outcome},
+                           {"since", std::to_string(update.sinceRevision)},
+                           {"revision", std::to_string(update.revision)},
+                           {"snapshot", update.isSnapshot ? "yes" : "no"},
+                           {"items", std::to_string(update.items.size())},
+                           {"bytes", std::to_string(origin.bytes)},
+                           {"valueBytes", std::to_string(valueBytes(update))},
+                           {"applyMs", std::to_string(applyTime.count() / 1'000)}}});
+}
+
+void ViewSynchronizer::journalSent(const routing::ViewUpdate &update, const std::string &to)
+{
+    const std::size_t bytes = valueBytes(update);
+    if (bytes < largeUpdateBytes) {
+        return;
+    }
+    this->journal.record({journal::EventId::ViewUpdateSent,
+                          {{"to", to},
+                           {"since", std::to_string(update.sinceRevision)},
+                           {"revision", std::to_string(update.revision)},
+                           {"snapshot", update.isSnapshot ? "yes" : "no"},
+                           {"items", std::to_string(update.items.size())},
+                           {"valueBytes", std::to_string(bytes)}}});
+}
+
 void ViewSynchronizer::publish(const std::shared_ptr<const routing::FleetState> &state,
                                std::vector<journal::Entry> entries)
 {
@@ -137,6 +190,11 @@
         }
         this->lastRequested = now;
     }
+    this->registry.count(metrics::Counter::ViewRequests);
+    this->journal.record({journal::EventId::ViewUpdateRequested,
+                          {{"member", member},
+                           {"revision", std::to_string(ownRevision)},
+                           {"memberRevision", std::to_string(peerRevision)}}});
     this->hooks.send(member, members::ViewRequest {ownRevision});
 }
 
@@ -147,12 +205,13 @@
         const std::lock_guard lock(this->mutex);
         changes.update = this->view.changesAfter(request.after);
     }
+    this->journalSent(changes.update, member);
     this->hooks.send(member, changes);
 }
 
-void ViewSynchronizer::applyChanges(const members::ViewChanges &changes)
+void ViewSynchronizer::applyChanges(const members::ViewChanges &changes, const UpdateOrigin &origin)
 {
-    if (this->applyUpdate(changes.update)) {
+    if (this->applyUpdate(changes.update, origin)) {
         this->watcher->noteKnownRevision(changes.update.revision);
     }
 }
--- a/src/serving/view_synchronizer.h
+++ b/src/serving/view_synchronizer.h
@@ -3,6 +3,7 @@
 
 #include "journal/journal.h"
 #include "members/messages.h"
+#include "metrics/registry.h"
 #include "routing/published_view.h"
 #include "routing/store_watcher.h"
 #include "timer/timer_service.h"
@@ -27,6 +28,13 @@
     std::function<void(const members::ViewChanges &changes)> sendToZone;
 };
 
+/// Where an update of the published state came from.
+struct UpdateOrigin
+{
+    std::string source;    ///< Name of the member that sent it, or "store".
+    std::size_t bytes = 0; ///< Size of the update as it was received.
+};
+
 /// Keeps this process's view of the published configuration and upstreams up to date.
 ///
 /// One process of a zone watches the store and sends the changes to the others. A process that
@@ -41,10 +49,12 @@
     /// A member counts as a reader of the store for this long after it last reported that it is
     /// one.
     static constexpr milliseconds readerTimeout {900};
+    /// Size from which an update is recorded in the journal when it is received or sent.
+    static constexpr std::size_t largeUpdateBytes = 8'192;
 
     ViewSynchronizer(routing::ItemDecoder decoder, routing::StoreCalls calls,
-                     timer::TimerService &timers, journal::Journal &journal,
-                     ViewSynchronizerHooks hooks);
+                     timer::TimerService &timers, metrics::Registry &registry,
+                     journal::Journal &journal, ViewSynchronizerHooks hooks);
 
     // Commands
 
@@ -63,7 +73,7 @@
     /// Sends \a member what changed after the revision that it states.
     void sendChanges(const std::string &member, const members::ViewRequest &request);
     /// Applies changes that a peer sent.
-    void applyChanges(const members::ViewChanges &changes);
+    void applyChanges(const members::ViewChanges &changes, const UpdateOrigin &origin);
     /// Removes records that have expired.
     void tick();
 
@@ -80,11 +90,16 @@
 
 private:
     /// \return false if the update leaves a gap after what is known.
-    bool applyUpdate(const routing::ViewUpdate &update);
+    bool applyUpdate(const routing::ViewUpdate &update, const UpdateOrigin &origin);
+    /// Records an update in the journal if it is large.
+    void journalReceived(const routing::ViewUpdate &update, const UpdateOrigin &origin,
+                         const char *outcome, microseconds applyTime);
+    void journalSent(const routing::ViewUpdate &update, const std::string &to);
     bool anotherMemberReads(Instant now) const;
     void publish(const std::shared_ptr<const routing::FleetState> &state,
                  std::vector<journal::Entry> entries);
 
+    metrics::Registry &registry;
     journal::Journal &journal;
     const ViewSynchronizerHooks hooks;
     mutable std::mutex mutex; ///< Guards the members below, up to publishMutex.
--- a/tests/routing/store_watcher_test.cpp
+++ b/tests/routing/store_watcher_test.cpp
@@ -19,7 +19,7 @@
     explicit WatchedStore(bool applies = true)
         : watcher(std::make_shared<StoreWatcher>(
             store.calls(),
-            StoreWatcherHooks {[this, applies](const ViewUpdate &update) {
+            StoreWatcherHooks {[this, applies](const ViewUpdate &update, std::size_t) {
                                    updates.push_back(update);
                                    return applies;
                                },
--- a/tests/serving/view_synchronizer_test.cpp
+++ b/tests/serving/view_synchronizer_test.cpp
@@ -15,7 +15,7 @@
     SynchronizerFixture()
         : synchronizer(
             [](const routing::PublishedItem &) { return routing::UnrelatedItem {}; }, store.calls(),
-            timers, journal,
+            timers, registry, journal,
             {[](const auto &) {},
              [this](const std::string &member, const members::Message &message) {
                  sent.emplace_back(member, message);
@@ -33,6 +33,7 @@
 
     FakeStoreClient store;
     timer::TimerService timers;
+    metrics::Registry registry;
     journal::Journal journal;
     std::vector<std::pair<std::string, members::Message>> sent;
     std::vector<members::ViewChanges> sentToZone;
@@ -99,7 +100,7 @@
         fixture.synchronizer.handleReport("a", makeReport(20, true));
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), fixture.sent.size());
         CPPUNIT_ASSERT(std::get<members::ViewRequest>(fixture.sent[0].second).after == 0);
-        fixture.synchronizer.applyChanges({{true, 0, 20, {}}});
+        fixture.synchronizer.applyChanges({{true, 0, 20, {}}}, {"a", 0});
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(20), fixture.synchronizer.revision());
         fixture.synchronizer.handleReport("a", makeReport(30, true));
         std::this_thread::sleep_for(2 * ViewSynchronizer::lagBeforeRequest);
@@ -128,7 +129,7 @@
     void requestedChangesAreSentToTheMember()
     {
         SynchronizerFixture fixture;
-        fixture.synchronizer.applyChanges({{true, 0, 20, {{"x", "1", 5, false}}}});
+        fixture.synchronizer.applyChanges({{true, 0, 20, {{"x", "1", 5, false}}}}, {"a", 0});
         fixture.synchronizer.sendChanges("c", {0});
         CPPUNIT_ASSERT_EQUAL(std::string("c"), fixture.sent.at(0).first);
         const auto &changes = std::get<members::ViewChanges>(fixture.sent.at(0).second);
