List three tests that fail on large configurations

What callers saw: 404 for routes that had been confirmed seconds before, on machines with a link of 10 Mbit/s.

The bounds are the target's: in force in 5 s, on the link of a small VM.

--- a/tests/serving/view_synchronizer_test.cpp
+++ b/tests/serving/view_synchronizer_test.cpp
@@ -1,6 +1,7 @@
 #include "serving/view_synchronizer.h"
 
 #include "routing/fake_store_client.h"
+#include "support/slow_zone.h"
 #include "support/suite.h"
 
 namespace azurespindle::serving {
@@ -50,6 +51,13 @@
 
 const std::vector<std::string> zoneMembers {"a", "b", "c"};
 
+constexpr double tenMegabits = 10'000'000.0; ///< Per second; the link of a small VM.
+/// Within this time after its publication a version is in force.
+constexpr milliseconds applyBound {5'000};
+constexpr std::size_t manyRoutes = 2'848;
+constexpr std::size_t zoneSize = 16;
+constexpr const char *configurationKey = "op/config";
+
 } // namespace
 
 class ViewSynchronizerTest : public CppUnit::TestFixture
@@ -60,6 +68,9 @@
     CPPUNIT_TEST(aLaggingMemberRequestsChangesAndThenReadsTheStore);
     CPPUNIT_TEST(laggingMembersDoNotEndEachOthersLag);
     CPPUNIT_TEST(requestedChangesAreSentToTheMember);
+    CPPUNIT_TEST(largeVersionsInSeriesAreInForceInTimeOnNarrowLinks);
+    CPPUNIT_TEST(aSmallChangeOfALargeConfigurationFitsTheReadersLink);
+    CPPUNIT_TEST(anUpdateOnItsWayIsNotRequestedAgain);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -136,6 +147,52 @@
         CPPUNIT_ASSERT(changes.update.isSnapshot);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), changes.update.items.size());
     }
+
+    void largeVersionsInSeriesAreInForceInTimeOnNarrowLinks()
+    {
+        tests::SlowZone zone(zoneSize, tenMegabits);
+        zone.publish(configurationKey, tests::largeConfiguration(1, 1));
+        for (std::size_t member = 0; member < zoneSize; ++member) {
+            zone.startMember(member);
+        }
+        CPPUNIT_ASSERT(zone.everyMemberApplies(1, applyBound));
+        zone.publish(configurationKey, tests::largeConfiguration(2, manyRoutes));
+        std::this_thread::sleep_for(milliseconds(500));
+        zone.publish(configurationKey, tests::largeConfiguration(3, manyRoutes));
+        const bool inTime = zone.everyMemberApplies(3, applyBound);
+        CPPUNIT_ASSERT_MESSAGE("versions in force: " + zone.versions()
+                                   + "; bytes sent: " + std::to_string(zone.bytesSent()),
+                               inTime);
+    }
+
+    void aSmallChangeOfALargeConfigurationFitsTheReadersLink()
+    {
+        constexpr std::size_t targetZoneSize = 65;
+        SynchronizerFixture fixture;
+        fixture.synchronizer.start();
+        const std::string before = tests::largeConfiguration(1, manyRoutes);
+        const std::string after = tests::largeConfiguration(2, manyRoutes);
+        fixture.store.takeCall().handler(
+            storeResponse(10, {{configurationKey, before, 10, false}}));
+        fixture.store.takeCall().handler(storeResponse(11, {{configurationKey, after, 11, false}}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), fixture.sentToZone.size());
+        const std::size_t bytes
+            = members::encode(fixture.sentToZone[0]).size() * (targetZoneSize - 1);
+        const double linkBytes = tenMegabits / 8.0 * inSeconds(applyBound);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(bytes) + " bytes",
+                               static_cast<double>(bytes) < linkBytes);
+    }
+
+    void anUpdateOnItsWayIsNotRequestedAgain()
+    {
+        SynchronizerFixture fixture;
+        for (int report = 0; report < 6; ++report) {
+            fixture.synchronizer.handleReport("a", makeReport(20, true));
+            fixture.synchronizer.handleReport("c", makeReport(20, false));
+            std::this_thread::sleep_for(milliseconds(150));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), fixture.sent.size());
+    }
 };
 
 REGISTER_SUITE(ViewSynchronizerTest, "view_synchronizer");
