Request missing changes once, not again while the answer is on its way

What callers saw: 404 for confirmed routes, seconds after a large configuration, and calls that got no answer in the same seconds.

Cause: a process that lagged behind a member asked for the missing changes again each 250 ms, of whichever member reported next, while the first answer waited in a full link. Each answer held the whole document, so the requests filled the links further: work was repeated because it was late, which made it later (a class of fault: retries without regard to what is under way).

Why it works: one request is under way at a time; another one follows its answer, or after a second without one. An update that does not fit because changes are missing is asked for at once, so that the pause costs nothing.

--- a/src/serving/view_synchronizer.cpp
+++ b/src/serving/view_synchronizer.cpp
@@ -182,20 +182,28 @@
         this->laggingSince = std::min(this->laggingSince, now);
         // The lag is measured against the most recent peer, so a report of a peer that lags as well
         // does not end it.
-        const bool due = peerRevision > ownRevision && now - this->laggingSince >= lagBeforeRequest
-            && (this->lastRequested == Instant::min()
-                || now - this->lastRequested >= lagBeforeRequest);
-        if (!due) {
+        if (peerRevision <= ownRevision || now - this->laggingSince < lagBeforeRequest) {
             return;
         }
-        this->lastRequested = now;
+    }
+    this->requestChanges(member, ownRevision);
+}
+
+void ViewSynchronizer::requestChanges(const std::string &member, std::uint64_t after)
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        const Instant now = monotonicNow();
+        // Another answer would only take its turn behind the one that is on its way.
+        if (this->requestedAt && now - *this->requestedAt < answerTimeout) {
+            return;
+        }
+        this->requestedAt = now;
     }
     this->registry.count(metrics::Counter::ViewRequests);
     this->journal.record({journal::EventId::ViewUpdateRequested,
-                          {{"member", member},
-                           {"revision", std::to_string(ownRevision)},
-                           {"memberRevision", std::to_string(peerRevision)}}});
-    this->hooks.send(member, members::ViewRequest {ownRevision});
+                          {{"member", member}, {"revision", std::to_string(after)}}});
+    this->hooks.send(member, members::ViewRequest {after});
 }
 
 void ViewSynchronizer::sendChanges(const std::string &member, const members::ViewRequest &request)
@@ -211,9 +219,20 @@
 
 void ViewSynchronizer::applyChanges(const members::ViewChanges &changes, const UpdateOrigin &origin)
 {
-    if (this->applyUpdate(changes.update, origin)) {
-        this->watcher->noteKnownRevision(changes.update.revision);
+    const routing::ViewUpdate &update = changes.update;
+    const bool applied = this->applyUpdate(update, origin);
+    const std::uint64_t known = this->revision();
+    {
+        const std::lock_guard lock(this->mutex);
+        if (!applied || known >= update.revision) {
+            this->requestedAt.reset();
+        }
+    }
+    if (applied) {
+        this->watcher->noteKnownRevision(update.revision);
+        return;
     }
+    this->requestChanges(origin.source, known);
 }
 
 void ViewSynchronizer::tick()
--- a/src/serving/view_synchronizer.h
+++ b/src/serving/view_synchronizer.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -38,14 +39,16 @@
 /// Keeps this process's view of the published configuration and upstreams up to date.
 ///
 /// One process of a zone watches the store and sends the changes to the others. A process that
-/// lags behind a peer requests the missing changes from it, and watches the store itself if it
-/// gets none. Thread-safe.
+/// lags behind a peer requests the missing changes from it, one answer at a time, and watches the
+/// store itself if it gets none. Thread-safe.
 class ViewSynchronizer
 {
 public:
     static constexpr milliseconds tickInterval {100};
     /// How long this process may lag behind a peer before it requests the changes from it.
     static constexpr milliseconds lagBeforeRequest {250};
+    /// How long the answer to a request may take before another one is sent.
+    static constexpr milliseconds answerTimeout {1'000};
     /// A member counts as a reader of the store for this long after it last reported that it is
     /// one.
     static constexpr milliseconds readerTimeout {900};
@@ -95,6 +98,8 @@
     void journalReceived(const routing::ViewUpdate &update, const UpdateOrigin &origin,
                          const char *outcome, microseconds applyTime);
     void journalSent(const routing::ViewUpdate &update, const std::string &to);
+    /// Requests the changes after a revision, unless an answer to a request is on its way.
+    void requestChanges(const std::string &member, std::uint64_t after);
     bool anotherMemberReads(Instant now) const;
     void publish(const std::shared_ptr<const routing::FleetState> &state,
                  std::vector<journal::Entry> entries);
@@ -104,9 +109,9 @@
     const ViewSynchronizerHooks hooks;
     mutable std::mutex mutex; ///< Guards the members below, up to publishMutex.
     routing::PublishedView view;
-    std::uint64_t newestPeerRevision = 0;   ///< Highest revision that a member reported.
-    Instant laggingSince = Instant::max();  ///< Instant::max() if no peer knows more.
-    Instant lastRequested = Instant::min(); ///< When changes were last requested from a peer.
+    std::uint64_t newestPeerRevision = 0;  ///< Highest revision that a member reported.
+    Instant laggingSince = Instant::max(); ///< Instant::max() if no peer knows more.
+    std::optional<Instant> requestedAt;    ///< When changes were requested that have not arrived.
     /// When members last reported that they watch the store, by name.
     std::map<std::string, Instant> readersLastHeard;
     /// Held from applying changes until ViewSynchronizerHooks::onState returns, so that states are
--- a/tests/serving/view_synchronizer_test.cpp
+++ b/tests/serving/view_synchronizer_test.cpp
@@ -71,6 +71,7 @@
     CPPUNIT_TEST(largeVersionsInSeriesAreInForceInTimeOnNarrowLinks);
     CPPUNIT_TEST(aSmallChangeOfALargeConfigurationFitsTheReadersLink);
     CPPUNIT_TEST(anUpdateOnItsWayIsNotRequestedAgain);
+    CPPUNIT_TEST(anUpdateThatDoesNotFitIsReplacedAtOnce);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -193,6 +194,15 @@
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), fixture.sent.size());
     }
+
+    void anUpdateThatDoesNotFitIsReplacedAtOnce()
+    {
+        SynchronizerFixture fixture;
+        fixture.synchronizer.applyChanges({{true, 0, 20, {}}}, {"a", 0});
+        fixture.synchronizer.applyChanges({{false, 25, 30, {}}}, {"a", 0});
+        CPPUNIT_ASSERT_MESSAGE("changes are missing", fixture.sent.size() == 1);
+        CPPUNIT_ASSERT(std::get<members::ViewRequest>(fixture.sent[0].second).after == 20);
+    }
 };
 
 REGISTER_SUITE(ViewSynchronizerTest, "view_synchronizer");
