Don't send to the zone what a lagging process reads for itself

What callers saw: 404 for confirmed routes, seconds after a large configuration.

Cause: a process that lagged for half a second read the store itself, and sent all that it read to every member of its zone, as the zone's reader does. So each process that was late made all others later.

Why it works: only the process that reads for the zone sends to it; the zone's reader is known from the reports. The new test failed before.

--- a/src/serving/view_synchronizer.cpp
+++ b/src/serving/view_synchronizer.cpp
@@ -33,8 +33,7 @@
               [this](const routing::ViewUpdate &update, std::size_t bytes) {
                   const bool applied = this->applyUpdate(update, {storeSource, bytes});
                   if (applied && !update.items.empty() && !update.isSnapshot) {
-                      this->journalSent(update, "zone");
-                      this->hooks.sendToZone({update});
+                      this->sendToZone(update);
                   }
                   return applied;
               },
@@ -84,6 +83,18 @@
     return applied;
 }
 
+void ViewSynchronizer::sendToZone(const routing::ViewUpdate &update)
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        if (!this->readsForZone) {
+            return;
+        }
+    }
+    this->journalSent(update, "zone");
+    this->hooks.sendToZone({update});
+}
+
 void ViewSynchronizer::journalReceived(const routing::ViewUpdate &update,
                                        const UpdateOrigin &origin, const char *outcome,
                                        microseconds applyTime)
@@ -154,6 +165,7 @@
             reads = reads
                 && (heard == this->readersLastHeard.end() || now - heard->second >= readerTimeout);
         }
+        this->readsForZone = reads;
         const bool lagging = this->laggingSince != Instant::max()
             && now - this->laggingSince >= 2 * lagBeforeRequest;
         reads = reads || lagging;
--- a/src/serving/view_synchronizer.h
+++ b/src/serving/view_synchronizer.h
@@ -40,7 +40,7 @@
 ///
 /// One process of a zone watches the store and sends the changes to the others. A process that
 /// lags behind a peer requests the missing changes from it, one answer at a time, and watches the
-/// store itself if it gets none. Thread-safe.
+/// store itself if it gets none. What it reads for itself it does not send. Thread-safe.
 class ViewSynchronizer
 {
 public:
@@ -98,6 +98,8 @@
     void journalReceived(const routing::ViewUpdate &update, const UpdateOrigin &origin,
                          const char *outcome, microseconds applyTime);
     void journalSent(const routing::ViewUpdate &update, const std::string &to);
+    /// Sends an update from the store to the zone, unless another member does so.
+    void sendToZone(const routing::ViewUpdate &update);
     /// Requests the changes after a revision, unless an answer to a request is on its way.
     void requestChanges(const std::string &member, std::uint64_t after);
     bool anotherMemberReads(Instant now) const;
@@ -111,7 +113,10 @@
     routing::PublishedView view;
     std::uint64_t newestPeerRevision = 0;  ///< Highest revision that a member reported.
     Instant laggingSince = Instant::max(); ///< Instant::max() if no peer knows more.
-    std::optional<Instant> requestedAt;    ///< When changes were requested that have not arrived.
+    /// False if another member reads the store for the zone, although this process may read it,
+    /// too.
+    bool readsForZone = true;
+    std::optional<Instant> requestedAt; ///< When changes were requested that have not arrived.
     /// When members last reported that they watch the store, by name.
     std::map<std::string, Instant> readersLastHeard;
     /// Held from applying changes until ViewSynchronizerHooks::onState returns, so that states are
--- a/tests/serving/view_synchronizer_test.cpp
+++ b/tests/serving/view_synchronizer_test.cpp
@@ -72,6 +72,7 @@
     CPPUNIT_TEST(aSmallChangeOfALargeConfigurationFitsTheReadersLink);
     CPPUNIT_TEST(anUpdateOnItsWayIsNotRequestedAgain);
     CPPUNIT_TEST(anUpdateThatDoesNotFitIsReplacedAtOnce);
+    CPPUNIT_TEST(aLaggingMemberSendsNothingThatItReadsForItself);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -203,6 +204,19 @@
         CPPUNIT_ASSERT_MESSAGE("changes are missing", fixture.sent.size() == 1);
         CPPUNIT_ASSERT(std::get<members::ViewRequest>(fixture.sent[0].second).after == 20);
     }
+
+    void aLaggingMemberSendsNothingThatItReadsForItself()
+    {
+        SynchronizerFixture fixture;
+        fixture.synchronizer.applyChanges({{true, 0, 10, {}}}, {"a", 0});
+        fixture.synchronizer.handleReport("a", makeReport(20, true));
+        std::this_thread::sleep_for(2 * ViewSynchronizer::lagBeforeRequest);
+        fixture.synchronizer.handleReport("a", makeReport(20, true));
+        fixture.synchronizer.updateReaderRole(zoneMembers, "b");
+        fixture.store.takeCall().handler(storeResponse(20, {{"a", "1", 20, false}}));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(20), fixture.synchronizer.revision());
+        CPPUNIT_ASSERT(fixture.sentToZone.empty());
+    }
 };
 
 REGISTER_SUITE(ViewSynchronizerTest, "view_synchronizer");
