Send members what a version changes, compressed, not the whole document

Cause: the reader of a zone sent the whole configuration, uncompressed and encoded anew, to each member for every version, also for one changed value; a member that asked for changes got every whole version that it lacked. 2,848 routes are 668 KB: 15 copies take 8 s of a link of 10 Mbit/s, and the reports and heartbeats behind them are late as well. The class of fault: what goes to many costs what there is, not what changes.

Change: a published value of 4 KB or more goes to members as the difference from the value that they have (base/text_delta), the items of an update are compressed, and a message to many is encoded and kept once.

older and newer members form two fleets during an update, as before.

Why it works: a version costs what it changes.

--- a/src/members/coordinator.cpp
+++ b/src/members/coordinator.cpp
@@ -211,9 +211,7 @@
         const std::vector<MemberRecord> inbound = this->inboundNeighbours(neighbours);
         neighbours.insert(neighbours.end(), inbound.begin(), inbound.end());
     }
-    for (const MemberRecord &neighbour : neighbours) {
-        this->network.send(neighbour, message);
-    }
+    this->network.sendToAll(std::move(neighbours), message);
 }
 
 void Coordinator::gossip(const Records &changed)
--- a/src/members/coordinator.h
+++ b/src/members/coordinator.h
@@ -76,6 +76,8 @@
     void stop();
     /// Sends a message to a member; does nothing if the member is not known.
     void send(const std::string &member, const Message &message);
+    /// Sends a message to those of the members that are known.
+    void sendToAll(const std::vector<std::string> &members, const Message &message);
     /// Replaces the addresses through which this process joins the fleet.
     void setSeeds(std::vector<settings::Address> seeds);
     /// Broadcasts a crash report to all members by gossip, and handles it here.
--- a/src/members/coordinator_messages.cpp
+++ b/src/members/coordinator_messages.cpp
@@ -178,4 +178,18 @@
     }
 }
 
+void Coordinator::sendToAll(const std::vector<std::string> &members, const Message &message)
+{
+    std::vector<MemberRecord> known;
+    {
+        const std::lock_guard lock(this->mutex);
+        for (const std::string &member : members) {
+            if (const auto record = this->membership.find(member)) {
+                known.push_back(*record);
+            }
+        }
+    }
+    this->network.sendToAll(std::move(known), message);
+}
+
 } // namespace azurespindle::members
--- a/src/members/internal/frame_codec.h
+++ b/src/members/internal/frame_codec.h
@@ -54,6 +54,9 @@
     std::uint32_t position = 0;
 };
 
+/// Limits of what a frame may hold, so that a small one cannot take much memory.
+msgpack::unpack_limit unpackLimits();
+
 // write() packs a value as a msgpack array of its fields, and read() unpacks them in the same
 // order; read() throws msgpack::type_error if the array does not match the type. The order and the
 // number of fields are part of the protocol.
@@ -84,6 +87,8 @@
 void read(const Object &from, decision::UpstreamClaim &claim);
 void write(Packer &out, const decision::RequestCounts &count);
 void read(const Object &from, decision::RequestCounts &count);
+void write(Packer &out, const TextDelta &delta);
+void read(const Object &from, TextDelta &delta);
 void write(Packer &out, const routing::PublishedItem &item);
 void read(const Object &from, routing::PublishedItem &item);
 void write(Packer &out, const routing::UpstreamObservation &observation);
--- a/src/members/internal/routing_codec.cpp
+++ b/src/members/internal/routing_codec.cpp
@@ -1,8 +1,18 @@
 // Encoding of the messages between routers.
 
+#include "base/compression.h"
 #include "members/internal/frame_codec.h"
 
 namespace azurespindle::members::internal {
+namespace {
+
+/// Largest list of items of an update, in bytes before compression.
+constexpr std::size_t maxItemBytes = 4'194'304;
+/// Size from which the items of an update are compressed.
+constexpr std::size_t minCompressedBytes = 1'024;
+constexpr std::uint32_t fieldsPerStep = 3;
+
+} // namespace
 
 void write(Packer &out, const decision::UpstreamClaim &claim)
 {
@@ -38,13 +48,49 @@
     count.resends = in.as<std::uint32_t>();
 }
 
+void write(Packer &out, const TextDelta &delta)
+{
+    out.pack_array(5);
+    out.pack(delta.baseHash);
+    out.pack(delta.resultHash);
+    out.pack(delta.resultBytes);
+    out.pack_array(static_cast<std::uint32_t>(delta.steps.size()) * fieldsPerStep);
+    for (const DeltaStep &step : delta.steps) {
+        out.pack(step.copyFrom);
+        out.pack(step.copyLength);
+        out.pack(step.insertLength);
+    }
+    out.pack(delta.inserted);
+}
+
+void read(const Object &from, TextDelta &delta)
+{
+    ArrayReader in(from);
+    delta.baseHash = in.as<std::uint64_t>();
+    delta.resultHash = in.as<std::uint64_t>();
+    delta.resultBytes = in.as<std::uint32_t>();
+    ArrayReader steps(in.next());
+    while (!steps.atEnd()) {
+        DeltaStep step;
+        step.copyFrom = steps.as<std::uint32_t>();
+        step.copyLength = steps.as<std::uint32_t>();
+        step.insertLength = steps.as<std::uint32_t>();
+        delta.steps.push_back(step);
+    }
+    delta.inserted = in.as<std::string>();
+}
+
 void write(Packer &out, const routing::PublishedItem &item)
 {
-    out.pack_array(4);
+    out.pack_array(item.delta ? 6 : 4);
     out.pack(item.key);
     out.pack(item.value);
     out.pack(item.revision);
     out.pack(item.deleted);
+    if (item.delta) {
+        out.pack(item.delta->baseRevision);
+        write(out, item.delta->text);
+    }
 }
 
 void read(const Object &from, routing::PublishedItem &item)
@@ -54,6 +100,11 @@
     item.value = in.as<std::string>();
     item.revision = in.as<std::uint64_t>();
     item.deleted = in.as<bool>();
+    if (!in.atEnd()) {
+        item.delta.emplace();
+        item.delta->baseRevision = in.as<std::uint64_t>();
+        read(in.next(), item.delta->text);
+    }
 }
 
 void write(Packer &out, const routing::UpstreamObservation &observation)
@@ -151,11 +202,17 @@
 
 void write(Packer &out, const ViewChanges &changes)
 {
-    out.pack_array(4);
+    msgpack::sbuffer buffer;
+    Packer items(buffer);
+    packList(items, changes.update.items);
+    const std::string bytes(buffer.data(), buffer.size());
+    const bool compress = bytes.size() >= minCompressedBytes;
+    out.pack_array(5);
     out.pack(changes.update.isSnapshot);
     out.pack(changes.update.sinceRevision);
     out.pack(changes.update.revision);
-    packList(out, changes.update.items);
+    out.pack(compress);
+    out.pack(compress ? compressed(bytes) : bytes);
 }
 
 void read(const Object &from, ViewChanges &changes)
@@ -164,7 +221,18 @@
     changes.update.isSnapshot = in.as<bool>();
     changes.update.sinceRevision = in.as<std::uint64_t>();
     changes.update.revision = in.as<std::uint64_t>();
-    unpackList(in.next(), changes.update.items);
+    const bool isCompressed = in.as<bool>();
+    std::string bytes = in.as<std::string>();
+    if (isCompressed) {
+        Result<std::string> text = uncompressed(bytes, maxItemBytes);
+        if (!text.ok()) {
+            throw msgpack::type_error();
+        }
+        bytes = text.takeValue();
+    }
+    const msgpack::object_handle items
+        = msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr, unpackLimits());
+    unpackList(items.get(), changes.update.items);
 }
 
 } // namespace azurespindle::members::internal
--- a/src/members/messages.cpp
+++ b/src/members/messages.cpp
@@ -1,9 +1,8 @@
 #include "members/messages.h"
 
+#include "base/compression.h"
 #include "members/internal/frame_codec.h"
 
-#include <zlib.h>
-
 namespace azurespindle::members {
 namespace {
 
@@ -89,27 +88,9 @@
     unpackList(in.next(), update.records);
 }
 
-std::string compressed(const std::string &text)
-{
-    uLongf size = compressBound(text.size());
-    std::string bytes(size, '\0');
-    compress(reinterpret_cast<Bytef *>(bytes.data()), &size,
-             reinterpret_cast<const Bytef *>(text.data()), text.size());
-    bytes.resize(size);
-    return bytes;
-}
-
-std::string uncompressed(const std::string &bytes)
+msgpack::unpack_limit unpackLimits()
 {
-    uLongf size = maxDocumentBytes;
-    std::string text(size, '\0');
-    const int result = uncompress(reinterpret_cast<Bytef *>(text.data()), &size,
-                                  reinterpret_cast<const Bytef *>(bytes.data()), bytes.size());
-    if (result != Z_OK) {
-        throw msgpack::type_error();
-    }
-    text.resize(size);
-    return text;
+    return {maxArrayElements, 0, maxFrameBytes, 0, 0, maxDepth};
 }
 
 void write(Packer &out, const DocumentRequest &request)
@@ -135,7 +116,11 @@
 {
     ArrayReader in(from);
     response.kind = in.enumeration<DocumentKind>(DocumentKind::VmList);
-    response.text = uncompressed(in.as<std::string>());
+    Result<std::string> text = uncompressed(in.as<std::string>(), maxDocumentBytes);
+    if (!text.ok()) {
+        throw msgpack::type_error();
+    }
+    response.text = text.takeValue();
 }
 
 void write(Packer &out, const CrashReport &crash)
@@ -209,10 +194,9 @@
 Result<Message> decode(std::string_view payload)
 {
     try {
-        const msgpack::unpack_limit limits(maxArrayElements, 0, maxFrameBytes, 0, 0, maxDepth);
         std::size_t used = 0;
-        const msgpack::object_handle handle
-            = msgpack::unpack(payload.data(), payload.size(), used, nullptr, nullptr, limits);
+        const msgpack::object_handle handle = msgpack::unpack(
+            payload.data(), payload.size(), used, nullptr, nullptr, internal::unpackLimits());
         if (used != payload.size()) {
             return Error {ErrorCode::FrameMalformed, "bytes follow the frame's body"};
         }
--- a/src/members/messages.h
+++ b/src/members/messages.h
@@ -22,7 +22,7 @@
 /// Version of the protocol between entry processes. A connection whose frames carry another version
 /// is closed: during a rolling update the old and the new version form two separate fleets, each
 /// with its own leases, instead of misreading each other's messages.
-constexpr std::uint32_t protocolVersion = 3;
+constexpr std::uint32_t protocolVersion = 4;
 
 /// Largest frame accepted, in bytes; enough for a document of 1 MiB and its envelope.
 constexpr std::size_t maxFrameBytes = 1'500'000;
--- a/src/members/peer_network.cpp
+++ b/src/members/peer_network.cpp
@@ -35,11 +35,14 @@
         | prefix[3];
 }
 
-std::string frame(const Message &message)
+/// A frame with its length prefix; shared by the links that it waits on.
+using Frame = std::shared_ptr<const std::string>;
+
+Frame frame(const Message &message)
 {
     const std::string payload = encode(message);
     const auto prefix = lengthPrefix(payload.size());
-    return std::string(prefix.begin(), prefix.end()) + payload;
+    return std::make_shared<const std::string>(std::string(prefix.begin(), prefix.end()) + payload);
 }
 
 std::optional<Tcp::endpoint> endpointOf(const std::string &text)
@@ -72,8 +75,8 @@
         std::string address; ///< Address connected to; empty for an accepted connection.
         bool open = false;   ///< The connection is established.
         bool writing = false;
-        std::deque<std::string> queue; ///< Frames not yet written completely.
-        std::size_t queuedBytes = 0;   ///< Bytes in \a queue.
+        std::deque<Frame> queue;     ///< Frames not yet written completely.
+        std::size_t queuedBytes = 0; ///< Bytes in \a queue.
         std::array<unsigned char, lengthBytes> prefix {};
         std::string payload;
         Instant lastUsed = monotonicNow();
@@ -109,7 +112,7 @@
         }
     }
 
-    void send(const MemberRecord &to, const std::string &bytes)
+    void send(const MemberRecord &to, const Frame &bytes)
     {
         LinkPtr link = this->linkTo(to);
         if (link == nullptr) {
@@ -221,15 +224,15 @@
         link->lastHeard = monotonicNow();
         link->open = true;
         link->queue.push_front(frame(Hello {protocolVersion, this->self}));
-        link->queuedBytes += link->queue.front().size();
+        link->queuedBytes += link->queue.front()->size();
         this->write(link);
         this->readPrefix(link);
     }
 
-    void enqueue(const LinkPtr &link, const std::string &bytes)
+    void enqueue(const LinkPtr &link, const Frame &bytes)
     {
         link->lastUsed = monotonicNow();
-        link->queuedBytes += bytes.size();
+        link->queuedBytes += bytes->size();
         if (link->queuedBytes > maxQueuedBytes) {
             this->close(link);
             return;
@@ -247,11 +250,12 @@
             return;
         }
         link->writing = true;
-        const std::size_t size = link->queue.front().size();
+        const Frame front = link->queue.front();
+        const std::size_t size = front->size();
         this->registry.count(metrics::Counter::FramesSent);
         this->registry.count(metrics::Counter::FrameBytesSent, size);
-        asio::async_write(link->socket, asio::buffer(link->queue.front()),
-                          [this, link, size](const SystemError &error, std::size_t) {
+        asio::async_write(link->socket, asio::buffer(*front),
+                          [this, link, front, size](const SystemError &error, std::size_t) {
                               if (error) {
                                   this->close(link);
                                   return;
@@ -411,6 +415,16 @@
     asio::post(own.context, [&own, to, bytes = frame(message)] { own.send(to, bytes); });
 }
 
+void PeerNetwork::sendToAll(std::vector<MemberRecord> to, const Message &message)
+{
+    Implementation &own = *this->implementation;
+    asio::post(own.context, [&own, to = std::move(to), bytes = frame(message)] {
+        for (const MemberRecord &member : to) {
+            own.send(member, bytes);
+        }
+    });
+}
+
 void PeerNetwork::dial(const std::string &address)
 {
     Implementation &own = *this->implementation;
--- a/src/members/peer_network.h
+++ b/src/members/peer_network.h
@@ -56,6 +56,8 @@
     void setSelf(const MemberRecord &self);
     /// Sends a message to a member, connecting first if there is no connection.
     void send(const MemberRecord &to, const Message &message);
+    /// Sends a message to several members. It is encoded and kept in memory only once.
+    void sendToAll(std::vector<MemberRecord> to, const Message &message);
     /// Connects to an address whose member is not known yet, unless a connection to it exists.
     void dial(const std::string &address);
     /// Closes all connections to a member; the next send opens a new one.
--- a/src/routing/published_view.cpp
+++ b/src/routing/published_view.cpp
@@ -1,9 +1,21 @@
 #include "routing/published_view.h"
 
 #include <algorithm>
+#include <string_view>
 #include <utility>
 
 namespace azurespindle::routing {
+namespace {
+
+std::size_t sizeOf(const PublishedItem &change)
+{
+    const std::size_t fixed = change.key.size() + change.value.size();
+    return change.delta ? fixed + change.delta->text.inserted.size()
+            + change.delta->text.steps.size() * sizeof(DeltaStep)
+                        : fixed;
+}
+
+} // namespace
 
 PublishedView::PublishedView(ItemDecoder decode) : decode(std::move(decode))
 { }
@@ -46,6 +58,39 @@
         && static_cast<double>(removed) > massRemovalFraction * static_cast<double>(upstreams);
 }
 
+std::optional<std::vector<PublishedItem>>
+PublishedView::resolveDeltas(const std::vector<PublishedItem> &items) const
+{
+    std::vector<PublishedItem> resolved;
+    resolved.reserve(items.size()); // Keeps the addresses of its elements.
+    std::map<std::string_view, const PublishedItem *> latest;
+    for (const PublishedItem &item : items) {
+        if (!item.delta) {
+            resolved.push_back(item);
+            latest[resolved.back().key] = &resolved.back();
+            continue;
+        }
+        const auto stored = this->items.find(item.key);
+        const auto earlier = latest.find(item.key);
+        const PublishedItem *base = earlier != latest.end() ? earlier->second
+            : stored != this->items.end()                   ? &stored->second.item
+                                                            : nullptr;
+        if (base != nullptr && base->revision >= item.revision) {
+            continue;
+        }
+        if (base == nullptr || base->revision != item.delta->baseRevision) {
+            return std::nullopt;
+        }
+        Result<std::string> value = applyDelta(base->value, item.delta->text);
+        if (!value.ok()) {
+            return std::nullopt;
+        }
+        resolved.push_back({item.key, value.takeValue(), item.revision, false, item.delta});
+        latest[resolved.back().key] = &resolved.back();
+    }
+    return resolved;
+}
+
 bool PublishedView::applyUpdate(const ViewUpdate &update, Instant now)
 {
     if (!update.isSnapshot && update.sinceRevision > this->knownRevision) {
@@ -54,20 +99,40 @@
     if (update.revision < this->knownRevision) {
         return true;
     }
-    std::vector<PublishedItem> items = update.items;
+    std::vector<PublishedItem> sorted = update.items;
     if (update.isSnapshot) {
         const std::vector<PublishedItem> missing = this->deletionsImpliedBy(update);
-        items.insert(items.end(), missing.begin(), missing.end());
+        sorted.insert(sorted.end(), missing.begin(), missing.end());
     }
-    std::stable_sort(items.begin(), items.end(),
+    std::stable_sort(sorted.begin(), sorted.end(),
                      [](const auto &a, const auto &b) { return a.revision < b.revision; });
+    const std::optional<std::vector<PublishedItem>> items = this->resolveDeltas(sorted);
+    if (!items) {
+        return false;
+    }
+    this->applyItems(*items, now);
+    if (update.isSnapshot) {
+        this->retainedChanges.clear();
+        this->retainedBytes = 0;
+        this->discarded = update.revision;
+    }
+    this->knownRevision = std::max(this->knownRevision, update.revision);
+    this->rebuildState();
+    return true;
+}
+
+void PublishedView::applyItems(const std::vector<PublishedItem> &items, Instant now)
+{
     std::vector<const PublishedItem *> deletions;
+    std::map<std::string_view, const PublishedItem *> last; // By key.
     for (const PublishedItem &item : items) {
         if (item.deleted) {
             deletions.push_back(&item);
         }
+        last[item.key] = &item;
     }
     const bool expired = !deletions.empty() && this->looksLikeExpiry(deletions, now);
+    std::map<std::string_view, std::vector<const PublishedItem *>> superseded; // By key.
     for (const PublishedItem &item : items) {
         const auto found = this->items.find(item.key);
         const std::uint64_t currentRevision
@@ -76,8 +141,14 @@
             || (currentRevision == item.revision && !item.deleted)) {
             continue;
         }
+        const PublishedItem &newest = *last[item.key];
+        const bool isDocument = item.value.size() >= minDeltaValueBytes;
+        if (isDocument && &newest != &item && !newest.deleted) {
+            superseded[item.key].push_back(&item);
+            continue;
+        }
         if (!item.deleted) {
-            this->store(item);
+            this->store(item, superseded[item.key]);
             continue;
         }
         const bool isUpstream = found != this->items.end()
@@ -88,16 +159,10 @@
             this->remove(item);
         }
     }
-    if (update.isSnapshot) {
-        this->retainedChanges.clear();
-        this->discarded = update.revision;
-    }
-    this->knownRevision = std::max(this->knownRevision, update.revision);
-    this->rebuildState();
-    return true;
 }
 
-void PublishedView::store(const PublishedItem &item)
+void PublishedView::store(const PublishedItem &item,
+                          const std::vector<const PublishedItem *> &older)
 {
     DecodedItem content = this->decode(item);
     this->pendingRemovals.erase(item.key);
@@ -106,30 +171,62 @@
                                  {{"key", item.key},
                                   {"revision", std::to_string(item.revision)},
                                   {"detail", error->message()}}});
+        for (const PublishedItem *each : older) {
+            DecodedItem earlier = each->deleted ? DecodedItem() : this->decode(*each);
+            if (auto *configuration = std::get_if<RoutingConfiguration>(&earlier)) {
+                this->offerConfiguration(*each, std::move(*configuration));
+            }
+        }
     }
     if (auto *configuration = std::get_if<RoutingConfiguration>(&content)) {
-        const std::uint64_t before
-            = this->routeTable == nullptr ? 0 : this->routeTable->configuration().version;
-        const bool newer = this->routeTable == nullptr || configuration->version > before;
-        this->entries.push_back(
-            {newer ? journal::EventId::ConfigurationAccepted : journal::EventId::ConfigurationStale,
-             {{"version", std::to_string(configuration->version)},
-              {"before", std::to_string(before)},
-              {"revision", std::to_string(item.revision)},
-              {"routes", std::to_string(configuration->routes.size())}}});
-        if (newer) {
-            this->routeTable = std::make_shared<RouteTable>(std::move(*configuration));
-        }
+        this->offerConfiguration(item, std::move(*configuration));
         content = UnrelatedItem {};
     }
     StoredItem &stored = this->items[item.key];
     if (const auto *record = std::get_if<UpstreamRecord>(&content)) {
         this->journalChange(*record, std::get_if<UpstreamRecord>(&stored.content));
     }
-    stored = {item, std::move(content)};
-    this->retainedChanges.push_back(item);
-    if (this->retainedChanges.size() > maxRetainedChanges) {
+    PublishedItem change = item;
+    const PublishedItem &before = stored.item;
+    const bool isLarge = item.value.size() >= minDeltaValueBytes && !before.value.empty();
+    const bool continues = item.delta && item.delta->baseRevision == before.revision;
+    if (isLarge && !continues) {
+        change.delta = ValueDelta {before.revision, makeDelta(before.value, item.value)};
+    }
+    if (isLarge) {
+        change.value.clear();
+    } else {
+        change.delta.reset();
+    }
+    this->retain(std::move(change));
+    stored = {{item.key, item.value, item.revision, false}, std::move(content)};
+}
+
+void PublishedView::offerConfiguration(const PublishedItem &item,
+                                       RoutingConfiguration configuration)
+{
+    const std::uint64_t before
+        = this->routeTable == nullptr ? 0 : this->routeTable->configuration().version;
+    const bool newer = this->routeTable == nullptr || configuration.version > before;
+    this->entries.push_back(
+        {newer ? journal::EventId::ConfigurationAccepted : journal::EventId::ConfigurationStale,
+         {{"version", std::to_string(configuration.version)},
+          {"before", std::to_string(before)},
+          {"revision", std::to_string(item.revision)},
+          {"routes", std::to_string(configuration.routes.size())}}});
+    if (newer) {
+        this->routeTable = std::make_shared<RouteTable>(std::move(configuration));
+    }
+}
+
+void PublishedView::retain(PublishedItem change)
+{
+    this->retainedBytes += sizeOf(change);
+    this->retainedChanges.push_back(std::move(change));
+    while (this->retainedChanges.size() > maxRetainedChanges
+           || this->retainedBytes > maxRetainedBytes) {
         this->discarded = this->retainedChanges.front().revision;
+        this->retainedBytes -= sizeOf(this->retainedChanges.front());
         this->retainedChanges.pop_front();
     }
 }
@@ -137,7 +234,7 @@
 void PublishedView::remove(const PublishedItem &item)
 {
     const auto found = this->items.find(item.key);
-    this->retainedChanges.push_back(item);
+    this->retain(item);
     this->pendingRemovals.erase(item.key);
     if (found == this->items.end()) {
         return;
@@ -209,16 +306,12 @@
     update.revision = this->knownRevision;
     update.sinceRevision = revision;
     update.isSnapshot = revision < this->discarded;
-    if (!update.isSnapshot) {
-        for (const PublishedItem &item : this->retainedChanges) {
-            if (item.revision > revision) {
-                update.items.push_back(item);
-            }
-        }
-    } else {
+    if (update.isSnapshot) {
         for (const auto &[key, stored] : this->items) {
             update.items.push_back(stored.item);
         }
+    } else {
+        this->appendRetainedAfter(revision, update.items);
     }
     // A peer that receives this revision does not ask for the changes again, so removals that are
     // still in their grace period here are included.
@@ -228,4 +321,53 @@
     return update;
 }
 
+void PublishedView::appendRetainedAfter(std::uint64_t revision,
+                                        std::vector<PublishedItem> &items) const
+{
+    std::map<std::string_view, std::size_t> deltaBytes; // By key.
+    for (const PublishedItem &change : this->retainedChanges) {
+        if (change.revision > revision && change.delta) {
+            deltaBytes[change.key] += sizeOf(change);
+        }
+    }
+    std::set<std::string_view> sentWhole;
+    for (const PublishedItem &change : this->retainedChanges) {
+        if (change.revision <= revision) {
+            continue;
+        }
+        const auto stored = this->items.find(change.key);
+        const bool tooLong = change.delta && stored != this->items.end()
+            && deltaBytes[change.key] > stored->second.item.value.size();
+        if (!tooLong) {
+            items.push_back(change);
+        } else if (sentWhole.insert(stored->first).second) {
+            items.push_back(stored->second.item);
+        }
+    }
+}
+
+ViewUpdate PublishedView::forPeers(const ViewUpdate &update) const
+{
+    ViewUpdate compact;
+    compact.isSnapshot = update.isSnapshot;
+    compact.sinceRevision = update.sinceRevision;
+    compact.revision = update.revision;
+    for (const PublishedItem &item : update.items) {
+        const auto retained = std::find_if(
+            this->retainedChanges.rbegin(), this->retainedChanges.rend(),
+            [&item](const PublishedItem &change) {
+                return change.delta && change.key == item.key && change.revision == item.revision;
+            });
+        const auto stored = this->items.find(item.key);
+        const bool isSuperseded = item.value.size() >= minDeltaValueBytes
+            && stored != this->items.end() && stored->second.item.revision > item.revision;
+        if (retained != this->retainedChanges.rend()) {
+            compact.items.push_back(*retained);
+        } else if (!isSuperseded) {
+            compact.items.push_back(item);
+        }
+    }
+    return compact;
+}
+
 } // namespace azurespindle::routing
--- a/src/routing/published_view.h
+++ b/src/routing/published_view.h
@@ -2,6 +2,7 @@
 #define AZURESPINDLE_ROUTING_PUBLISHED_VIEW_H
 
 #include "base/error.h"
+#include "base/text_delta.h"
 #include "base/time_types.h"
 #include "journal/event_id.h"
 #include "routing/route_table.h"
@@ -10,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <variant>
@@ -17,13 +19,22 @@
 
 namespace azurespindle::routing {
 
+/// The value of an item as the difference from the value that it had at an earlier revision.
+struct ValueDelta
+{
+    std::uint64_t baseRevision = 0; ///< Revision at which the earlier value was written.
+    TextDelta text;
+    bool operator==(const ValueDelta &other) const = default;
+};
+
 /// An item of the publishing store: a key with the value that was last written, or its deletion.
 struct PublishedItem
 {
     std::string key;
-    std::string value;
+    std::string value;          ///< Empty if \a delta is set.
     std::uint64_t revision = 0; ///< Revision of the store at which it was written or deleted.
     bool deleted = false;
+    std::optional<ValueDelta> delta {}; ///< Replaces the value between peers, if it is large.
     bool operator==(const PublishedItem &other) const = default;
 };
 
@@ -67,7 +78,11 @@
 /// A local view of the published state, built from updates of the publishing store or of peers.
 ///
 /// Each change is applied once, whichever source delivers it first, as its revision identifies it.
-/// The configuration is never replaced by one of a lower version.
+/// The configuration is never replaced by one of a lower version. Of several large values that one
+/// update brings for an item, only the last is decoded.
+///
+/// Peers receive large values as differences, as far as these are retained: the configuration is
+/// large, and most of its versions differ little.
 ///
 /// During an outage of the store, upstreams cannot renew their records, which expire and reappear
 /// once the store is available again. Therefore upstreams that disappear in large numbers at once,
@@ -83,12 +98,17 @@
     static constexpr double massRemovalFraction = 0.4;
     /// Number of changes that are retained to bring peers up to date.
     static constexpr std::size_t maxRetainedChanges = 2'048;
+    /// Size of the values and differences that are retained for that.
+    static constexpr std::size_t maxRetainedBytes = 1'048'576;
+    /// Size from which values are sent to peers as differences.
+    static constexpr std::size_t minDeltaValueBytes = 4'096;
 
     explicit PublishedView(ItemDecoder decode);
 
     // Commands
 
-    /// Applies \a update. \return false if changes are missing between the view and the update.
+    /// Applies \a update. \return false if changes are missing between the view and the update, or
+    /// it has a difference from a value that is not known here.
     bool applyUpdate(const ViewUpdate &update, Instant now);
     /// Records that the store is available again after an outage.
     void noteStoreRecovered(Instant now) { this->storeRecoveredAt = now; }
@@ -104,6 +124,8 @@
     std::shared_ptr<const FleetState> state() const { return this->current; }
     /// Returns the changes after \a revision, or a snapshot if they are no longer retained.
     ViewUpdate changesAfter(std::uint64_t revision) const;
+    /// Returns \a update, which was applied here, with differences in place of large values.
+    ViewUpdate forPeers(const ViewUpdate &update) const;
 
 private:
     /// An item with its decoded content.
@@ -113,14 +135,29 @@
         DecodedItem content;
     };
 
+    /// Returns \a items with the values that their differences yield, without the differences that
+    /// are known already. \return nothing if a difference does not fit the known values.
+    std::optional<std::vector<PublishedItem>>
+    resolveDeltas(const std::vector<PublishedItem> &items) const;
+    /// Applies items in the order of their revisions.
+    void applyItems(const std::vector<PublishedItem> &items, Instant now);
+    /// Appends the retained changes after \a revision to \a items, with a whole value in place of
+    /// differences that are larger together.
+    void appendRetainedAfter(std::uint64_t revision, std::vector<PublishedItem> &items) const;
     /// Returns deletions for the known items that the snapshot \a update lacks, except for items
     /// that are newer than the snapshot.
     std::vector<PublishedItem> deletionsImpliedBy(const ViewUpdate &update) const;
     /// Returns true if \a deletions are probably records that expired during an outage of the
     /// store.
     bool looksLikeExpiry(const std::vector<const PublishedItem *> &deletions, Instant now) const;
-    void store(const PublishedItem &item);
+    /// \param older earlier values of the same item, latest last, which are used if the value of
+    /// \a item cannot be decoded.
+    void store(const PublishedItem &item, const std::vector<const PublishedItem *> &older);
+    /// Takes over a configuration if it is of a higher version.
+    void offerConfiguration(const PublishedItem &item, RoutingConfiguration configuration);
     void remove(const PublishedItem &item);
+    /// Keeps a change for peers.
+    void retain(PublishedItem change);
     /// Records in the journal how \a record differs from its predecessor, which may be nullptr.
     void journalChange(const UpstreamRecord &record, const UpstreamRecord *previous);
     void rebuildState();
@@ -130,6 +167,7 @@
     std::uint64_t discarded = 0; ///< Revision up to which changes are no longer retained.
     std::map<std::string, StoredItem> items;        ///< Current items by key.
     std::deque<PublishedItem> retainedChanges;      ///< Latest changes in the order of revisions.
+    std::size_t retainedBytes = 0;                  ///< Size of \a retainedChanges.
     std::map<std::string, Instant> pendingRemovals; ///< End of the grace period by key.
     std::shared_ptr<const RouteTable> routeTable;
     std::shared_ptr<const FleetState> current = std::make_shared<FleetState>();
--- a/src/serving/routing_process.cpp
+++ b/src/serving/routing_process.cpp
@@ -283,11 +283,9 @@
 
 void RoutingProcess::sendToZone(const members::Message &message)
 {
-    for (const std::string &member : this->relay.ownZoneMembers()) {
-        if (member != this->settings.name) {
-            this->coordinator.send(member, message);
-        }
-    }
+    std::vector<std::string> others = this->relay.ownZoneMembers();
+    std::erase(others, this->settings.name);
+    this->coordinator.sendToAll(others, message);
 }
 
 void RoutingProcess::tick()
@@ -339,9 +337,7 @@
     if (full) {
         report.blockedParts = this->forwarder.blockedParts();
     }
-    for (const std::string &member : this->relay.reportRecipients()) {
-        this->coordinator.send(member, report);
-    }
+    this->coordinator.sendToAll(this->relay.reportRecipients(), report);
 }
 
 void RoutingProcess::reportToOtherZones()
@@ -352,9 +348,7 @@
     }
     members::ZoneReport report = this->forwarder.zoneReport();
     report.zone = this->settings.zone;
-    for (const std::string &member : recipients) {
-        this->coordinator.send(member, report);
-    }
+    this->coordinator.sendToAll(recipients, report);
 }
 
 void RoutingProcess::handleZoneReport(const std::string &from, const members::ZoneReport &report)
--- a/src/serving/view_synchronizer.cpp
+++ b/src/serving/view_synchronizer.cpp
@@ -12,11 +12,12 @@
 /// UpdateOrigin::source of an update that this process read itself.
 constexpr const char *storeSource = "store";
 
+/// Returns the size of the values and differences in \a update.
 std::size_t valueBytes(const routing::ViewUpdate &update)
 {
     std::size_t bytes = 0;
     for (const routing::PublishedItem &item : update.items) {
-        bytes += item.value.size();
+        bytes += item.value.size() + (item.delta ? item.delta->text.inserted.size() : 0);
     }
     return bytes;
 }
@@ -85,14 +86,16 @@
 
 void ViewSynchronizer::sendToZone(const routing::ViewUpdate &update)
 {
+    members::ViewChanges changes;
     {
         const std::lock_guard lock(this->mutex);
         if (!this->readsForZone) {
             return;
         }
+        changes.update = this->view.forPeers(update);
     }
-    this->journalSent(update, "zone");
-    this->hooks.sendToZone({update});
+    this->journalSent(changes.update, "zone");
+    this->hooks.sendToZone(changes);
 }
 
 void ViewSynchronizer::journalReceived(const routing::ViewUpdate &update,
@@ -244,7 +247,9 @@
         this->watcher->noteKnownRevision(update.revision);
         return;
     }
-    this->requestChanges(origin.source, known);
+    // Without a gap, a difference does not fit what is known here: only a snapshot helps.
+    const bool hasGap = update.sinceRevision > known;
+    this->requestChanges(origin.source, hasGap ? known : 0);
 }
 
 void ViewSynchronizer::tick()
--- a/src/serving/view_synchronizer.h
+++ b/src/serving/view_synchronizer.h
@@ -38,9 +38,10 @@
 
 /// Keeps this process's view of the published configuration and upstreams up to date.
 ///
-/// One process of a zone watches the store and sends the changes to the others. A process that
-/// lags behind a peer requests the missing changes from it, one answer at a time, and watches the
-/// store itself if it gets none. What it reads for itself it does not send. Thread-safe.
+/// One process of a zone watches the store and sends the changes to the others, large values as
+/// differences. A process that lags behind a peer requests the missing changes from it, one answer
+/// at a time, and watches the store itself if it gets none. What it reads for itself it does not
+/// send. Thread-safe.
 class ViewSynchronizer
 {
 public:
@@ -98,7 +99,8 @@
     void journalReceived(const routing::ViewUpdate &update, const UpdateOrigin &origin,
                          const char *outcome, microseconds applyTime);
     void journalSent(const routing::ViewUpdate &update, const std::string &to);
-    /// Sends an update from the store to the zone, unless another member does so.
+    /// Sends an update from the store, which was applied here, to the zone, unless another member
+    /// does so.
     void sendToZone(const routing::ViewUpdate &update);
     /// Requests the changes after a revision, unless an answer to a request is on its way.
     void requestChanges(const std::string &member, std::uint64_t after);
--- a/tests/members/messages_test.cpp
+++ b/tests/members/messages_test.cpp
@@ -12,6 +12,12 @@
 
 constexpr int inputCount = 20'000;
 
+/// Returns an item whose value is given as a difference.
+routing::PublishedItem deltaItem()
+{
+    return {"k", "", 2, false, routing::ValueDelta {1, {3, 4, 5, {{6, 7, 8}, {9, 10, 11}}, "new"}}};
+}
+
 std::vector<Message> samples()
 {
     const MemberRecord record {"m", "z", "1.2.3.4:5", "1.2.3.4:6", 7, MemberState::Suspect};
@@ -43,6 +49,8 @@
                       {{7, {8, 9}}}},
         ViewRequest {8},
         ViewChanges {{true, 1, 2, {{"k", std::string("\0v", 2), 2, false}, {"d", "", 3, true}}}},
+        ViewChanges {{false, 1, 2, {deltaItem()}}},
+        ViewChanges {{true, 0, 2, {{"k", std::string(5'000, 'v'), 2, false}}}},
         ZoneReport {"z", 2, {{"e", {1, 2, 3}}}, {{"s", 4, 5}}, {{7, {8}}}}};
 }
 
--- a/tests/routing/published_view_test.cpp
+++ b/tests/routing/published_view_test.cpp
@@ -55,6 +55,13 @@
     return view;
 }
 
+/// Returns the value of a configuration that is large enough for a difference.
+std::string largeValue(std::uint64_t version, const std::string &further = "")
+{
+    return "c " + std::to_string(version) + std::string(2 * PublishedView::minDeltaValueBytes, '\n')
+        + further;
+}
+
 std::size_t countOf(const std::vector<journal::Entry> &entries, journal::EventId id)
 {
     std::size_t count = 0;
@@ -81,6 +88,11 @@
     CPPUNIT_TEST(aSingleRemovedUpstreamDisappearsAtOnce);
     CPPUNIT_TEST(aPeerReceivesTheChangesThatItLacks);
     CPPUNIT_TEST(aNewIncarnationIsJournaledAsAnAddedUpstream);
+    CPPUNIT_TEST(aLargeValueReachesPeersAsADifference);
+    CPPUNIT_TEST(aDifferenceFromAnUnknownValueIsRejected);
+    CPPUNIT_TEST(ofSeveralLargeValuesOnlyTheLastIsDecoded);
+    CPPUNIT_TEST(anUnreadableLargeValueDoesNotHideTheOneBefore);
+    CPPUNIT_TEST(retainedDifferencesAreBounded);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -239,6 +251,99 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(2),
                              countOf(view.takeJournalEntries(), journal::EventId::UpstreamAdded));
     }
+
+    void aLargeValueReachesPeersAsADifference()
+    {
+        PublishedView view = makeView();
+        PublishedView peer = makeView();
+        view.applyUpdate({false, 10, 11, {item("config", largeValue(6), 11)}}, start);
+        peer.applyUpdate(view.changesAfter(10), start);
+        const ViewUpdate second {false, 11, 12, {item("config", largeValue(7), 12)}};
+        view.applyUpdate(second, start);
+        view.applyUpdate({false, 12, 13, {item("config", largeValue(8), 13)}}, start);
+        for (const ViewUpdate &update : {view.forPeers(second), view.changesAfter(12)}) {
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), update.items.size());
+            CPPUNIT_ASSERT(update.items[0].delta && update.items[0].value.empty());
+            CPPUNIT_ASSERT(peer.applyUpdate(update, start));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(8), peer.state()->routeTable->configuration().version);
+        PublishedView fresh(decodeItem);
+        CPPUNIT_ASSERT(fresh.applyUpdate(peer.changesAfter(0), start));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(8), fresh.state()->routeTable->configuration().version);
+        CPPUNIT_ASSERT_MESSAGE("differences in a row",
+                               fresh.changesAfter(0).items == peer.changesAfter(0).items);
+    }
+
+    void aDifferenceFromAnUnknownValueIsRejected()
+    {
+        PublishedView view = makeView();
+        view.applyUpdate({false, 10, 11, {item("config", largeValue(6), 11)}}, start);
+        view.applyUpdate({false, 11, 12, {item("config", largeValue(7), 12)}}, start);
+        PublishedView peer = makeView();
+        ViewUpdate update = view.changesAfter(11);
+        update.sinceRevision = 10;
+        CPPUNIT_ASSERT(!peer.applyUpdate(update, start));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(10), peer.revision());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(5), peer.state()->routeTable->configuration().version);
+        CPPUNIT_ASSERT(peer.applyUpdate(view.changesAfter(0), start));
+        CPPUNIT_ASSERT_MESSAGE("a difference that came late is ignored",
+                               peer.applyUpdate(update, start));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), peer.state()->routeTable->configuration().version);
+    }
+
+    void ofSeveralLargeValuesOnlyTheLastIsDecoded()
+    {
+        std::size_t decoded = 0;
+        PublishedView view([&decoded](const PublishedItem &read) {
+            decoded += 1;
+            return decodeItem(read);
+        });
+        view.applyUpdate({true, 0, 5, {item("config", largeValue(1), 5)}}, start);
+        decoded = 0;
+        view.applyUpdate({false,
+                          5,
+                          8,
+                          {item("config", largeValue(2), 6), item("config", largeValue(3), 7),
+                           item("config", largeValue(4), 8)}},
+                         start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), decoded);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(4), view.state()->routeTable->configuration().version);
+    }
+
+    void anUnreadableLargeValueDoesNotHideTheOneBefore()
+    {
+        PublishedView view = makeView();
+        view.applyUpdate(
+            {false,
+             10,
+             12,
+             {item("config", largeValue(6), 11), item("config", "?" + largeValue(7), 12)}},
+            start);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(6), view.state()->routeTable->configuration().version);
+    }
+
+    void retainedDifferencesAreBounded()
+    {
+        PublishedView view(decodeItem);
+        view.applyUpdate({true, 0, 1, {item("config", largeValue(1), 1)}}, start);
+        for (std::uint64_t revision = 2; revision < 40; ++revision) {
+            const std::string text(PublishedView::maxRetainedBytes / 8,
+                                   static_cast<char>('a' + revision % 26));
+            view.applyUpdate({false,
+                              revision - 1,
+                              revision,
+                              {item("config", largeValue(revision, text), revision)}},
+                             start);
+        }
+        CPPUNIT_ASSERT(view.changesAfter(1).isSnapshot);
+        std::size_t bytes = 0;
+        const ViewUpdate retained = view.changesAfter(36);
+        CPPUNIT_ASSERT(!retained.isSnapshot);
+        for (const PublishedItem &each : retained.items) {
+            bytes += each.value.size() + (each.delta ? each.delta->text.inserted.size() : 0);
+        }
+        CPPUNIT_ASSERT(bytes <= PublishedView::maxRetainedBytes);
+    }
 };
 
 REGISTER_SUITE(PublishedViewTest, "published_view");
--- a/tests/serving/view_synchronizer_test.cpp
+++ b/tests/serving/view_synchronizer_test.cpp
@@ -203,6 +203,13 @@
         fixture.synchronizer.applyChanges({{false, 25, 30, {}}}, {"a", 0});
         CPPUNIT_ASSERT_MESSAGE("changes are missing", fixture.sent.size() == 1);
         CPPUNIT_ASSERT(std::get<members::ViewRequest>(fixture.sent[0].second).after == 20);
+        const routing::ValueDelta delta {
+            15, makeDelta(tests::largeConfiguration(1, 9), tests::largeConfiguration(2, 9))};
+        fixture.synchronizer.applyChanges(
+            {{false, 20, 30, {{configurationKey, "", 30, false, delta}}}}, {"a", 0});
+        CPPUNIT_ASSERT_MESSAGE("the base is not known", fixture.sent.size() == 2);
+        CPPUNIT_ASSERT(std::get<members::ViewRequest>(fixture.sent[1].second).after == 0);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(20), fixture.synchronizer.revision());
     }
 
     void aLaggingMemberSendsNothingThatItReadsForItself()
