Read a large response of the store to its end on a narrow link

Cause: a call to the store had a limit for its whole time: 0.5 s after the wait of a watch, 1.5 s for a page. A document of 668 KB is 890 KB in a response, 0.7 s of an idle link of 10 Mbit/s. On a link that is used besides, the response was cut, thrown away and read again from its start, again and again.

Why it works: a response that goes on arriving is read to its end; a dead connection is still noticed as early as before. aLargeResponseOnANarrowLinkIsReadToItsEnd failed before ("Timeout was reached" at 2 Mbit/s); aResponseThatFallsSilentIsGivenUp passed before and after.

Measured: suites store_client 7, client 9, store_watcher 7, all passed.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -9,6 +9,7 @@
 #include <condition_variable>
 #include <deque>
 #include <mutex>
+#include <set>
 #include <thread>
 #include <unordered_map>
 #include <utility>
@@ -42,6 +43,18 @@
     bool headComplete = false; ///< The blank line after the last status line was received.
     bool statusReported = false;
     bool cancelled = false;
+    Instant startedAt = monotonicNow();
+    Instant lastReceivedAt; ///< Time at which the latest bytes of the body arrived.
+
+    /// Returns the time until which the next bytes have to arrive.
+    Instant progressDeadline() const
+    {
+        const bool inBody = this->bodyBytes > 0;
+        const milliseconds limit
+            = inBody ? this->request.silenceTimeout : this->request.headTimeout;
+        const Instant since = inBody ? this->lastReceivedAt : this->startedAt;
+        return limit.count() == 0 ? Instant::max() : since + limit;
+    }
 };
 
 void reportStatus(Transfer &transfer)
@@ -108,6 +121,7 @@
         return CURL_WRITEFUNC_PAUSE;
     }
     transfer.bodyBytes += view.size();
+    transfer.lastReceivedAt = monotonicNow();
     return size * count;
 }
 
@@ -272,6 +286,9 @@
     {
         prepare(*transfer);
         curl_multi_add_handle(this->multi, transfer->handle);
+        if (transfer->progressDeadline() != Instant::max()) {
+            this->supervised.insert(transfer->id);
+        }
         this->transfers.emplace(transfer->id, std::move(transfer));
     }
 
@@ -281,6 +298,7 @@
         if (found == this->transfers.end()) {
             return;
         }
+        this->supervised.erase(id);
         found->second->cancelled = true;
         curl_multi_remove_handle(this->multi, found->second->handle);
         release(*found->second);
@@ -304,11 +322,43 @@
             int running = 0;
             curl_multi_perform(this->multi, &running);
             this->processCompletedTransfers();
-            curl_multi_poll(this->multi, nullptr, 0, pollTimeoutMs, nullptr);
+            curl_multi_poll(this->multi, nullptr, 0, this->pollTimeout(), nullptr);
+            this->endSilentTransfers();
             this->runCommands();
         }
     }
 
+    /// Returns the time until something may have to be done, in milliseconds.
+    int pollTimeout() const
+    {
+        milliseconds timeout(pollTimeoutMs);
+        const Instant now = monotonicNow();
+        for (const TransferId id : this->supervised) {
+            const auto left = this->transfers.at(id)->progressDeadline() - now;
+            timeout = std::min(timeout, std::chrono::ceil<milliseconds>(left));
+        }
+        return static_cast<int>(std::max(timeout, milliseconds(0)).count());
+    }
+
+    void endSilentTransfers()
+    {
+        if (this->supervised.empty()) {
+            return;
+        }
+        // What has arrived meanwhile counts, even if this thread has not taken it yet.
+        int running = 0;
+        curl_multi_perform(this->multi, &running);
+        this->processCompletedTransfers();
+        const Instant now = monotonicNow();
+        const std::set<TransferId> ids = this->supervised;
+        for (const TransferId id : ids) {
+            const auto found = this->transfers.find(id);
+            if (found != this->transfers.end() && found->second->progressDeadline() <= now) {
+                this->finishTransfer(id, CURLE_OPERATION_TIMEDOUT);
+            }
+        }
+    }
+
     void runCommands()
     {
         std::deque<std::function<void()>> taken;
@@ -340,6 +390,7 @@
         const auto found = this->transfers.find(id);
         const std::unique_ptr<Transfer> transfer = std::move(found->second);
         this->transfers.erase(found);
+        this->supervised.erase(id);
         curl_multi_remove_handle(this->multi, transfer->handle);
         const TransferResult result = resultOf(*transfer, code);
         if (result.end == TransferEnd::Complete) {
@@ -355,6 +406,7 @@
     std::mutex mutex; ///< Guards `commands`.
     std::deque<std::function<void()>> commands;
     std::unordered_map<TransferId, std::unique_ptr<Transfer>> transfers;
+    std::set<TransferId> supervised; ///< Transfers with a progress deadline.
     bool stopping = false;
     std::thread thread;
 };
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -24,6 +24,10 @@
     std::string body;
     milliseconds connectTimeout {1'000};
     milliseconds totalTimeout {0}; ///< Limit for the whole transfer; 0 means no limit.
+    milliseconds headTimeout {0};  ///< Limit for the time to the response's head; 0: no limit.
+    /// Limit for the time between two pieces of the response's body; 0: no limit. Suits a large
+    /// body on a narrow link, which takes long without anything being wrong.
+    milliseconds silenceTimeout {0};
     /// Whether to open a new connection for this request and close it afterwards. libcurl retries
     /// a request by itself if a reused connection turns out to be closed, which must not happen to
     /// a request that is not idempotent.
@@ -41,7 +45,7 @@
     NotSent,           ///< No connection was established; no byte was sent.
     ConnectionRefused, ///< Nothing listens on the port; no byte was sent.
     ConnectionLost,    ///< The connection failed; bytes may have been sent.
-    TimedOut,          ///< The total timeout expired; bytes may have been sent.
+    TimedOut,          ///< A timeout expired after connecting; bytes may have been sent.
 };
 
 /// The result of a finished transfer.
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -26,6 +26,8 @@
     CPPUNIT_TEST(anUnreadableResponseIsAFailure);
     CPPUNIT_TEST(callsSendTheirParameters);
     CPPUNIT_TEST(anEndlessPageIsGivenUp);
+    CPPUNIT_TEST(aLargeResponseOnANarrowLinkIsReadToItsEnd);
+    CPPUNIT_TEST(aResponseThatFallsSilentIsGivenUp);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -114,6 +116,54 @@
                              registry.value(metrics::Counter::ConfigurationReads));
         client.stop();
     }
+
+    void aLargeResponseOnANarrowLinkIsReadToItsEnd()
+    {
+        const std::string body = R"({"items":[{"key":"op/config","value":")"
+            + std::string(800'000, 'A') + R"(","revision":4}],"events":[],"at":4})";
+        const std::string head
+            = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+        tests::RawAnswer answer {head + body};
+        answer.pieceBytes = 40'000;
+        answer.piecePause = milliseconds(150); // 2 Mbit/s
+        const tests::RawServer store([answer](const std::string &) { return answer; });
+        http::Client client;
+        metrics::Registry registry;
+        const routing::StoreCalls calls
+            = makeStoreCalls({"127.0.0.1", store.port()}, client, registry);
+        std::promise<routing::StoreResponse> listed;
+        std::promise<routing::StoreResponse> watched;
+        calls.list("", [&](const routing::StoreResponse &response) { listed.set_value(response); });
+        calls.watch(1, milliseconds(1'500),
+                    [&](const routing::StoreResponse &response) { watched.set_value(response); });
+        const routing::StoreResponse page = listed.get_future().get();
+        CPPUNIT_ASSERT_MESSAGE(page.detail, page.status == StoreCallStatus::Ok);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(600'000), page.items.at(0).value.size());
+        const routing::StoreResponse changes = watched.get_future().get();
+        CPPUNIT_ASSERT_MESSAGE(changes.detail, changes.status == StoreCallStatus::Ok);
+    }
+
+    void aResponseThatFallsSilentIsGivenUp()
+    {
+        const tests::RawServer store([](const std::string &request) {
+            const bool isListing = request.find("kv-range") != std::string::npos;
+            return tests::RawAnswer {isListing ? "HTTP/1.1 200 OK\r\n\r\n{\"items\":[" : "",
+                                     tests::RawEnd::Hold};
+        });
+        http::Client client;
+        metrics::Registry registry;
+        const routing::StoreCalls calls
+            = makeStoreCalls({"127.0.0.1", store.port()}, client, registry);
+        std::promise<routing::StoreResponse> listed;
+        std::promise<routing::StoreResponse> watched;
+        const Instant began = monotonicNow();
+        calls.list("", [&](const routing::StoreResponse &response) { listed.set_value(response); });
+        calls.watch(1, milliseconds(500),
+                    [&](const routing::StoreResponse &response) { watched.set_value(response); });
+        CPPUNIT_ASSERT(listed.get_future().get().status == StoreCallStatus::Failed);
+        CPPUNIT_ASSERT(watched.get_future().get().status == StoreCallStatus::Failed);
+        CPPUNIT_ASSERT(monotonicNow() - began < milliseconds(3'000));
+    }
 };
 
 REGISTER_SUITE(StoreClientTest, "store_client");
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -26,7 +26,9 @@
 {
     std::string bytes;
     RawEnd end = RawEnd::Close;
-    std::string repeated {}; ///< For RawEnd::Endless.
+    std::string repeated {};     ///< For RawEnd::Endless.
+    std::size_t pieceBytes = 0;  ///< If set, the bytes are sent in pieces of this size,
+    milliseconds piecePause {0}; ///< with this pause between them.
 };
 
 /// A TCP server on loopback that answers each connection's request with exactly the bytes, and the
@@ -63,6 +65,7 @@
     /// Waits until the caller closes or this server stops.
     void waitForClose(int connection) const;
     bool sendAll(int connection, const std::string &bytes) const;
+    bool sendInPieces(int connection, const RawAnswer &answer) const;
 
     const Script script;
     int listener = -1;
