Fetch a shared document once, and only what it changes

What callers would see: completions processes that learn a configuration late.

Cause: a member asked for a document with each heartbeat that named a higher revision, from every neighbour, until the first answer was applied, and each answer held the whole document.

Evidence: a stand-in of a member that sends three heartbeats in 300 ms got three requests (coordinator suite, aDocumentOnItsWayIsNotRequestedAgain, failed before this change).

Change: SharedDocuments decides what to request (one answer on its way for each document, a second at most) and answers with the difference to a member that has the revision before.

--- a/src/members/coordinator.h
+++ b/src/members/coordinator.h
@@ -118,6 +118,9 @@
     void handle(const std::string &from, const DocumentRequest &request);
     void handle(const std::string &from, const DocumentResponse &response);
     void handle(const CrashReport &crash);
+    /// Returns the requests for documents of which the sender of \a heartbeat has a higher
+    /// revision. Requires the lock.
+    std::vector<DocumentRequest> requestsFor(const Heartbeat &heartbeat);
     void tick();
     void dialSeeds();
     void sendHeartbeats();
--- a/src/members/coordinator_messages.cpp
+++ b/src/members/coordinator_messages.cpp
@@ -75,8 +75,7 @@
     Records changed;
     std::optional<MemberRecord> sender;
     MembershipUpdate allRecords;
-    bool needsConfiguration = false;
-    bool needsVmList = false;
+    std::vector<DocumentRequest> requests;
     bool membershipDiffers = false;
     {
         const std::lock_guard lock(this->mutex);
@@ -88,20 +87,17 @@
         } else {
             this->inboundHeartbeats.erase(from);
         }
-        needsConfiguration = heartbeat.configurationRevision
-            > this->documents.revision(DocumentKind::Configuration);
-        needsVmList = heartbeat.vmListRevision > this->documents.revision(DocumentKind::VmList);
+        if (sender) {
+            requests = this->requestsFor(heartbeat);
+        }
         membershipDiffers = heartbeat.membershipDigest != this->membership.digest();
         allRecords = {this->membership.records(), true};
     }
     if (!sender) {
         return;
     }
-    if (needsConfiguration) {
-        this->network.send(*sender, DocumentRequest {DocumentKind::Configuration});
-    }
-    if (needsVmList) {
-        this->network.send(*sender, DocumentRequest {DocumentKind::VmList});
+    for (const DocumentRequest &request : requests) {
+        this->network.send(*sender, request);
     }
     if (membershipDiffers) {
         this->network.send(*sender, allRecords);
@@ -109,6 +105,20 @@
     this->publishChanges(changed);
 }
 
+std::vector<DocumentRequest> Coordinator::requestsFor(const Heartbeat &heartbeat)
+{
+    const Instant now = monotonicNow();
+    std::vector<DocumentRequest> requests;
+    for (const auto &[kind, revision] :
+         {std::pair(DocumentKind::Configuration, heartbeat.configurationRevision),
+          std::pair(DocumentKind::VmList, heartbeat.vmListRevision)}) {
+        if (const auto request = this->documents.requestFor(kind, revision, now)) {
+            requests.push_back(*request);
+        }
+    }
+    return requests;
+}
+
 void Coordinator::handle(const std::string &from, const MembershipUpdate &update)
 {
     Records changed;
@@ -133,21 +143,28 @@
 
 void Coordinator::handle(const std::string &from, const DocumentRequest &request)
 {
-    std::string text;
+    std::optional<DocumentResponse> response;
     std::optional<MemberRecord> sender;
     {
         const std::lock_guard lock(this->mutex);
-        text = this->documents.text(request.kind);
+        response = this->documents.answer(request);
         sender = this->membership.find(from);
     }
-    if (sender && !text.empty()) {
-        this->network.send(*sender, DocumentResponse {request.kind, text});
+    if (sender && response) {
+        this->network.send(*sender, *response);
     }
 }
 
 void Coordinator::handle(const std::string &from, const DocumentResponse &response)
 {
-    this->offer(response.kind, response.text, "member " + from);
+    std::optional<std::string> text;
+    {
+        const std::lock_guard lock(this->mutex);
+        text = this->documents.textOf(response);
+    }
+    if (text) {
+        this->offer(response.kind, *text, "member " + from);
+    }
 }
 
 void Coordinator::handle(const CrashReport &crash)
--- a/src/members/messages.cpp
+++ b/src/members/messages.cpp
@@ -95,21 +95,26 @@
 
 void write(Packer &out, const DocumentRequest &request)
 {
-    out.pack_array(1);
+    out.pack_array(2);
     out.pack(static_cast<std::uint8_t>(request.kind));
+    out.pack(request.knownRevision);
 }
 
 void read(const Object &from, DocumentRequest &request)
 {
     ArrayReader in(from);
     request.kind = in.enumeration<DocumentKind>(DocumentKind::VmList);
+    request.knownRevision = in.as<std::uint64_t>();
 }
 
 void write(Packer &out, const DocumentResponse &response)
 {
-    out.pack_array(2);
+    out.pack_array(response.delta ? 3 : 2);
     out.pack(static_cast<std::uint8_t>(response.kind));
     out.pack(compressed(response.text));
+    if (response.delta) {
+        write(out, *response.delta);
+    }
 }
 
 void read(const Object &from, DocumentResponse &response)
@@ -121,6 +126,9 @@
         throw msgpack::type_error();
     }
     response.text = text.takeValue();
+    if (!in.atEnd()) {
+        read(in.next(), response.delta.emplace());
+    }
 }
 
 void write(Packer &out, const CrashReport &crash)
--- a/src/members/messages.h
+++ b/src/members/messages.h
@@ -2,6 +2,7 @@
 #define AZURESPINDLE_MEMBERS_MESSAGES_H
 
 #include "base/error.h"
+#include "base/text_delta.h"
 #include "decision/crash_suspects.h"
 #include "decision/engine_order.h"
 #include "decision/fleet_retry_budget.h"
@@ -12,6 +13,7 @@
 #include "routing/upstream_observation.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -87,6 +89,7 @@
 struct DocumentRequest
 {
     DocumentKind kind = DocumentKind::Configuration;
+    std::uint64_t knownRevision = 0; ///< Revision that the sender has; 0: none.
     bool operator==(const DocumentRequest &other) const = default;
 };
 
@@ -94,7 +97,9 @@
 struct DocumentResponse
 {
     DocumentKind kind = DocumentKind::Configuration;
-    std::string text; ///< The document exactly as it was published.
+    std::string text; ///< The document exactly as it was published; empty if \a delta is set.
+    /// The difference from the revision that the requester knows.
+    std::optional<TextDelta> delta {};
     bool operator==(const DocumentResponse &other) const = default;
 };
 
--- a/src/members/shared_documents.cpp
+++ b/src/members/shared_documents.cpp
@@ -96,6 +96,8 @@
 {
     configuration::DocumentStore &store = this->store(kind);
     const nlohmann::json before = store.document();
+    const std::uint64_t revisionBefore = store.revision();
+    const std::string textBefore = store.text();
     const OfferResult result = store.offer(text);
     std::string &last = this->lastRejected[static_cast<std::size_t>(kind)];
     const bool rejected = result == OfferResult::Stale || result == OfferResult::Invalid;
@@ -108,6 +110,9 @@
         outcome.entry = entryOf(result, kind, source, store);
     }
     if (outcome.accepted) {
+        Exchange &exchange = this->exchanges[static_cast<std::size_t>(kind)];
+        exchange.previousRevision = revisionBefore;
+        exchange.fromPrevious = makeDelta(textBefore, text);
         outcome.document = store.document();
         if (kind == DocumentKind::Configuration) {
             outcome.entry->fields.push_back({"changes", changesText(before, outcome.document)});
@@ -116,6 +121,48 @@
     return outcome;
 }
 
+std::optional<DocumentRequest> SharedDocuments::requestFor(DocumentKind kind,
+                                                           std::uint64_t revision, Instant now)
+{
+    const std::uint64_t known = this->store(kind).revision();
+    Exchange &exchange = this->exchanges[static_cast<std::size_t>(kind)];
+    const bool onItsWay = exchange.requestedAt && now - *exchange.requestedAt < answerTimeout;
+    if (revision <= known || onItsWay) {
+        return std::nullopt;
+    }
+    exchange.requestedAt = now;
+    return DocumentRequest {kind, exchange.needsWhole ? 0 : known};
+}
+
+std::optional<std::string> SharedDocuments::textOf(const DocumentResponse &response)
+{
+    Exchange &exchange = this->exchanges[static_cast<std::size_t>(response.kind)];
+    exchange.requestedAt.reset();
+    exchange.needsWhole = false;
+    if (!response.delta) {
+        return response.text;
+    }
+    Result<std::string> text = applyDelta(this->store(response.kind).text(), *response.delta);
+    if (!text.ok()) {
+        exchange.needsWhole = true;
+        return std::nullopt;
+    }
+    return text.takeValue();
+}
+
+std::optional<DocumentResponse> SharedDocuments::answer(const DocumentRequest &request) const
+{
+    const configuration::DocumentStore &store = this->store(request.kind);
+    const Exchange &exchange = this->exchanges[static_cast<std::size_t>(request.kind)];
+    if (store.revision() == 0) {
+        return std::nullopt;
+    }
+    const bool fits
+        = request.knownRevision != 0 && request.knownRevision == exchange.previousRevision;
+    return fits ? DocumentResponse {request.kind, "", exchange.fromPrevious}
+                : DocumentResponse {request.kind, store.text()};
+}
+
 std::uint64_t SharedDocuments::refusedRevision() const
 {
     return this->store(DocumentKind::Configuration).refusedRevision();
--- a/tests/members/coordinator_test.cpp
+++ b/tests/members/coordinator_test.cpp
@@ -12,6 +12,41 @@
 using tests::Fleet;
 using tests::streamFault;
 
+namespace {
+
+constexpr std::size_t lengthBytes = 4;
+
+std::string frame(const Message &message)
+{
+    const std::string payload = encode(message);
+    std::string bytes;
+    for (std::size_t byte = lengthBytes; byte > 0; --byte) {
+        bytes += static_cast<char>(payload.size() >> (8U * (byte - 1)));
+    }
+    return bytes + payload;
+}
+
+/// Returns the messages of the complete frames in \a bytes.
+std::vector<Message> messagesIn(const std::string &bytes)
+{
+    std::vector<Message> messages;
+    std::size_t at = 0;
+    while (at + lengthBytes <= bytes.size()) {
+        std::size_t length = 0;
+        for (std::size_t byte = 0; byte < lengthBytes; ++byte) {
+            length = (length << 8U) | static_cast<unsigned char>(bytes[at + byte]);
+        }
+        if (at + lengthBytes + length > bytes.size()) {
+            break;
+        }
+        messages.push_back(decode(bytes.substr(at + lengthBytes, length)).takeValue());
+        at += lengthBytes + length;
+    }
+    return messages;
+}
+
+} // namespace
+
 /// Tests of a fleet of three entry processes in three zones, which all tests but one share.
 class CoordinatorTest : public CppUnit::TestFixture
 {
@@ -25,6 +60,7 @@
     CPPUNIT_TEST(aZoneMarkedOutGetsNoNewRequests);
     CPPUNIT_TEST(membersTogetherDoNotOverloadColdEngines);
     CPPUNIT_TEST(anInvalidFrameClosesOnlyItsConnection);
+    CPPUNIT_TEST(aDocumentOnItsWayIsNotRequestedAgain);
     CPPUNIT_TEST(aMemberThatLeftIsRemovedAndItsKeysDoNotRunElsewhere);
     CPPUNIT_TEST_SUITE_END();
 
@@ -193,6 +229,28 @@
         CPPUNIT_ASSERT_EQUAL(200, shared->generate(0, 3).status);
     }
 
+    void aDocumentOnItsWayIsNotRequestedAgain()
+    {
+        Fleet fleet(18'350, 1, 1);
+        const tests::RawConnection peer(fleet.entry(0).memberPort());
+        Hello hello;
+        hello.self = {"peer", "south", "127.0.0.1:1", "127.0.0.1:2", 1, MemberState::Alive};
+        Heartbeat heartbeat;
+        heartbeat.incarnation = 1;
+        heartbeat.configurationRevision = 99;
+        peer.send(frame(hello));
+        for (int sent = 0; sent < 3; ++sent) {
+            peer.send(frame(heartbeat));
+            std::this_thread::sleep_for(milliseconds(100));
+        }
+        std::size_t requests = 0;
+        for (const Message &message : messagesIn(peer.readAll(milliseconds(300)))) {
+            const auto *request = std::get_if<DocumentRequest>(&message);
+            requests += request != nullptr && request->kind == DocumentKind::Configuration ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), requests);
+    }
+
     void aMemberThatLeftIsRemovedAndItsKeysDoNotRunElsewhere()
     {
         const http::Headers withKey {{"idempotency-key", mintKey(2)}};
@@ -207,7 +265,7 @@
     }
 
 private:
-    static constexpr int testCount = 10;
+    static constexpr int testCount = 11;
     static inline int finishedTests = 0;
     static inline std::unique_ptr<Fleet> shared;
 
