List a test that fails on limits that upstreams name

What callers would see: an upstream in need falls over, or turns them away, as it gets more requests than it says it takes.

The test drives three processes with 24 requests a second for two upstreams, one of which names two requests a second.

--- a/tests/platform/fake_platform.cpp
+++ b/tests/platform/fake_platform.cpp
@@ -411,6 +411,18 @@
     return total;
 }
 
+std::size_t FakeService::mostArrivalsWithin(milliseconds window, Instant since) const
+{
+    const std::lock_guard lock(this->mutex);
+    std::size_t most = 0;
+    for (auto first = this->arrivals.begin(); first != this->arrivals.end(); ++first) {
+        const auto end = std::lower_bound(first, this->arrivals.end(), *first + window);
+        const auto count = static_cast<std::size_t>(end - first);
+        most = *first >= since ? std::max(most, count) : most;
+    }
+    return most;
+}
+
 void FakeService::answer(const http::ServerRequest &request, const http::ExchangePtr &exchange)
 {
     const std::string requestId = headerField(request, "azurespindle-attempt-id");
@@ -426,6 +438,7 @@
     {
         const std::lock_guard lock(this->mutex);
         this->runCounts[requestId] += 1;
+        this->arrivals.push_back(monotonicNow());
     }
     if (this->behaviour == Behaviour::DropsAnswer) {
         exchange->abort();
@@ -445,6 +458,9 @@
                 {"azurespindle-server-seal", "seal-of-" + this->id},
                 {"x-target", request.target}},
                "ran " + request.method + " " + request.target + " " + request.body};
+    if (this->namedLimit > 0.0) {
+        work.headers["server-limit"] = std::to_string(this->namedLimit);
+    }
     const std::lock_guard lock(this->mutex);
     if (this->workTimeMs == 0) {
         this->finish(work);
--- a/tests/platform/fake_platform.h
+++ b/tests/platform/fake_platform.h
@@ -158,6 +158,8 @@
     void setBehaviour(Behaviour behaviour) { this->behaviour = behaviour; }
     /// Sets the duration of the work on each request that arrives from now on.
     void setWorkTime(milliseconds time) { this->workTimeMs = time.count(); }
+    /// Names the requests a second that it takes from all processes together; 0 names no limit.
+    void setNamedLimit(double requestsPerSecond) { this->namedLimit = requestsPerSecond; }
     /// Sets the address to register, if it differs from the one listened on. To be called before
     /// registration().
     void setAdvertisedAddress(const std::string &address) { this->advertisedAddress = address; }
@@ -170,6 +172,8 @@
     /// Returns true if the request with this id came while the service hung.
     bool hungOn(const std::string &requestId) const;
     std::size_t totalRuns() const;
+    /// Returns the largest number of requests that arrived within \a window, from \a since on.
+    std::size_t mostArrivalsWithin(milliseconds window, Instant since) const;
     /// Returns the number of hanging requests whose callers disconnected.
     std::size_t disconnects() const { return this->disconnectCount; }
 
@@ -194,9 +198,11 @@
     std::atomic<std::int64_t> workTimeMs {0};
     std::atomic<Behaviour> behaviour {Behaviour::Answers};
     std::atomic<std::size_t> disconnectCount {0};
+    std::atomic<double> namedLimit {0.0};
     mutable std::mutex mutex; ///< Guards the fields below, up to the timers.
     std::map<std::string, std::size_t> runCounts;
     std::map<std::string, Instant> finishTimes; ///< Keyed by request.
+    std::vector<Instant> arrivals;
     std::vector<Work> works;
     std::multimap<std::string, http::ExchangePtr> hangingExchanges; ///< Keyed by request.
     timer::TimerService timers;
--- a/tests/serving/routing_process_test.cpp
+++ b/tests/serving/routing_process_test.cpp
@@ -153,6 +153,8 @@
     CPPUNIT_TEST(pipelinedRequestsAreAnsweredInOrder);
     CPPUNIT_TEST(metricsAndReadinessAreServed);
     CPPUNIT_TEST(reportingACrashDoesNotDeadlock);
+    CPPUNIT_TEST(aNamedLimitHoldsSummedOverAllProcesses);
+    CPPUNIT_TEST(aLimitThatIsNoLongerNamedEnds);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -457,7 +459,54 @@
         CPPUNIT_ASSERT(later.wait_for(seconds(4)) == std::future_status::ready);
     }
 
+    void aNamedLimitHoldsSummedOverAllProcesses()
+    {
+        constexpr double limit = 2.0;
+        constexpr milliseconds noticeTime {3'000};
+        constexpr milliseconds window {4'000};
+        constexpr double allowed = 1.5 * limit * 4.0 + 5.0; // In a window, from the notice time on.
+        this->startReady(3);
+        this->services[0]->setNamedLimit(limit);
+        const Instant named = monotonicNow();
+        const std::size_t failed = this->callForAWhile(milliseconds(9'000));
+        const std::size_t most = this->services[0]->mostArrivalsWithin(window, named + noticeTime);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(most) + " requests in 4 s",
+                               static_cast<double>(most) <= allowed);
+        CPPUNIT_ASSERT_MESSAGE("the other upstream has room for all", failed == 0);
+    }
+
+    void aLimitThatIsNoLongerNamedEnds()
+    {
+        this->startReady(3);
+        this->services[0]->setNamedLimit(2.0);
+        this->callForAWhile(milliseconds(3'000));
+        this->services[0]->setNamedLimit(0.0);
+        this->callForAWhile(milliseconds(2'000));
+        const Instant ended = monotonicNow();
+        this->callForAWhile(milliseconds(2'000));
+        CPPUNIT_ASSERT(this->services[0]->mostArrivalsWithin(milliseconds(2'000), ended) > 15);
+    }
+
 private:
+    /// Sends 24 requests a second to the processes in turn. \return the number of those that were
+    /// not answered with 200.
+    std::size_t callForAWhile(milliseconds duration)
+    {
+        constexpr milliseconds pause {42};
+        std::vector<std::future<Response>> responses;
+        const Instant until = monotonicNow() + duration;
+        for (std::uint16_t process = 0; monotonicNow() < until; process = (process + 1) % 3) {
+            const std::string id = "n" + std::to_string(lastCallerNumber += 1);
+            responses.push_back(send(*this->client, process, "/look/1", "", id, "GET"));
+            std::this_thread::sleep_for(pause);
+        }
+        std::size_t failed = 0;
+        for (std::future<Response> &response : responses) {
+            failed += response.get().status == 200 ? 0 : 1;
+        }
+        return failed;
+    }
+
     void startReady(std::uint16_t count)
     {
         for (std::uint16_t index = 0; index < count; ++index) {
