Log the limits that upstreams name

Change: the header is decoded in platform/, and decision::UpstreamRateLimits keeps the latest limit of each upstream with its source and age; events limit-named and limit-ended. It can also divide a limit among the processes; placement does not ask it yet, so no request takes another way.

--- a/src/journal/event_id.cpp
+++ b/src/journal/event_id.cpp
@@ -60,6 +60,10 @@
          "Upstreams died on prompts with this part, which are refused from now on."},
         {E::PromptPartsCleared, "prompt-parts-cleared", S::Info,
          "An answer to a prompt with these suspected parts began."},
+        {E::LimitNamed, "limit-named", S::Info,
+         "An upstream names another rate of requests that it takes from the whole fleet; `ownRate` "
+         "is the part of this process."},
+        {E::LimitEnded, "limit-ended", S::Info, "An upstream names no rate of requests any more."},
         {E::ConfigurationAccepted, "configuration-accepted", S::Info,
          "A higher revision is in force in this process."},
         {E::ConfigurationRefused, "configuration-refused", S::Error,
--- a/src/journal/event_id.h
+++ b/src/journal/event_id.h
@@ -43,6 +43,8 @@
     PromptPartsSuspected = 309,
     PromptPartBlocked = 310,
     PromptPartsCleared = 311,
+    LimitNamed = 312,
+    LimitEnded = 313,
 
     ConfigurationAccepted = 400,
     ConfigurationRefused = 401,
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -159,6 +159,10 @@
         }
     }
     this->state = event.state;
+    this->rateLimits.forgetUnless([this](const std::string &id, std::uint64_t incarnation) {
+        const UpstreamRecord *record = this->findUpstream(id);
+        return record != nullptr && record->incarnation == incarnation;
+    });
     this->confirmCrashes();
     for (auto cold = this->coldUntil.begin(); cold != this->coldUntil.end();) {
         cold = cold->second < this->now ? this->coldUntil.erase(cold) : std::next(cold);
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -8,6 +8,7 @@
 #include "decision/fleet_retry_budget.h"
 #include "decision/length_forecast.h"
 #include "decision/load_table.h"
+#include "decision/upstream_rate_limits.h"
 #include "routing/router_events.h"
 
 #include <map>
@@ -127,6 +128,7 @@
         UpstreamRecord upstream;
         decision::ResourceClaim claim;
         bool fromMigration = false; ///< True if the copy is a migration's, false if it is a backup.
+        Instant startedAt {};
     };
 
     /// A request from its arrival until RequestClosed.
@@ -364,6 +366,13 @@
     /// Reports the suspected crashes whose upstreams have disappeared or restarted.
     void confirmCrashes();
 
+    // Limits that upstreams name (router_limits.cpp)
+
+    /// Takes note of the limit that an upstream names in the head of a response, or of its end.
+    /// \param sentAt time at which the request was sent.
+    void noteLimit(const UpstreamRecord &upstream, const ResponseHead &head, Instant sentAt);
+    void noteLimit(const decision::NamedLimit &limit, decision::LimitSource source);
+
     // Migrations and takeovers (router_migrations.cpp, router_takeovers.cpp)
 
     /// Records that the current engine is draining, and asks it for a report the first time.
@@ -455,6 +464,7 @@
     decision::LoadTable loads;
     decision::FleetRetryBudget retryBudget;
     decision::ColdStartLimiter coldStartLimiter;
+    decision::UpstreamRateLimits rateLimits;
     decision::CrashTracker crashes;
     decision::CrashSuspects crashSuspects;
     std::vector<ConnectionLoss> recentLosses;
--- a/src/routing/router_attempts.cpp
+++ b/src/routing/router_attempts.cpp
@@ -148,6 +148,7 @@
     ActiveRequest *found = this->findRequest(event.attempt.request);
     if (found != nullptr && found->parallel && found->parallel->number == event.attempt.number) {
         const ResponseHead &head = event.head;
+        this->noteLimit(found->parallel->upstream, head, found->parallel->startedAt);
         if (head.status == statusOk && head.eventStream && head.authentic) {
             this->promoteParallelTakeover(*found, head);
         }
@@ -158,6 +159,7 @@
         return;
     }
     ActiveRequest &active = *current;
+    this->noteLimit(active.upstream, event.head, active.attemptStartedAt);
     active.head = event.head;
     active.headReceived = true;
     active.lastActivityAt = this->now;
--- a/src/routing/router_takeovers.cpp
+++ b/src/routing/router_takeovers.cpp
@@ -113,7 +113,7 @@
     active.attemptCount += 1;
     active.possibleDeliveries += 1;
     ParallelTakeover parallel {active.lastAttempt, destination, this->currentClaim(active),
-                               fromMigration};
+                               fromMigration, this->now};
     this->loads.add(destination.id, parallel.claim);
     this->retryBudget.recordResend(active.serviceName, this->now);
     AttemptPlan plan = this->makePlan(active, destination);
--- a/src/routing/types.h
+++ b/src/routing/types.h
@@ -177,7 +177,9 @@
     bool requestIdMismatch = false;  ///< True if it carries the id of another request.
     bool eventStream = false;        ///< True if the body is a stream of server-sent events.
     bool endsWithConnection = false; ///< True if neither a length nor chunks tell its end.
-    http::HeaderFields fields;       ///< Header fields for the caller.
+    /// Requests per second that the upstream takes from the whole fleet, if it names a limit.
+    std::optional<double> requestsPerSecond {};
+    http::HeaderFields fields; ///< Header fields for the caller.
 };
 
 /// A reply that this process generates itself instead of forwarding one from an upstream.
--- a/tests/platform/http_translation_test.cpp
+++ b/tests/platform/http_translation_test.cpp
@@ -64,6 +64,7 @@
     CPPUNIT_TEST(theUpstreamGetsTheCallersRequestAndTheReservedFields);
     CPPUNIT_TEST(aTakeoverNamesTheEventAndTheCopyToResumeFrom);
     CPPUNIT_TEST(responseHeadsTellWhetherTheResponseIsAuthentic);
+    CPPUNIT_TEST(aNamedLimitIsRead);
     CPPUNIT_TEST(localRepliesGiveRetryAfterInFractionsOfSeconds);
     CPPUNIT_TEST_SUITE_END();
 
@@ -186,6 +187,19 @@
         CPPUNIT_ASSERT(readHead(request, 421, {}).wrongInstance);
     }
 
+    void aNamedLimitIsRead()
+    {
+        const auto limitIn = [](const std::string &value) {
+            return readHead({}, 200, {{"server-limit", value}}).requestsPerSecond;
+        };
+        CPPUNIT_ASSERT_EQUAL(2.5, limitIn("2.5").value());
+        CPPUNIT_ASSERT_EQUAL(0.0, limitIn("0").value());
+        for (const char *malformed : {"", "-1", "nan", "inf", "2 ", "2,5", "many", "1e999"}) {
+            CPPUNIT_ASSERT_MESSAGE(malformed, !limitIn(malformed));
+        }
+        CPPUNIT_ASSERT(!readHead({}, 200, {}).requestsPerSecond);
+    }
+
     void localRepliesGiveRetryAfterInFractionsOfSeconds()
     {
         const http::HeaderFields fields
