Keep the limits that upstreams name, summed over all processes

What callers would see: an upstream in need gets many times what it says it takes, and falls over or turns them away.

The class of fault: a bound that an upstream states for all of its callers is treated as if it were nobody's.

Change: a limit is state of the fleet. Each process tells the others what it read, with its age; zones tell zones; the latest response counts, and only a response to a request sent after the limit was named can end it. The rate of an upstream is divided among a few processes, chosen by rendezvous among all members: at most one request a second each, at least two of them. The others send nothing there. What is over the limit goes to other upstreams, or waits if a place comes in time, or is rejected at once with the time until there is one. Takeovers count; moves are not begun towards an engine without room in its limit.

Why it works: each sender saves up at most one request and starts with none, so the sum over any four seconds is at most the number of senders and 3.6 times the limit, for 1 process as for 910 (suite upstream_rate_limits), whoever joins or leaves.

--- a/src/members/internal/routing_codec.cpp
+++ b/src/members/internal/routing_codec.cpp
@@ -3,6 +3,8 @@
 #include "base/compression.h"
 #include "members/internal/frame_codec.h"
 
+#include <cmath>
+
 namespace azurespindle::members::internal {
 namespace {
 
@@ -140,9 +142,34 @@
     blocked.crashes = in.as<std::vector<decision::CrashId>>();
 }
 
+void write(Packer &out, const decision::NamedLimit &limit)
+{
+    out.pack_array(limit.requestsPerSecond ? 4 : 3);
+    out.pack(limit.upstream);
+    out.pack(limit.incarnation);
+    out.pack(limit.age.count());
+    if (limit.requestsPerSecond) {
+        out.pack(*limit.requestsPerSecond);
+    }
+}
+
+void read(const Object &from, decision::NamedLimit &limit)
+{
+    ArrayReader in(from);
+    limit.upstream = in.as<std::string>();
+    limit.incarnation = in.as<std::uint64_t>();
+    limit.age = milliseconds(in.as<std::uint32_t>());
+    if (!in.atEnd()) {
+        limit.requestsPerSecond = in.as<double>();
+        if (!std::isfinite(*limit.requestsPerSecond) || *limit.requestsPerSecond < 0.0) {
+            throw msgpack::type_error();
+        }
+    }
+}
+
 void write(Packer &out, const RouterReport &report)
 {
-    out.pack_array(7);
+    out.pack_array(8);
     out.pack(report.complete);
     out.pack(report.viewRevision);
     out.pack(report.readsStore);
@@ -150,6 +177,7 @@
     packList(out, report.requestCounts);
     packList(out, report.observations);
     packList(out, report.blockedParts);
+    packList(out, report.limits);
 }
 
 void read(const Object &from, RouterReport &report)
@@ -161,19 +189,19 @@
     unpackList(in.next(), report.claims);
     unpackList(in.next(), report.requestCounts);
     unpackList(in.next(), report.observations);
-    if (!in.atEnd()) { // Absent in frames of older members.
-        unpackList(in.next(), report.blockedParts);
-    }
+    unpackList(in.next(), report.blockedParts);
+    unpackList(in.next(), report.limits);
 }
 
 void write(Packer &out, const ZoneReport &report)
 {
-    out.pack_array(5);
+    out.pack_array(6);
     out.pack(report.zone);
     out.pack(report.processCount);
     packList(out, report.claims);
     packList(out, report.requestCounts);
     packList(out, report.blockedParts);
+    packList(out, report.limits);
 }
 
 void read(const Object &from, ZoneReport &report)
@@ -183,9 +211,8 @@
     report.processCount = in.as<std::uint32_t>();
     unpackList(in.next(), report.claims);
     unpackList(in.next(), report.requestCounts);
-    if (!in.atEnd()) { // Absent in frames of older members.
-        unpackList(in.next(), report.blockedParts);
-    }
+    unpackList(in.next(), report.blockedParts);
+    unpackList(in.next(), report.limits);
 }
 
 void write(Packer &out, const ViewRequest &request)
--- a/src/members/messages.h
+++ b/src/members/messages.h
@@ -9,6 +9,7 @@
 #include "decision/lease_manager.h"
 #include "decision/load_table.h"
 #include "decision/types.h"
+#include "decision/upstream_rate_limits.h"
 #include "routing/published_view.h"
 #include "routing/upstream_observation.h"
 
@@ -170,6 +171,7 @@
     std::vector<decision::RequestCounts> requestCounts;
     std::vector<routing::UpstreamObservation> observations;
     std::vector<decision::PartCrashes> blockedParts {};
+    std::vector<decision::NamedLimit> limits {}; ///< Limits that the sender read in responses.
     bool operator==(const RouterReport &other) const = default;
 };
 
@@ -181,6 +183,7 @@
     std::vector<decision::UpstreamClaim> claims;
     std::vector<decision::RequestCounts> requestCounts;
     std::vector<decision::PartCrashes> blockedParts {};
+    std::vector<decision::NamedLimit> limits {}; ///< Limits that the zone's processes read.
     bool operator==(const ZoneReport &other) const = default;
 };
 
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -290,6 +290,9 @@
     this->loads.updatePeer(event.peer, event.claims, event.isSnapshot, this->now);
     this->retryBudget.updatePeer(event.peer, event.requestCounts, this->now);
     this->mergeBlockedParts(event.blockedParts);
+    for (const decision::NamedLimit &limit : event.limits) {
+        this->noteLimit(limit, decision::LimitSource::Member);
+    }
     for (const UpstreamObservation &observation : event.observations) {
         this->applyObservation(observation);
     }
@@ -298,6 +301,9 @@
 void Router::on(const ZoneReportArrived &event)
 {
     this->mergeBlockedParts(event.blockedParts);
+    for (const decision::NamedLimit &limit : event.limits) {
+        this->noteLimit(limit, decision::LimitSource::Zone);
+    }
     this->loads.updateZone(event.zone, event.claims, this->now);
     this->retryBudget.updateZone(event.zone, event.requestCounts, event.processes, this->now);
 }
@@ -306,6 +312,8 @@
 {
     this->retryBudget.setProcessCount(event.count);
     this->coldStartLimiter.setProcessCount(event.count);
+    this->processCount = event.count;
+    this->rateLimits.setProcesses(event.names, this->options.name, this->now);
     this->silentZones = event.silentZones;
 }
 
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -26,6 +26,7 @@
     std::map<std::string, std::string> regionOfZone;
     std::uint64_t seed = 0; ///< Differs between processes, so that they break ties differently.
     decision::FleetRetryLimits retryLimits;
+    std::string name {}; ///< Name of this process.
 };
 
 /// Counters of a router, for `azurespindle status` and the metrics.
@@ -66,6 +67,13 @@
     /// Returns the recent observations of upstreams, for the peers, and drops the older ones.
     std::vector<UpstreamObservation> takeObservations(Instant at);
 
+    /// Returns the limits that this process read in responses, for the peers.
+    /// \param all false to return nothing unless one changed since the last call.
+    std::vector<decision::NamedLimit> takeOwnLimits(bool all, Instant at);
+    /// Returns the limits that the processes of this zone read, for other zones; see
+    /// takeOwnLimits().
+    std::vector<decision::NamedLimit> takeZoneLimits(bool all, Instant at);
+
     // Queries
 
     RouterStatus status() const;
@@ -81,6 +89,8 @@
     {
         return this->crashSuspects.blockedParts(now);
     }
+    /// Returns true if a limit that this process read has changed since takeOwnLimits().
+    bool hasChangedLimits() const { return this->ownLimitsChanged; }
     const decision::FleetRetryBudget &fleetRetryBudget() const { return this->retryBudget; }
     /// Returns this process's request counts.
     std::vector<decision::RequestCounts> requestCounts(Instant now) const
@@ -276,6 +286,10 @@
     /// Raises the load of upstreams in silent zones to at least the average of the others.
     void assumeSilentZonesBusy(std::vector<decision::UpstreamCandidate> &candidates) const;
     bool isEligible(const ActiveRequest &active, const UpstreamRecord &record) const;
+    /// Returns true if an upstream may serve the request, apart from the rates that it bears.
+    bool canServe(const ActiveRequest &active, const UpstreamRecord &record) const;
+    /// Returns the time that a request may spend in the queue.
+    static microseconds maxQueueTime(const ActiveRequest &active);
     /// Returns true if route and workspace permit the region of the upstream's zone.
     bool regionAllowed(const ActiveRequest &active, const UpstreamRecord &record) const;
     /// Rejects queued requests that waited too long, or whose service has no upstream.
@@ -372,6 +386,12 @@
     /// \param sentAt time at which the request was sent.
     void noteLimit(const UpstreamRecord &upstream, const ResponseHead &head, Instant sentAt);
     void noteLimit(const decision::NamedLimit &limit, decision::LimitSource source);
+    /// Returns the time until a request can be sent if all upstreams that could serve it name
+    /// limits, or nothing if one does not.
+    /// \param ahead number of requests that take their turn before it.
+    std::optional<microseconds> waitForLimits(const ActiveRequest &active, std::size_t ahead) const;
+    /// Rejects the queued requests that the limits of their upstreams keep from being sent in time.
+    void rejectBeyondLimits();
 
     // Migrations and takeovers (router_migrations.cpp, router_takeovers.cpp)
 
@@ -457,6 +477,7 @@
     std::unordered_map<std::string, Instant> reportRequestedAt;      ///< By engine.
     std::vector<std::pair<Instant, UpstreamObservation>> observations;
     bool storeUnavailable = false;
+    std::size_t processCount = 1;
     std::set<std::string> silentZones;
     std::map<std::string, UnreachableZone> unreachableZones;
     std::unordered_map<RequestId, ActiveRequest> activeRequests;
@@ -465,6 +486,8 @@
     decision::FleetRetryBudget retryBudget;
     decision::ColdStartLimiter coldStartLimiter;
     decision::UpstreamRateLimits rateLimits;
+    bool ownLimitsChanged = false;  ///< See takeOwnLimits().
+    bool zoneLimitsChanged = false; ///< See takeZoneLimits().
     decision::CrashTracker crashes;
     decision::CrashSuspects crashSuspects;
     std::vector<ConnectionLoss> recentLosses;
--- a/src/routing/router_admission.cpp
+++ b/src/routing/router_admission.cpp
@@ -95,6 +95,7 @@
     this->retryBudget.recordRequest(stored.serviceName, this->now);
     this->enqueue(stored);
     this->placeQueued();
+    this->rejectBeyondLimits();
 }
 
 std::optional<LocalReply> Router::admit(ActiveRequest &arrived)
@@ -195,12 +196,17 @@
     return permits(active.route->regions) && permits(active.workspaceRegions);
 }
 
+bool Router::canServe(const ActiveRequest &active, const UpstreamRecord &record) const
+{
+    return record.service == active.serviceName && !this->isUnavailable(record)
+        && this->state->evacuatedZones.count(record.zone) == 0
+        && !contains(active.excluded, record.id) && !contains(active.mayHaveRunOn, record.id)
+        && this->regionAllowed(active, record);
+}
+
 bool Router::isEligible(const ActiveRequest &active, const UpstreamRecord &record) const
 {
-    if (record.service != active.serviceName || this->isUnavailable(record)
-        || this->state->evacuatedZones.count(record.zone) > 0
-        || contains(active.excluded, record.id) || contains(active.mayHaveRunOn, record.id)
-        || !this->regionAllowed(active, record)) {
+    if (!this->canServe(active, record) || !this->rateLimits.allows(record.id, this->now)) {
         return false;
     }
     const auto cold = this->coldUntil.find(record.id);
@@ -356,18 +362,23 @@
         : LocalReply {statusUnavailable, stoppingRetryAfter, "this process is stopping"};
 }
 
+microseconds Router::maxQueueTime(const ActiveRequest &active)
+{
+    return std::chrono::duration_cast<microseconds>(active.route->latencyObjective
+                                                    * maxQueueTimeFraction);
+}
+
 void Router::rejectUnplaceable()
 {
+    this->rejectBeyondLimits();
     const std::vector<RequestId> queued = this->queue;
     for (const RequestId id : queued) {
         ActiveRequest *each = this->findRequest(id);
-        const auto maxQueueTime = std::chrono::duration_cast<microseconds>(
-            each->route->latencyObjective * maxQueueTimeFraction);
         const bool inService = std::any_of(
             this->state->upstreams.begin(), this->state->upstreams.end(), [&](const auto &entry) {
                 return entry.second.service == each->serviceName && !entry.second.draining;
             });
-        if (inService && this->now - each->queuedAt < maxQueueTime) {
+        if (inService && this->now - each->queuedAt < maxQueueTime(*each)) {
             continue;
         }
         const char *reason
--- a/src/routing/router_attempts.cpp
+++ b/src/routing/router_attempts.cpp
@@ -85,6 +85,7 @@
     if (this->coldUntil.count(upstream.id) > 0) {
         this->coldStartLimiter.recordSend(upstream.id, this->now);
     }
+    this->rateLimits.recordSend(upstream.id, this->now);
     AttemptPlan plan = this->makePlan(active, upstream);
     plan.takeover = takeover;
     plan.backupAddress = active.backup ? active.backup->address : "";
--- a/src/routing/router_events.h
+++ b/src/routing/router_events.h
@@ -4,6 +4,7 @@
 #include "decision/crash_suspects.h"
 #include "decision/fleet_retry_budget.h"
 #include "decision/load_table.h"
+#include "decision/upstream_rate_limits.h"
 #include "journal/event_id.h"
 #include "routing/published_view.h"
 #include "routing/types.h"
@@ -145,6 +146,7 @@
     std::vector<decision::RequestCounts> requestCounts;
     std::vector<UpstreamObservation> observations;
     std::vector<decision::PartCrashes> blockedParts {}; ///< Prompt parts that the peer has blocked.
+    std::vector<decision::NamedLimit> limits {};        ///< Limits that the peer read itself.
 };
 
 /// Another zone reported the total claims and request counts of its processes.
@@ -155,6 +157,7 @@
     std::vector<decision::UpstreamClaim> claims;
     std::vector<decision::RequestCounts> requestCounts;
     std::vector<decision::PartCrashes> blockedParts {}; ///< Prompt parts that the zone has blocked.
+    std::vector<decision::NamedLimit> limits {};        ///< Limits that its processes read.
 };
 
 /// What a process reports about a crash.
@@ -183,6 +186,8 @@
     /// Zones from which no report arrived lately. They may be partitioned off, and the load that
     /// their processes cause is unknown.
     std::set<std::string> silentZones {};
+    /// Names of the processes; nullptr while they may not all be known.
+    decision::ProcessNames names {};
 };
 
 /// Sent every Router::tickInterval.
--- a/src/routing/router_migrations.cpp
+++ b/src/routing/router_migrations.cpp
@@ -176,7 +176,8 @@
         const bool isCandidate = record.service == active.serviceName
             && !this->isUnavailable(record) && this->regionAllowed(active, record)
             && id != active.upstream.id && !contains(migration.rejectedBy, id)
-            && this->state->evacuatedZones.count(record.zone) == 0;
+            && this->state->evacuatedZones.count(record.zone) == 0
+            && this->rateLimits.allows(id, this->now);
         if (!isCandidate) {
             continue;
         }
--- a/src/routing/router_takeovers.cpp
+++ b/src/routing/router_takeovers.cpp
@@ -115,6 +115,7 @@
     ParallelTakeover parallel {active.lastAttempt, destination, this->currentClaim(active),
                                fromMigration, this->now};
     this->loads.add(destination.id, parallel.claim);
+    this->rateLimits.recordSend(destination.id, this->now);
     this->retryBudget.recordResend(active.serviceName, this->now);
     AttemptPlan plan = this->makePlan(active, destination);
     plan.takeover = Takeover {source};
--- a/src/serving/request_forwarder.cpp
+++ b/src/serving/request_forwarder.cpp
@@ -429,6 +429,24 @@
     return this->router.blockedParts(monotonicNow());
 }
 
+std::vector<decision::NamedLimit> RequestForwarder::takeOwnLimits(bool all)
+{
+    const std::lock_guard lock(this->mutex);
+    return this->router.takeOwnLimits(all, monotonicNow());
+}
+
+std::vector<decision::NamedLimit> RequestForwarder::takeZoneLimits(bool all)
+{
+    const std::lock_guard lock(this->mutex);
+    return this->router.takeZoneLimits(all, monotonicNow());
+}
+
+bool RequestForwarder::hasChangedLimits() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->router.hasChangedLimits();
+}
+
 std::vector<decision::RequestCounts> RequestForwarder::arrivals() const
 {
     const std::lock_guard lock(this->mutex);
--- a/src/serving/request_forwarder.h
+++ b/src/serving/request_forwarder.h
@@ -58,6 +58,9 @@
     std::vector<decision::UpstreamClaim> takeChangedClaims();
     /// Returns the recent observations about upstreams that are to be sent to peers.
     std::vector<routing::UpstreamObservation> takeObservations();
+    /// See Router::takeOwnLimits() and Router::takeZoneLimits().
+    std::vector<decision::NamedLimit> takeOwnLimits(bool all);
+    std::vector<decision::NamedLimit> takeZoneLimits(bool all);
     /// Answers every later request with 503, because the process is about to stop.
     void rejectNewRequests() { this->rejectingRequests = true; }
 
@@ -70,6 +73,7 @@
     /// name is left empty for the caller to fill in.
     members::ZoneReport zoneReport() const;
     std::vector<decision::PartCrashes> blockedParts() const;
+    bool hasChangedLimits() const;
 
 private:
     /// The HTTP transfer of one attempt.
--- a/src/serving/routing_process.cpp
+++ b/src/serving/routing_process.cpp
@@ -20,6 +20,7 @@
 constexpr milliseconds changeReportInterval {100};
 constexpr milliseconds zoneReportInterval {100};
 constexpr std::uint64_t ticksPerFullReport = 5;
+constexpr std::uint64_t zoneReportsPerFullOne = 10;
 /// A report is sent at least every second tick, so that two fit into
 /// ViewSynchronizer::readerTimeout.
 constexpr std::uint64_t ticksPerHeartbeat = 2;
@@ -33,6 +34,8 @@
 /// Processes assumed in the fleet during joinPeriod, as not all members are known yet.
 constexpr std::size_t assumedProcessesWhileJoining = 12;
 constexpr seconds joinPeriod {6};
+/// Time after the start in which this process may not know the other processes yet.
+constexpr seconds discoveryPeriod {2};
 /// Share of the file descriptors for callers' connections, each of which may need a connection to
 /// an upstream as well.
 constexpr double callerDescriptorShare = 0.45;
@@ -83,7 +86,8 @@
     return {settings.zone,
             settings.regionOfZone,
             random(),
-            {bounds.retryShare, bounds.retryBurst, bounds.retryWindow}};
+            {bounds.retryShare, bounds.retryBurst, bounds.retryWindow},
+            settings.name};
 }
 
 settings::CallerLimits operatorServerLimits()
@@ -162,7 +166,7 @@
     hooks.onRouterReport = [this](const std::string &from, const members::RouterReport &report) {
         this->forwarder.handle(
             routing::PeerReportArrived {from, report.complete, report.claims, report.requestCounts,
-                                        report.observations, report.blockedParts});
+                                        report.observations, report.blockedParts, report.limits});
         this->view.handleReport(from, report);
         this->relay.recordMemberHeard(from, monotonicNow());
     };
@@ -299,22 +303,32 @@
     {
         const std::lock_guard lock(this->reportMutex);
         std::vector<routing::UpstreamObservation> observations = this->forwarder.takeObservations();
-        if (due || !observations.empty()) {
+        if (due || !observations.empty() || this->forwarder.hasChangedLimits()) {
             this->sendReport(full, this->forwarder.takeChangedClaims(), std::move(observations));
         }
     }
     this->forwarder.handle(routing::StoreAvailabilityChanged {this->view.storeUnavailable()});
     const std::size_t knownProcesses = this->coordinator.allMembers().size();
     const bool joining = now - this->startTime < joinPeriod;
+    const bool discovering = now - this->startTime < discoveryPeriod;
     this->forwarder.handle(routing::ProcessesChanged {
         joining ? std::max(knownProcesses, assumedProcessesWhileJoining) : knownProcesses,
-        this->relay.silentZones(now)});
+        this->relay.silentZones(now), discovering ? nullptr : this->processNames()});
     if (const std::uint64_t droppedLines = journal::takeDroppedLineCount()) {
         this->journal.record(
             {journal::EventId::LogLinesDropped, {{"count", std::to_string(droppedLines)}}});
     }
 }
 
+decision::ProcessNames RoutingProcess::processNames() const
+{
+    std::vector<std::string> names;
+    for (const members::MemberRecord &member : this->coordinator.activeMembers()) {
+        names.push_back(member.name);
+    }
+    return std::make_shared<const std::vector<std::string>>(std::move(names));
+}
+
 void RoutingProcess::reportChanges()
 {
     const std::lock_guard lock(this->reportMutex);
@@ -334,6 +348,7 @@
     report.claims = full ? this->forwarder.claims() : std::move(changed);
     report.observations = std::move(observations);
     report.requestCounts = this->forwarder.arrivals();
+    report.limits = this->forwarder.takeOwnLimits(full);
     if (full) {
         report.blockedParts = this->forwarder.blockedParts();
     }
@@ -348,6 +363,8 @@
     }
     members::ZoneReport report = this->forwarder.zoneReport();
     report.zone = this->settings.zone;
+    report.limits = this->forwarder.takeZoneLimits(this->zoneReports % zoneReportsPerFullOne == 0);
+    this->zoneReports += 1;
     this->coordinator.sendToAll(recipients, report);
 }
 
@@ -359,7 +376,7 @@
     this->relay.recordZoneHeard(report.zone, monotonicNow());
     this->forwarder.handle(routing::ZoneReportArrived {report.zone, report.processCount,
                                                        report.claims, report.requestCounts,
-                                                       report.blockedParts});
+                                                       report.blockedParts, report.limits});
     if (this->relay.forwardsFrom(from)) {
         this->sendToZone(report);
     }
--- a/src/serving/routing_process.h
+++ b/src/serving/routing_process.h
@@ -62,6 +62,8 @@
     void respondMetrics(const http::ExchangePtr &exchange);
     /// Runs every reportInterval: updates membership and readers, and reports to peers when due.
     void tick();
+    /// Returns the names of the active processes, this one included unless it has left.
+    decision::ProcessNames processNames() const;
     /// Reports claims that changed since the last report, if any, to the peers.
     void reportChanges();
     /// \param full reports all claims, not just \a changed.
@@ -89,6 +91,7 @@
     std::atomic<bool> lastReady {false};
     /// Held from collecting changes until they are sent, so that reports arrive in order.
     std::mutex reportMutex;
+    std::uint64_t zoneReports = 0; ///< Sent so far; used by one timer only.
     std::uint64_t reportTicks = 0; ///< Calls of tick(); used by the timer's thread only.
     routing::RequestLimits
         currentLimits; ///< Limits last applied; accessed only while a fleet state is applied.
--- a/tests/members/messages_test.cpp
+++ b/tests/members/messages_test.cpp
@@ -47,12 +47,18 @@
                       {{"e", {1, 2, 3}}},
                       {{"s", 4, 5}},
                       {{"e", 6, routing::UpstreamObservation::Kind::Draining, milliseconds(7)}},
-                      {{7, {8, 9}}}},
+                      {{7, {8, 9}}},
+                      {{"e", 1, 2.5, milliseconds(3)}, {"f", 1, std::nullopt, milliseconds(4)}}},
         ViewRequest {8},
         ViewChanges {{true, 1, 2, {{"k", std::string("\0v", 2), 2, false}, {"d", "", 3, true}}}},
         ViewChanges {{false, 1, 2, {deltaItem()}}},
         ViewChanges {{true, 0, 2, {{"k", std::string(5'000, 'v'), 2, false}}}},
-        ZoneReport {"z", 2, {{"e", {1, 2, 3}}}, {{"s", 4, 5}}, {{7, {8}}}}};
+        ZoneReport {"z",
+                    2,
+                    {{"e", {1, 2, 3}}},
+                    {{"s", 4, 5}},
+                    {{7, {8}}},
+                    {{"e", 1, 2.5, milliseconds(3)}}}};
 }
 
 /// Applies one to four random edits, each of which overwrites, removes or inserts bytes.
--- a/tests/routing/router_harness.cpp
+++ b/tests/routing/router_harness.cpp
@@ -52,11 +52,12 @@
 
 } // namespace
 
-RouterHarness::RouterHarness(const std::string &zone)
+RouterHarness::RouterHarness(const std::string &zone, const std::string &name)
     : router({zone,
               {{"north", "here"}, {"south", "here"}, {"far", "there"}},
               1,
-              {0.2, 58.0, seconds(10)}})
+              {0.2, 58.0, seconds(10)},
+              name})
 { }
 
 void RouterHarness::publish()
--- a/tests/routing/router_harness.h
+++ b/tests/routing/router_harness.h
@@ -14,7 +14,8 @@
 class RouterHarness
 {
 public:
-    explicit RouterHarness(const std::string &zone = "north");
+    /// \param name name of the process.
+    explicit RouterHarness(const std::string &zone = "north", const std::string &name = "entry-0");
 
     // Commands
 
