--- a/src/decision/upstream_rate_limits.cpp
+++ b/src/decision/upstream_rate_limits.cpp
@@ -68,7 +68,7 @@
     const double rate = std::max(*limit.requestsPerSecond, minRequestsPerSecond);
     const std::size_t count = senderCount(rate, this->processes->size());
     if (isAmongHighest(*this->processes, this->self, upstream, count)) {
-        limit.ownRate = usedShare * rate / static_cast<double>(count);
+        limit.ownRate = rate / static_cast<double>(count);
     }
     if (before == 0.0) {
         limit.saved = std::min(limit.saved, 0.0);
--- a/src/decision/upstream_rate_limits.h
+++ b/src/decision/upstream_rate_limits.h
@@ -51,8 +51,6 @@
 class UpstreamRateLimits
 {
 public:
-    /// Part of a rate that the senders use together.
-    static constexpr double usedShare = 0.9;
     /// Rate that is used at least, so that the end of a limit is noticed.
     static constexpr double minRequestsPerSecond = 0.25;
     /// Smallest number of senders of an upstream, as one may fail or have no requests for it.
--- a/tests/soak/fault_script.h
+++ b/tests/soak/fault_script.h
@@ -14,8 +14,10 @@
 public:
     using Script::Script;
 
-private:
+protected:
     void beginOne() override;
+
+private:
     void killProcess();
     void pauseProcess();
     void stopProcess();
