Move the state of a router's requests into a header of its own

The structures that it keeps of its requests and upstreams stand in routing/internal/active_request.h now; code is moved, nothing changes.

--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -9,6 +9,7 @@
 #include "decision/length_forecast.h"
 #include "decision/load_table.h"
 #include "decision/upstream_rate_limits.h"
+#include "routing/internal/active_request.h"
 #include "routing/router_events.h"
 
 #include <map>
@@ -99,149 +100,15 @@
     }
 
 private:
-    enum class MigrationStage {
-        ChoosingDestination, ///< No destination is chosen, or the last one had no capacity.
-        Copying,             ///< The first copy is in progress while the generation continues.
-        Copied,              ///< The first copy is complete.
-        HandingOver, ///< The destination takes over from the first copy while the source continues.
-        Stopping,    ///< The source was asked to stop the generation and copy the rest.
-        Stopped,     ///< The final copy is complete; the source's last events may still arrive.
-    };
-
-    /// The migration of a running generation to another engine.
-    struct Migration
-    {
-        MigrationStage stage = MigrationStage::ChoosingDestination;
-        std::string reason;
-        UpstreamRecord destination;
-        decision::ResourceClaim claim; ///< Claim on the destination.
-        Instant startedAt;
-        Instant retryAt;     ///< Earliest time of the next choice of a destination.
-        Instant finalCopyAt; ///< Time at which the link is expected to be free for the final copy.
-        Instant stoppedAt;   ///< Time at which the final copy was complete.
-        std::string handle;  ///< Handle of the latest copy; empty if there is none.
-        /// True if the source is stopped without a first copy, as its stream is silent anyway.
-        bool stopImmediately = false;
-        bool handoverFailed = false;  ///< True if a takeover from the first copy has failed.
-        bool sourceEnded = false;     ///< True if the source's stream has ended.
-        bool sourceCompleted = false; ///< True if the source's stream ended as complete.
-        std::uint32_t failures = 0;   ///< Number of failed copies, up to maxFailures.
-        /// Destinations that lacked capacity or became unusable.
-        std::vector<std::string> rejectedBy;
-    };
-
-    /// An attempt that takes a generation over from a copy while the current attempt still streams.
-    /// If the copy turns out to be missing, the current attempt simply continues.
-    struct ParallelTakeover
-    {
-        AttemptNumber number = 0;
-        UpstreamRecord upstream;
-        decision::ResourceClaim claim;
-        bool fromMigration = false; ///< True if the copy is a migration's, false if it is a backup.
-        Instant startedAt {};
-    };
-
-    /// A request from its arrival until RequestClosed.
-    struct ActiveRequest
-    {
-        RequestId id = 0;
-        std::shared_ptr<const RoutedRequest> request;
-        std::shared_ptr<const RouteTable> routeTable; ///< Owns \a route and \a service.
-        const Route *route = nullptr;
-        const Service *service = nullptr;
-        std::string serviceName;
-        std::string workspace;
-        std::vector<std::string> workspaceRegions;
-        std::uint32_t priority = 0; ///< Priority in the queue; 0 is the most urgent.
-        std::uint64_t fingerprint = 0;
-        /// Parts of the prompt that other requests may share: all but the last.
-        std::vector<decision::PromptPartId> sharedParts;
-        Instant arrivedAt;
-        Instant deadline;
-        bool queued = false;
-        Instant queuedAt;
-
-        AttemptNumber lastAttempt = 0; ///< Highest attempt number used so far.
-        AttemptNumber attempt = 0;     ///< Number of the current attempt.
-        std::optional<ParallelTakeover> parallel;
-        Instant nextParallelTakeover;         ///< Earliest time of the next parallel takeover.
-        bool running = false;                 ///< True from the start of an attempt to its end.
-        UpstreamRecord upstream;              ///< Upstream of the current or last attempt.
-        decision::ResourceClaim claim;        ///< Claim on \a upstream.
-        std::optional<UpstreamRecord> backup; ///< Engine that holds a copy as generation proceeds.
-        decision::ResourceClaim backupClaim;  ///< Claim on \a backup.
-        Instant attemptStartedAt;
-        Instant lastActivityAt; ///< Time at which the current attempt started or last sent data.
-        ResponseHead head;
-        bool headReceived = false;
-        bool isTakeover = false; ///< True if the current attempt continues from a copy.
-        Takeover takeover;
-        /// IP:PORT of the engine that holds the copy and can continue from it if the current
-        /// attempt fails; empty if there is none.
-        std::string takeoverAddress;
-
-        std::uint32_t possibleDeliveries = 0; ///< Attempts that may have reached an upstream.
-        std::uint32_t attemptCount = 0;
-        std::vector<std::string> mayHaveRunOn; ///< Upstreams that may have executed the request.
-        std::vector<std::string> excluded;     ///< Upstreams that did not accept the request.
-
-        bool relaying = false; ///< True once a stream is forwarded to the caller.
-        bool resuming = false; ///< True until a new attempt of a forwarded stream sends events.
-        /// Attempts in a row that took the stream over and ended without a new event.
-        std::uint32_t fruitlessTakeovers = 0;
-        Instant firstEventAt;
-        Instant lastEventAt;
-        microseconds longestPause {0};       ///< Longest pause between two forwarded events.
-        std::uint64_t longestPauseAfter = 0; ///< Number of events forwarded before that pause.
-        std::uint64_t eventCount = 0;        ///< Number of events forwarded to the caller.
-        std::uint64_t lastEventId = 0;
-        Instant attemptFirstEventAt; ///< Time of the first event of the current attempt.
-        std::optional<Migration> migration;
-        Instant nextRecoveryAt; ///< Earliest time of the next recovery of a silent stream.
-        std::uint64_t claimUpdatedAtEvent = 0; ///< Event count at the last update of the claim.
-    };
-
-    /// Knowledge that an engine is shutting down.
-    struct DrainNotice
-    {
-        Instant noticedAt;
-        std::optional<Instant> exitsAt; ///< Time at which the engine exits, if it reports one.
-        std::uint64_t incarnation = 0;
-    };
-
-    /// A lost attempt that may have crashed its upstream.
-    struct SuspectedCrash
-    {
-        std::uint64_t fingerprint = 0;
-        RequestId request = 0;
-        std::string upstream;
-        std::uint64_t incarnation = 0;
-        Instant lostAt;
-        std::vector<decision::PromptPartId> parts;
-        bool partsJudged = false; ///< True once it is settled whether a crash lost the parts.
-    };
-
-    /// The end of a connection to an upstream before the response was complete.
-    struct ConnectionLoss
-    {
-        Instant at;
-        std::string upstream;
-    };
-
-    /// The time span in which the process stops.
-    struct Stop
-    {
-        Instant requestedAt;
-        Instant endsAt;
-    };
-
-    /// Connection failures to the upstreams of one zone.
-    struct UnreachableZone
-    {
-        std::string firstUpstream; ///< First upstream of the current series of failures.
-        Instant lastFailureAt;
-        Instant partitionedUntil; ///< Time until which the zone is assumed to be partitioned off.
-    };
+    using MigrationStage = internal::MigrationStage;
+    using Migration = internal::Migration;
+    using ParallelTakeover = internal::ParallelTakeover;
+    using ActiveRequest = internal::ActiveRequest;
+    using DrainNotice = internal::DrainNotice;
+    using SuspectedCrash = internal::SuspectedCrash;
+    using ConnectionLoss = internal::ConnectionLoss;
+    using Stop = internal::Stop;
+    using UnreachableZone = internal::UnreachableZone;
 
     void on(const RequestArrived &event);
     void on(const CallerLeft &event);
