Keep no copy of a document with each retained change

What callers would see: processes that grow with each version of a large configuration until the platform kills them.

Cause: a retained change was made as a copy of the item whose value was then cleared.

The new test (aSeriesOfLargeVersionsTakesTheMemoryOfOne) failed before.

--- a/src/routing/published_view.cpp
+++ b/src/routing/published_view.cpp
@@ -186,22 +186,23 @@
     if (const auto *record = std::get_if<UpstreamRecord>(&content)) {
         this->journalChange(*record, std::get_if<UpstreamRecord>(&stored.content));
     }
-    PublishedItem change = item;
-    const PublishedItem &before = stored.item;
-    const bool isLarge = item.value.size() >= minDeltaValueBytes && !before.value.empty();
-    const bool continues = item.delta && item.delta->baseRevision == before.revision;
-    if (isLarge && !continues) {
-        change.delta = ValueDelta {before.revision, makeDelta(before.value, item.value)};
-    }
-    if (isLarge) {
-        change.value.clear();
-    } else {
-        change.delta.reset();
-    }
-    this->retain(std::move(change));
+    this->retain(changeFrom(stored.item, item));
     stored = {{item.key, item.value, item.revision, false}, std::move(content)};
 }
 
+PublishedItem PublishedView::changeFrom(const PublishedItem &before, const PublishedItem &item)
+{
+    PublishedItem change {item.key, {}, item.revision, false};
+    if (item.value.size() < minDeltaValueBytes || before.value.empty()) {
+        change.value = item.value;
+        return change;
+    }
+    const bool continues = item.delta && item.delta->baseRevision == before.revision;
+    change.delta = continues ? item.delta
+                             : ValueDelta {before.revision, makeDelta(before.value, item.value)};
+    return change;
+}
+
 void PublishedView::offerConfiguration(const PublishedItem &item,
                                        RoutingConfiguration configuration)
 {
--- a/src/routing/published_view.h
+++ b/src/routing/published_view.h
@@ -153,6 +153,8 @@
     /// \param older earlier values of the same item, latest last, which are used if the value of
     /// \a item cannot be decoded.
     void store(const PublishedItem &item, const std::vector<const PublishedItem *> &older);
+    /// Returns \a item as a change to retain: as the difference from \a before if it is large.
+    static PublishedItem changeFrom(const PublishedItem &before, const PublishedItem &item);
     /// Takes over a configuration if it is of a higher version.
     void offerConfiguration(const PublishedItem &item, RoutingConfiguration configuration);
     void remove(const PublishedItem &item);
--- a/tests/routing/published_view_test.cpp
+++ b/tests/routing/published_view_test.cpp
@@ -2,6 +2,8 @@
 
 #include "support/suite.h"
 
+#include <malloc.h>
+
 #include <string>
 
 namespace azurespindle::routing {
@@ -93,6 +95,7 @@
     CPPUNIT_TEST(ofSeveralLargeValuesOnlyTheLastIsDecoded);
     CPPUNIT_TEST(anUnreadableLargeValueDoesNotHideTheOneBefore);
     CPPUNIT_TEST(retainedDifferencesAreBounded);
+    CPPUNIT_TEST(aSeriesOfLargeVersionsTakesTheMemoryOfOne);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -344,6 +347,24 @@
         }
         CPPUNIT_ASSERT(bytes <= PublishedView::maxRetainedBytes);
     }
+
+    void aSeriesOfLargeVersionsTakesTheMemoryOfOne()
+    {
+        constexpr std::size_t documentBytes = 500'000;
+        constexpr std::uint64_t versions = 40;
+        const std::string text(documentBytes, '\n');
+        PublishedView view(decodeItem);
+        view.applyUpdate({true, 0, 1, {item("config", largeValue(1, text), 1)}}, start);
+        const std::size_t before = mallinfo2().uordblks;
+        for (std::uint64_t revision = 2; revision < versions; ++revision) {
+            view.applyUpdate({false,
+                              revision - 1,
+                              revision,
+                              {item("config", largeValue(revision, text), revision)}},
+                             start);
+        }
+        CPPUNIT_ASSERT(mallinfo2().uordblks < before + 2 * documentBytes);
+    }
 };
 
 REGISTER_SUITE(PublishedViewTest, "published_view");
