Send the zone what a new listing of the store changed

What callers would see: 404 for confirmed routes on many machines at once after the store forgot its history.

Cause: a reader whose watch fails, as the store keeps no changes that far back, lists everything again.

Change: what a later listing changes is retained and sent like any other change, as differences. Only a process's first listing is not, as the members know more than it could tell.

Measured: the new test whatAListingChangesIsSentToTheZone failed before (nothing sent) and passes: one update with a difference, under 1,000 bytes. Suites view_synchronizer 11, published_view 18, routing_process 16 passed.

--- a/src/routing/published_view.cpp
+++ b/src/routing/published_view.cpp
@@ -110,8 +110,10 @@
     if (!items) {
         return false;
     }
+    const bool isFirst = this->knownRevision == 0;
     this->applyItems(*items, now);
-    if (update.isSnapshot) {
+    // What a later listing changes is retained like any other change.
+    if (isFirst) {
         this->retainedChanges.clear();
         this->retainedBytes = 0;
         this->discarded = update.revision;
@@ -306,7 +308,7 @@
     ViewUpdate update;
     update.revision = this->knownRevision;
     update.sinceRevision = revision;
-    update.isSnapshot = revision < this->discarded;
+    update.isSnapshot = revision == 0 || revision < this->discarded;
     if (update.isSnapshot) {
         for (const auto &[key, stored] : this->items) {
             update.items.push_back(stored.item);
--- a/src/serving/view_synchronizer.cpp
+++ b/src/serving/view_synchronizer.cpp
@@ -32,11 +32,7 @@
           std::move(calls),
           routing::StoreWatcherHooks {
               [this](const routing::ViewUpdate &update, std::size_t bytes) {
-                  const bool applied = this->applyUpdate(update, {storeSource, bytes});
-                  if (applied && !update.items.empty() && !update.isSnapshot) {
-                      this->sendToZone(update);
-                  }
-                  return applied;
+                  return this->applyFromStore(update, bytes);
               },
               [this] {
                   this->journal.record({journal::EventId::PublisherLost, {}});
@@ -84,18 +80,27 @@
     return applied;
 }
 
-void ViewSynchronizer::sendToZone(const routing::ViewUpdate &update)
+bool ViewSynchronizer::applyFromStore(const routing::ViewUpdate &update, std::size_t bytes)
 {
+    const std::uint64_t before = this->revision();
+    if (!this->applyUpdate(update, {storeSource, bytes})) {
+        return false;
+    }
     members::ViewChanges changes;
     {
         const std::lock_guard lock(this->mutex);
-        if (!this->readsForZone) {
-            return;
+        // After the first listing of this process the members know more than it could tell.
+        if (!this->readsForZone || before == 0) {
+            return true;
         }
-        changes.update = this->view.forPeers(update);
+        changes.update
+            = update.isSnapshot ? this->view.changesAfter(before) : this->view.forPeers(update);
+    }
+    if (!changes.update.items.empty()) {
+        this->journalSent(changes.update, "zone");
+        this->hooks.sendToZone(changes);
     }
-    this->journalSent(changes.update, "zone");
-    this->hooks.sendToZone(changes);
+    return true;
 }
 
 void ViewSynchronizer::journalReceived(const routing::ViewUpdate &update,
--- a/src/serving/view_synchronizer.h
+++ b/src/serving/view_synchronizer.h
@@ -99,9 +99,9 @@
     void journalReceived(const routing::ViewUpdate &update, const UpdateOrigin &origin,
                          const char *outcome, microseconds applyTime);
     void journalSent(const routing::ViewUpdate &update, const std::string &to);
-    /// Sends an update from the store, which was applied here, to the zone, unless another member
-    /// does so.
-    void sendToZone(const routing::ViewUpdate &update);
+    /// Applies an update from the store, and sends what it changed to the zone unless another
+    /// member reads for it. \return false if the update leaves a gap after what is known.
+    bool applyFromStore(const routing::ViewUpdate &update, std::size_t bytes);
     /// Requests the changes after a revision, unless an answer to a request is on its way.
     void requestChanges(const std::string &member, std::uint64_t after);
     bool anotherMemberReads(Instant now) const;
--- a/tests/serving/view_synchronizer_test.cpp
+++ b/tests/serving/view_synchronizer_test.cpp
@@ -73,6 +73,7 @@
     CPPUNIT_TEST(anUpdateOnItsWayIsNotRequestedAgain);
     CPPUNIT_TEST(anUpdateThatDoesNotFitIsReplacedAtOnce);
     CPPUNIT_TEST(aLaggingMemberSendsNothingThatItReadsForItself);
+    CPPUNIT_TEST(whatAListingChangesIsSentToTheZone);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -224,6 +225,26 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(20), fixture.synchronizer.revision());
         CPPUNIT_ASSERT(fixture.sentToZone.empty());
     }
+
+    void whatAListingChangesIsSentToTheZone()
+    {
+        SynchronizerFixture fixture;
+        fixture.synchronizer.start();
+        const auto large = [](std::uint64_t version, std::uint64_t revision) {
+            return routing::PublishedItem {
+                configurationKey, tests::largeConfiguration(version, manyRoutes), revision, false};
+        };
+        fixture.store.takeCall().handler(storeResponse(10, {large(1, 8), {"a", "1", 9, false}}));
+        fixture.store.takeCall().handler(
+            tests::failedResponse(routing::StoreCallStatus::Compacted));
+        fixture.store.takeCall().handler(storeResponse(14, {large(2, 12)}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), fixture.sentToZone.size());
+        const routing::ViewUpdate &update = fixture.sentToZone[0].update;
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(10), update.sinceRevision);
+        CPPUNIT_ASSERT(!update.isSnapshot);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), update.items.size());
+        CPPUNIT_ASSERT(members::encode(fixture.sentToZone[0]).size() < 1'000);
+    }
 };
 
 REGISTER_SUITE(ViewSynchronizerTest, "view_synchronizer");
