--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -16,6 +16,35 @@
     return {http::TransferEnd::Complete, status, ""};
 }
 
+/// The calls to a store, and what they need.
+struct StoreCaller
+{
+    explicit StoreCaller(std::uint16_t port)
+        : calls(makeStoreCalls({"127.0.0.1", port}, client, registry))
+    { }
+
+    /// Begins to list all items.
+    std::future<routing::StoreResponse> list()
+    {
+        calls.list("", [this](const routing::StoreResponse &page) { listed.set_value(page); });
+        return listed.get_future();
+    }
+
+    /// Begins to watch for changes.
+    std::future<routing::StoreResponse> watch(milliseconds wait)
+    {
+        calls.watch(1, wait,
+                    [this](const routing::StoreResponse &changes) { watched.set_value(changes); });
+        return watched.get_future();
+    }
+
+    std::promise<routing::StoreResponse> listed;
+    std::promise<routing::StoreResponse> watched;
+    metrics::Registry registry;
+    http::Client client;
+    routing::StoreCalls calls;
+};
+
 } // namespace
 
 class StoreClientTest : public CppUnit::TestFixture
@@ -76,18 +105,10 @@
         const tests::RawServer store([](const std::string &) {
             return tests::RawAnswer {"HTTP/1.1 200 OK\r\n\r\n", tests::RawEnd::Endless, "x"};
         });
-        http::Client client;
-        metrics::Registry registry;
-        const routing::StoreCalls calls
-            = makeStoreCalls({"127.0.0.1", store.port()}, client, registry);
-        std::promise<routing::StoreResponse> listed;
-        std::promise<routing::StoreResponse> watched;
-        calls.list("", [&](const routing::StoreResponse &response) { listed.set_value(response); });
-        CPPUNIT_ASSERT(listed.get_future().get().status == StoreCallStatus::Failed);
+        StoreCaller caller(store.port());
+        CPPUNIT_ASSERT(caller.list().get().status == StoreCallStatus::Failed);
         CPPUNIT_ASSERT(store.endlessBytes() < maxTakenBytes);
-        calls.watch(1, milliseconds(5'000),
-                    [&](const routing::StoreResponse &response) { watched.set_value(response); });
-        CPPUNIT_ASSERT(watched.get_future().get().status == StoreCallStatus::Failed);
+        CPPUNIT_ASSERT(caller.watch(milliseconds(5'000)).get().status == StoreCallStatus::Failed);
         CPPUNIT_ASSERT(store.endlessBytes() < 2 * maxTakenBytes);
     }
 
@@ -127,19 +148,13 @@
         answer.pieceBytes = 40'000;
         answer.piecePause = milliseconds(150); // 2 Mbit/s
         const tests::RawServer store([answer](const std::string &) { return answer; });
-        http::Client client;
-        metrics::Registry registry;
-        const routing::StoreCalls calls
-            = makeStoreCalls({"127.0.0.1", store.port()}, client, registry);
-        std::promise<routing::StoreResponse> listed;
-        std::promise<routing::StoreResponse> watched;
-        calls.list("", [&](const routing::StoreResponse &response) { listed.set_value(response); });
-        calls.watch(1, milliseconds(1'500),
-                    [&](const routing::StoreResponse &response) { watched.set_value(response); });
-        const routing::StoreResponse page = listed.get_future().get();
+        StoreCaller caller(store.port());
+        auto listed = caller.list();
+        auto watched = caller.watch(milliseconds(1'500));
+        const routing::StoreResponse page = listed.get();
         CPPUNIT_ASSERT_MESSAGE(page.detail, page.status == StoreCallStatus::Ok);
         CPPUNIT_ASSERT_EQUAL(std::size_t(600'000), page.items.at(0).value.size());
-        const routing::StoreResponse changes = watched.get_future().get();
+        const routing::StoreResponse changes = watched.get();
         CPPUNIT_ASSERT_MESSAGE(changes.detail, changes.status == StoreCallStatus::Ok);
     }
 
@@ -150,18 +165,12 @@
             return tests::RawAnswer {isListing ? "HTTP/1.1 200 OK\r\n\r\n{\"items\":[" : "",
                                      tests::RawEnd::Hold};
         });
-        http::Client client;
-        metrics::Registry registry;
-        const routing::StoreCalls calls
-            = makeStoreCalls({"127.0.0.1", store.port()}, client, registry);
-        std::promise<routing::StoreResponse> listed;
-        std::promise<routing::StoreResponse> watched;
+        StoreCaller caller(store.port());
         const Instant began = monotonicNow();
-        calls.list("", [&](const routing::StoreResponse &response) { listed.set_value(response); });
-        calls.watch(1, milliseconds(500),
-                    [&](const routing::StoreResponse &response) { watched.set_value(response); });
-        CPPUNIT_ASSERT(listed.get_future().get().status == StoreCallStatus::Failed);
-        CPPUNIT_ASSERT(watched.get_future().get().status == StoreCallStatus::Failed);
+        auto listed = caller.list();
+        auto watched = caller.watch(milliseconds(500));
+        CPPUNIT_ASSERT(listed.get().status == StoreCallStatus::Failed);
+        CPPUNIT_ASSERT(watched.get().status == StoreCallStatus::Failed);
         CPPUNIT_ASSERT(monotonicNow() - began < milliseconds(3'000));
     }
 };
