Count a generation before its caller has the end

Cause: the session sent the end of the response first and counted the generation after it, so a caller was sometimes faster.

--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -175,15 +175,16 @@
     if (deliver.count > 0) {
         this->observeTokens(deliver.count);
     }
+    if (deliver.last) {
+        // Before the end is sent: a caller that has it may look at the metrics at once.
+        this->ended = true;
+        this->observeCompletion(deliver.offset + deliver.count);
+    }
     if (this->callerRequest.streamed) {
         this->deliverStreamed(deliver, texts);
     } else {
         this->collectTokens(deliver, texts);
     }
-    if (deliver.last) {
-        this->ended = true;
-        this->observeCompletion(deliver.offset + deliver.count);
-    }
 }
 
 void Session::deliverStreamed(const decision::Deliver &deliver,
