Compress the tables of members that members exchange

Members had been suspected and removed meanwhile, and whoever's table differed got a whole one with each heartbeat.

Cause: a table of all members is a document that goes to many, and went uncompressed. The target's 910 members take 58 KB, more than control may send in the five seconds of a change (20 KB).

Change: the list is compressed like the items of an update, by the same code.

How often tables go is unchanged.

--- a/src/members/internal/frame_codec.h
+++ b/src/members/internal/frame_codec.h
@@ -1,6 +1,7 @@
 #ifndef AZURESPINDLE_MEMBERS_INTERNAL_FRAME_CODEC_H
 #define AZURESPINDLE_MEMBERS_INTERNAL_FRAME_CODEC_H
 
+#include "base/compression.h"
 #include "members/messages.h"
 
 #include <msgpack.hpp>
@@ -124,6 +125,40 @@
     }
 }
 
+/// Largest list that is packed compactly, in bytes before compression.
+constexpr std::size_t maxCompactListBytes = 4'194'304;
+/// Size from which a list that is packed compactly is compressed.
+constexpr std::size_t minCompressedListBytes = 1'024;
+
+/// Packs a list that may be long, as two elements: whether it is compressed, and its bytes.
+template<typename Item> void packCompactList(Packer &out, const std::vector<Item> &items)
+{
+    msgpack::sbuffer buffer;
+    Packer list(buffer);
+    packList(list, items);
+    const std::string bytes(buffer.data(), buffer.size());
+    const bool compress = bytes.size() >= minCompressedListBytes;
+    out.pack(compress);
+    out.pack(compress ? compressed(bytes) : bytes);
+}
+
+/// Unpacks what packCompactList() packed. Throws msgpack::type_error if it is malformed.
+template<typename Item> void unpackCompactList(ArrayReader &in, std::vector<Item> &items)
+{
+    const bool isCompressed = in.as<bool>();
+    std::string bytes = in.as<std::string>();
+    if (isCompressed) {
+        Result<std::string> text = uncompressed(bytes, maxCompactListBytes);
+        if (!text.ok()) {
+            throw msgpack::type_error();
+        }
+        bytes = text.takeValue();
+    }
+    const msgpack::object_handle list
+        = msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr, unpackLimits());
+    unpackList(list.get(), items);
+}
+
 } // namespace azurespindle::members::internal
 
 #endif
--- a/src/members/internal/routing_codec.cpp
+++ b/src/members/internal/routing_codec.cpp
@@ -1,6 +1,5 @@
 // Encoding of the messages between routers.
 
-#include "base/compression.h"
 #include "members/internal/frame_codec.h"
 
 #include <cmath>
@@ -8,10 +7,6 @@
 namespace azurespindle::members::internal {
 namespace {
 
-/// Largest list of items of an update, in bytes before compression.
-constexpr std::size_t maxItemBytes = 4'194'304;
-/// Size from which the items of an update are compressed.
-constexpr std::size_t minCompressedBytes = 1'024;
 constexpr std::uint32_t fieldsPerStep = 3;
 
 } // namespace
@@ -229,17 +224,11 @@
 
 void write(Packer &out, const ViewChanges &changes)
 {
-    msgpack::sbuffer buffer;
-    Packer items(buffer);
-    packList(items, changes.update.items);
-    const std::string bytes(buffer.data(), buffer.size());
-    const bool compress = bytes.size() >= minCompressedBytes;
     out.pack_array(5);
     out.pack(changes.update.isSnapshot);
     out.pack(changes.update.sinceRevision);
     out.pack(changes.update.revision);
-    out.pack(compress);
-    out.pack(compress ? compressed(bytes) : bytes);
+    packCompactList(out, changes.update.items);
 }
 
 void read(const Object &from, ViewChanges &changes)
@@ -248,18 +237,7 @@
     changes.update.isSnapshot = in.as<bool>();
     changes.update.sinceRevision = in.as<std::uint64_t>();
     changes.update.revision = in.as<std::uint64_t>();
-    const bool isCompressed = in.as<bool>();
-    std::string bytes = in.as<std::string>();
-    if (isCompressed) {
-        Result<std::string> text = uncompressed(bytes, maxItemBytes);
-        if (!text.ok()) {
-            throw msgpack::type_error();
-        }
-        bytes = text.takeValue();
-    }
-    const msgpack::object_handle items
-        = msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr, unpackLimits());
-    unpackList(items.get(), changes.update.items);
+    unpackCompactList(in, changes.update.items);
 }
 
 } // namespace azurespindle::members::internal
--- a/src/members/messages.cpp
+++ b/src/members/messages.cpp
@@ -76,16 +76,16 @@
 
 void write(Packer &out, const MembershipUpdate &update)
 {
-    out.pack_array(2);
+    out.pack_array(3);
     out.pack(update.complete);
-    packList(out, update.records);
+    packCompactList(out, update.records);
 }
 
 void read(const Object &from, MembershipUpdate &update)
 {
     ArrayReader in(from);
     update.complete = in.as<bool>();
-    unpackList(in.next(), update.records);
+    unpackCompactList(in, update.records);
 }
 
 msgpack::unpack_limit unpackLimits()
--- a/tests/members/messages_test.cpp
+++ b/tests/members/messages_test.cpp
@@ -93,6 +93,7 @@
     CPPUNIT_TEST(aCrashReportOfAnOlderMemberIsRead);
     CPPUNIT_TEST(mutatedDocumentsAndBodiesNeverCrashTheParsers);
     CPPUNIT_TEST(engineStreamsAreReadInChunksOfAnySize);
+    CPPUNIT_TEST(theTableOfAllMembersIsCompressed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -198,6 +199,25 @@
             CPPUNIT_ASSERT(finished);
         }
     }
+
+    void theTableOfAllMembersIsCompressed()
+    {
+        constexpr std::size_t targetMembers = 910;
+        constexpr std::size_t controlBytes = 5 * 4'096; // Of a node in five seconds.
+        MembershipUpdate update;
+        update.complete = true;
+        for (std::size_t index = 0; index < targetMembers; ++index) {
+            const std::string host
+                = "10." + std::to_string(index % 14) + ".0." + std::to_string(index / 14);
+            update.records.push_back(
+                {"edge-zone-" + std::to_string(index % 14) + "-" + std::to_string(index / 14),
+                 "zone-" + std::to_string(index % 14), host + ":8180", host + ":8185",
+                 1'778'896'676'000 + index * 7, MemberState::Alive});
+        }
+        const std::string payload = encode(update);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(payload.size()), payload.size() < controlBytes);
+        CPPUNIT_ASSERT(decode(payload).value() == Message(update));
+    }
 };
 
 REGISTER_SUITE(MessagesTest, "messages");
