--- a/tests/members/messages_test.cpp
+++ b/tests/members/messages_test.cpp
@@ -203,7 +203,7 @@
     void theTableOfAllMembersIsCompressed()
     {
         constexpr std::size_t targetMembers = 910;
-        constexpr std::size_t controlBytes = 5 * 4'096; // Of a node in five seconds.
+        constexpr std::size_t controlBytes = 20'480; // Of a node in five seconds, at 4 KB/s.
         MembershipUpdate update;
         update.complete = true;
         for (std::size_t index = 0; index < targetMembers; ++index) {
