Send a member that is far behind one whole value instead of many differences

What callers would see: a process that grows by 668 KB for each version that it missed, while it applies the differences in a row.

Cause: differences were sent as long as they were smaller together than the value, so small ones could be a thousand, and a member holds each value in between.

Measured: the new test aPeerFarBehindReceivesOneWholeValue passes; suites published_view 19, view_synchronizer 11, routing_process 16 passed.

--- a/src/routing/published_view.cpp
+++ b/src/routing/published_view.cpp
@@ -328,9 +328,11 @@
                                         std::vector<PublishedItem> &items) const
 {
     std::map<std::string_view, std::size_t> deltaBytes; // By key.
+    std::map<std::string_view, std::size_t> deltas;     // Their number, by key.
     for (const PublishedItem &change : this->retainedChanges) {
         if (change.revision > revision && change.delta) {
             deltaBytes[change.key] += sizeOf(change);
+            deltas[change.key] += 1;
         }
     }
     std::set<std::string_view> sentWhole;
@@ -340,7 +342,8 @@
         }
         const auto stored = this->items.find(change.key);
         const bool tooLong = change.delta && stored != this->items.end()
-            && deltaBytes[change.key] > stored->second.item.value.size();
+            && (deltas[change.key] > maxDeltasInRow
+                || deltaBytes[change.key] > stored->second.item.value.size());
         if (!tooLong) {
             items.push_back(change);
         } else if (sentWhole.insert(stored->first).second) {
--- a/src/routing/published_view.h
+++ b/src/routing/published_view.h
@@ -100,6 +100,9 @@
     static constexpr std::size_t maxRetainedChanges = 2'048;
     /// Size of the values and differences that are retained for that.
     static constexpr std::size_t maxRetainedBytes = 1'048'576;
+    /// Number of differences of one item that are sent together. A peer that needs more gets the
+    /// whole value, because it holds each value in between while it applies them.
+    static constexpr std::size_t maxDeltasInRow = 16;
     /// Size from which values are sent to peers as differences.
     static constexpr std::size_t minDeltaValueBytes = 4'096;
 
@@ -142,7 +145,7 @@
     /// Applies items in the order of their revisions.
     void applyItems(const std::vector<PublishedItem> &items, Instant now);
     /// Appends the retained changes after \a revision to \a items, with a whole value in place of
-    /// differences that are larger together.
+    /// differences that are too many or larger together.
     void appendRetainedAfter(std::uint64_t revision, std::vector<PublishedItem> &items) const;
     /// Returns deletions for the known items that the snapshot \a update lacks, except for items
     /// that are newer than the snapshot.
--- a/tests/routing/published_view_test.cpp
+++ b/tests/routing/published_view_test.cpp
@@ -96,6 +96,7 @@
     CPPUNIT_TEST(anUnreadableLargeValueDoesNotHideTheOneBefore);
     CPPUNIT_TEST(retainedDifferencesAreBounded);
     CPPUNIT_TEST(aSeriesOfLargeVersionsTakesTheMemoryOfOne);
+    CPPUNIT_TEST(aPeerFarBehindReceivesOneWholeValue);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -365,6 +366,27 @@
         }
         CPPUNIT_ASSERT(mallinfo2().uordblks < before + 2 * documentBytes);
     }
+
+    void aPeerFarBehindReceivesOneWholeValue()
+    {
+        constexpr std::uint64_t newest = PublishedView::maxDeltasInRow + 2;
+        PublishedView view(decodeItem);
+        view.applyUpdate({true, 0, 1, {item("config", largeValue(1), 1)}}, start);
+        PublishedView peer(decodeItem);
+        peer.applyUpdate(view.changesAfter(0), start);
+        for (std::uint64_t revision = 2; revision <= newest; ++revision) {
+            view.applyUpdate(
+                {false, revision - 1, revision, {item("config", largeValue(revision), revision)}},
+                start);
+        }
+        const ViewUpdate near = view.changesAfter(2);
+        CPPUNIT_ASSERT_EQUAL(PublishedView::maxDeltasInRow, near.items.size());
+        const ViewUpdate far = view.changesAfter(1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), far.items.size());
+        CPPUNIT_ASSERT(!far.items[0].delta);
+        CPPUNIT_ASSERT(peer.applyUpdate(far, start));
+        CPPUNIT_ASSERT_EQUAL(newest, peer.state()->routeTable->configuration().version);
+    }
 };
 
 REGISTER_SUITE(PublishedViewTest, "published_view");
