Copy the membership table only when it is sent

Cause: each heartbeat copied every member's record, sorted them and hashed them twice, and a member whose digest differed was sent the whole table each second, also while gossip was still on its way.

Change: digest and neighbours are computed once for each change; the table is copied when it is sent, at the second differing heartbeat in a row and then at every third.

Measured: suites membership, table_exchange, coordinator, partition and messages pass.

--- a/src/members/coordinator.cpp
+++ b/src/members/coordinator.cpp
@@ -299,6 +299,12 @@
 
 // Queries --------------------------------------------------------------------------------------
 
+std::uint64_t Coordinator::memberChanges() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->membership.changeCount();
+}
+
 std::vector<MemberRecord> Coordinator::activeMembers() const
 {
     const std::lock_guard lock(this->mutex);
--- a/src/members/coordinator.h
+++ b/src/members/coordinator.h
@@ -7,6 +7,7 @@
 #include "members/membership.h"
 #include "members/peer_network.h"
 #include "members/shared_documents.h"
+#include "members/table_exchange.h"
 
 #include <functional>
 #include <memory>
@@ -88,6 +89,8 @@
 
     // Queries
 
+    /// Returns a number that changes whenever the record of a member changes.
+    std::uint64_t memberChanges() const;
     /// Returns the members that are alive or suspected, this one included.
     std::vector<MemberRecord> activeMembers() const;
     /// Returns all known members, including this one and those that died or left.
@@ -144,6 +147,7 @@
     mutable std::mutex mutex; ///< Guards the fields below, up to the watches.
     Membership membership;
     SharedDocuments documents;
+    TableExchange tables;
     /// Last heartbeat received from each member.
     RecentMap<std::string, Heartbeat> heartbeats {Membership::maxMembers};
     /// Last heartbeat time of each member that has this one as its neighbour.
--- a/src/members/coordinator_messages.cpp
+++ b/src/members/coordinator_messages.cpp
@@ -17,7 +17,9 @@
         changed = this->membership.merge({record}, now);
         const Records revived = this->membership.markHeard(record.name, record.incarnation, now);
         changed.insert(changed.end(), revived.begin(), revived.end());
-        allRecords = {this->membership.records(), true};
+        if (!changed.empty()) {
+            allRecords = {this->membership.records(), true};
+        }
     }
     if (!changed.empty()) {
         this->network.send(record, allRecords);
@@ -76,7 +78,7 @@
     std::optional<MemberRecord> sender;
     MembershipUpdate allRecords;
     std::vector<DocumentRequest> requests;
-    bool membershipDiffers = false;
+    bool sendsTable = false;
     {
         const std::lock_guard lock(this->mutex);
         changed = this->membership.markHeard(from, heartbeat.incarnation, monotonicNow());
@@ -90,8 +92,11 @@
         if (sender) {
             requests = this->requestsFor(heartbeat);
         }
-        membershipDiffers = heartbeat.membershipDigest != this->membership.digest();
-        allRecords = {this->membership.records(), true};
+        const bool differs = heartbeat.membershipDigest != this->membership.digest();
+        sendsTable = sender && this->tables.isDue(from, differs);
+        if (sendsTable) {
+            allRecords = {this->membership.records(), true};
+        }
     }
     if (!sender) {
         return;
@@ -99,7 +104,7 @@
     for (const DocumentRequest &request : requests) {
         this->network.send(*sender, request);
     }
-    if (membershipDiffers) {
+    if (sendsTable) {
         this->network.send(*sender, allRecords);
     }
     this->publishChanges(changed);
--- a/src/members/membership.cpp
+++ b/src/members/membership.cpp
@@ -12,6 +12,12 @@
     return XXH3_64bits_withSeed(text.data(), text.size(), seed);
 }
 
+std::uint64_t digestOf(const MemberRecord &record)
+{
+    return hashOf(record.name + "\n" + std::to_string(record.incarnation) + "\n"
+                  + name(record.state));
+}
+
 bool isActive(MemberState state)
 {
     return state == MemberState::Alive || state == MemberState::Suspect;
@@ -69,6 +75,7 @@
         return false;
     }
     this->own.incarnation = record.incarnation + 1;
+    this->noteChange();
     this->addEntry(journal::EventId::MemberRefuted, this->own);
     return true;
 }
@@ -84,6 +91,7 @@
 void Membership::setState(Peer &peer, MemberState state, Instant now)
 {
     const bool wasActive = isActive(peer.record.state);
+    this->noteChange();
     peer.record.state = state;
     peer.stateSince = now;
     if (state == MemberState::Suspect) {
@@ -102,6 +110,7 @@
         if (this->peers.size() >= maxMembers) {
             return false;
         }
+        this->noteChange();
         this->peers[record.name] = {record, now, now};
         if (isActive(record.state)) {
             this->addEntry(journal::EventId::MemberJoined, record);
@@ -112,6 +121,7 @@
     if (!supersedes(record, peer.record)) {
         return false;
     }
+    this->noteChange();
     const MemberState before = peer.record.state;
     peer.record = record;
     peer.record.state = before;
@@ -177,6 +187,7 @@
             this->setState(peer, MemberState::Dead, now);
             changed.push_back(peer.record);
         } else if (!isActive(state) && now - peer.stateSince > deadRetention) {
+            this->noteChange();
             each = this->peers.erase(each);
             continue;
         }
@@ -187,6 +198,7 @@
 
 std::vector<MemberRecord> Membership::leave()
 {
+    this->noteChange();
     this->own.state = MemberState::Left;
     return {this->own};
 }
@@ -198,12 +210,18 @@
 
 std::vector<MemberRecord> Membership::records() const
 {
-    std::vector<MemberRecord> all {this->own};
-    for (const auto &[name, peer] : this->peers) {
-        all.push_back(peer.record);
+    std::vector<MemberRecord> all;
+    all.reserve(this->peers.size() + 1);
+    const auto ownPlace = this->peers.lower_bound(this->own.name);
+    for (auto each = this->peers.begin(); each != this->peers.end(); ++each) {
+        if (each == ownPlace) {
+            all.push_back(this->own);
+        }
+        all.push_back(each->second.record);
+    }
+    if (ownPlace == this->peers.end()) {
+        all.push_back(this->own);
     }
-    std::sort(all.begin(), all.end(),
-              [](const MemberRecord &a, const MemberRecord &b) { return a.name < b.name; });
     return all;
 }
 
@@ -238,7 +256,22 @@
     return found->second.record;
 }
 
-std::vector<MemberRecord> Membership::neighbours() const
+void Membership::noteChange()
+{
+    this->changes += 1;
+    this->knownDigest.reset();
+    this->knownNeighbours.reset();
+}
+
+const std::vector<MemberRecord> &Membership::neighbours() const
+{
+    if (!this->knownNeighbours) {
+        this->knownNeighbours = this->chooseNeighbours();
+    }
+    return *this->knownNeighbours;
+}
+
+std::vector<MemberRecord> Membership::chooseNeighbours() const
 {
     std::vector<MemberRecord> sameZone;
     std::vector<MemberRecord> all;
@@ -296,13 +329,14 @@
 
 std::uint64_t Membership::digest() const
 {
-    std::uint64_t digest = 0;
-    for (const MemberRecord &record : this->records()) {
-        const std::string text
-            = record.name + "\n" + std::to_string(record.incarnation) + "\n" + name(record.state);
-        digest ^= hashOf(text);
+    if (!this->knownDigest) {
+        std::uint64_t digest = digestOf(this->own);
+        for (const auto &[name, peer] : this->peers) {
+            digest ^= digestOf(peer.record);
+        }
+        this->knownDigest = digest;
     }
-    return digest;
+    return *this->knownDigest;
 }
 
 } // namespace azurespindle::members
--- a/src/members/membership.h
+++ b/src/members/membership.h
@@ -71,7 +71,7 @@
     std::optional<MemberRecord> find(const std::string &name) const;
     /// Returns the members that this one monitors by heartbeats: up to sameZoneNeighbours of its
     /// own zone and up to anyZoneNeighbours of the whole fleet.
-    std::vector<MemberRecord> neighbours() const;
+    const std::vector<MemberRecord> &neighbours() const;
     /// Returns the active members in \a zone, or all active members if the zone has none.
     std::vector<MemberRecord> activeInZone(const std::string &zone) const;
     /// Returns a dead member to reconnect to, so that partitions heal; nothing if there is none.
@@ -81,6 +81,8 @@
     microseconds sinceLastHeard(const std::string &name, Instant now) const;
     /// Returns a digest of all records, by which members notice that their lists differ.
     std::uint64_t digest() const;
+    /// Returns a number that changes whenever a record changes, appears or is dropped.
+    std::uint64_t changeCount() const { return this->changes; }
 
 private:
     struct Peer
@@ -96,9 +98,17 @@
     void setState(Peer &peer, MemberState state, Instant now);
     void addEntry(journal::EventId id, const MemberRecord &record);
 
+    /// Drops what was computed from the records. Every change of a record calls it.
+    void noteChange();
+    std::vector<MemberRecord> chooseNeighbours() const;
+
     MemberRecord own;
     std::map<std::string, Peer> peers;
     std::vector<journal::Entry> entries;
+    std::uint64_t changes = 0;                        ///< See changeCount().
+    mutable std::optional<std::uint64_t> knownDigest; ///< Result of digest(); unset if outdated.
+    /// Result of neighbours(); unset if outdated.
+    mutable std::optional<std::vector<MemberRecord>> knownNeighbours;
 };
 
 } // namespace azurespindle::members
--- a/tests/members/membership_test.cpp
+++ b/tests/members/membership_test.cpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <queue>
 #include <set>
+#include <utility>
 
 namespace azurespindle::members {
 namespace {
@@ -74,6 +75,7 @@
     CPPUNIT_TEST(nineHundredAndTenMembersAreConnectedByFewLinksEach);
     CPPUNIT_TEST(rendezvousMovesOnlyTheKeysOfAMemberThatLeft);
     CPPUNIT_TEST(theNumberOfRecordsIsBounded);
+    CPPUNIT_TEST(whatIsComputedFromRecordsFollowsEachChange);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -171,6 +173,46 @@
         }
         CPPUNIT_ASSERT_EQUAL(Membership::maxMembers + 1, membership.records().size());
     }
+
+    void whatIsComputedFromRecordsFollowsEachChange()
+    {
+        const Instant start(seconds(100));
+        const auto record
+            = [](const std::string &name, std::uint64_t incarnation, MemberState state) {
+                  return MemberRecord {name, "north", "", "", incarnation, state};
+              };
+        Membership membership(record("self", 1, MemberState::Alive));
+        std::uint64_t digest = membership.digest();
+        std::uint64_t changes = membership.changeCount();
+        const auto changed = [&] {
+            const bool digestChanged = std::exchange(digest, membership.digest()) != digest;
+            return std::exchange(changes, membership.changeCount()) != changes && digestChanged;
+        };
+        CPPUNIT_ASSERT(!changed());
+        membership.merge({record("a", 1, MemberState::Alive)}, start);
+        CPPUNIT_ASSERT(changed());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), membership.neighbours().size());
+        membership.merge({record("b", 1, MemberState::Alive)}, start);
+        CPPUNIT_ASSERT(changed());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), membership.neighbours().size());
+        membership.merge({record("b", 1, MemberState::Alive)}, start);
+        CPPUNIT_ASSERT(!changed());
+        membership.merge({record("b", 1, MemberState::Left)}, start);
+        CPPUNIT_ASSERT(changed());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), membership.neighbours().size());
+        membership.markHeard("b", 2, start);
+        CPPUNIT_ASSERT(changed());
+        membership.merge({record("self", 1, MemberState::Suspect)}, start);
+        CPPUNIT_ASSERT_MESSAGE("a refuted suspicion", changed());
+        membership.checkTimeouts(start + Membership::suspectAfter + milliseconds(1));
+        CPPUNIT_ASSERT_MESSAGE("a suspected neighbour", changed());
+        membership.leave();
+        CPPUNIT_ASSERT(changed());
+        const std::vector<MemberRecord> records = membership.records();
+        CPPUNIT_ASSERT(
+            std::is_sorted(records.begin(), records.end(),
+                           [](const auto &a, const auto &b) { return a.name < b.name; }));
+    }
 };
 
 REGISTER_SUITE(MembershipTest, "membership");
