--- a/src/decision/fleet_retry_budget.cpp
+++ b/src/decision/fleet_retry_budget.cpp
@@ -145,6 +145,18 @@
 }
 
 std::vector<RequestCounts> FleetRetryBudget::ownAndPeerCounts(Instant now) const
+{
+    return this->sumOf({&this->peers}, now);
+}
+
+std::vector<RequestCounts> FleetRetryBudget::allCounts(Instant now) const
+{
+    return this->sumOf({&this->peers, &this->zones}, now);
+}
+
+std::vector<RequestCounts>
+FleetRetryBudget::sumOf(const std::vector<const std::map<std::string, Report> *> &sources,
+                        Instant now) const
 {
     std::map<std::string, RequestCounts> sums;
     const auto add = [&sums](const RequestCounts &count) {
@@ -156,10 +168,12 @@
     for (const RequestCounts &each : this->counts(now)) {
         add(each);
     }
-    for (const auto &[name, peer] : this->peers) {
-        for (const RequestCounts &each : peer.counts) {
-            if (now - peer.receivedAt < countsTimeout) {
-                add(each);
+    for (const auto *reports : sources) {
+        for (const auto &[name, report] : *reports) {
+            for (const RequestCounts &each : report.counts) {
+                if (now - report.receivedAt < countsTimeout) {
+                    add(each);
+                }
             }
         }
     }
--- a/src/decision/fleet_retry_budget.h
+++ b/src/decision/fleet_retry_budget.h
@@ -82,8 +82,12 @@
     std::vector<RequestCounts> counts(Instant now) const;
     /// Returns the sums of the counts of this process and its peers, without those of other zones.
     std::vector<RequestCounts> ownAndPeerCounts(Instant now) const;
+    /// Returns the sums of all counts of which this process hears, its own included.
+    std::vector<RequestCounts> allCounts(Instant now) const;
     /// Returns the number of processes whose counts ownAndPeerCounts() includes.
     std::size_t countedProcesses(Instant now) const;
+    /// Returns the number of processes with fresh counts, including this one.
+    std::size_t freshProcesses(Instant now) const;
 
 private:
     /// Times of the events of one service in the current window.
@@ -99,8 +103,9 @@
         std::size_t processes = 1; ///< Number of processes whose counts they are.
     };
 
-    /// Returns the number of processes with fresh counts, including this one.
-    std::size_t freshProcesses(Instant now) const;
+    /// Returns the sums of the own counts and those of \a sources that are fresh.
+    std::vector<RequestCounts>
+    sumOf(const std::vector<const std::map<std::string, Report> *> &sources, Instant now) const;
     /// Returns true if this process may resend one more request from the unused budget of others.
     bool mayBorrow(const std::string &service, Instant now) const;
     /// Drops the events that have left the window.
--- a/src/decision/load_table.cpp
+++ b/src/decision/load_table.cpp
@@ -11,6 +11,16 @@
     return from > taken ? from - taken : 0;
 }
 
+std::vector<UpstreamClaim> toList(const std::map<std::string, ResourceClaim> &sums)
+{
+    std::vector<UpstreamClaim> claims;
+    claims.reserve(sums.size());
+    for (const auto &[upstream, claim] : sums) {
+        claims.push_back({upstream, claim});
+    }
+    return claims;
+}
+
 } // namespace
 
 ResourceClaim &ResourceClaim::operator+=(const ResourceClaim &other)
@@ -53,6 +63,11 @@
 {
     Report &report = this->peers[peer];
     report.receivedAt = now;
+    apply(claims, complete, report);
+}
+
+void LoadTable::apply(const std::vector<UpstreamClaim> &claims, bool complete, Report &report)
+{
     if (complete) {
         report.claims.clear();
     }
@@ -66,14 +81,93 @@
 }
 
 void LoadTable::updateZone(const std::string &zone, const std::vector<UpstreamClaim> &claims,
-                           Instant now)
+                           bool complete, Instant now)
 {
     Report &report = this->zones[zone];
     report.receivedAt = now;
-    report.claims.clear();
-    for (const UpstreamClaim &each : claims) {
-        report.claims[each.upstream] = each.claim;
+    apply(claims, complete, report);
+}
+
+void LoadTable::updateFleet(const std::vector<UpstreamClaim> &claims, bool complete,
+                            std::uint64_t acknowledged, Instant now)
+{
+    this->fleet.receivedAt = now;
+    this->acknowledgedReport = acknowledged;
+    apply(claims, complete, this->fleet);
+    this->judgeFleetTotals(now);
+}
+
+void LoadTable::judgeFleetTotals(Instant now)
+{
+    const bool known = this->fleet.receivedAt != Instant::min();
+    const microseconds age = known ? now - this->fleet.receivedAt : microseconds::max();
+    const bool onlySource = this->peers.empty() && this->zones.empty();
+    this->fleetTotalsInUse = age <= (onlySource ? reportTimeout : fleetTotalsTimeout);
+}
+
+void LoadTable::recordReport(std::uint64_t number, const std::vector<UpstreamClaim> &claims,
+                             bool complete, Instant now)
+{
+    this->sentReports.push_back({number, now});
+    if (complete) {
+        std::unordered_map<std::string, ResourceClaim> listed;
+        for (const UpstreamClaim &each : claims) {
+            listed[each.upstream] = each.claim;
+        }
+        for (const auto &[upstream, history] : this->reported) {
+            listed.try_emplace(upstream, ResourceClaim {});
+        }
+        for (const auto &[upstream, claim] : listed) {
+            this->recordClaim(number, upstream, claim);
+        }
+    } else {
+        for (const UpstreamClaim &each : claims) {
+            this->recordClaim(number, each.upstream, each.claim);
+        }
+    }
+    this->trimReported(now);
+}
+
+void LoadTable::recordClaim(std::uint64_t number, const std::string &upstream,
+                            const ResourceClaim &claim)
+{
+    std::vector<ReportedClaim> &history = this->reported[upstream];
+    if (history.empty() || history.back().claim != claim) {
+        history.push_back({number, claim});
+    }
+}
+
+void LoadTable::trimReported(Instant now)
+{
+    std::uint64_t oldest = 0; ///< Report that every total includes.
+    while (!this->sentReports.empty() && now - this->sentReports.front().sentAt > reportTimeout) {
+        oldest = this->sentReports.front().number;
+        this->sentReports.pop_front();
+    }
+    if (oldest == 0) {
+        return;
+    }
+    for (auto each = this->reported.begin(); each != this->reported.end();) {
+        std::vector<ReportedClaim> &history = each->second;
+        while (history.size() > 1 && history[1].report <= oldest) {
+            history.erase(history.begin());
+        }
+        const bool ended = history.size() == 1 && history.front().report <= oldest
+            && history.front().claim == ResourceClaim {};
+        each = ended ? this->reported.erase(each) : std::next(each);
+    }
+}
+
+ResourceClaim LoadTable::acknowledgedClaim(const std::string &upstream) const
+{
+    ResourceClaim claim;
+    const auto found = this->reported.find(upstream);
+    if (found != this->reported.end()) {
+        for (const ReportedClaim &each : found->second) {
+            claim = each.report <= this->acknowledgedReport ? each.claim : claim;
+        }
     }
+    return claim;
 }
 
 void LoadTable::removeSilent(Instant now)
@@ -82,6 +176,7 @@
         = [now](const auto &entry) { return now - entry.second.receivedAt > reportTimeout; };
     std::erase_if(this->peers, silent);
     std::erase_if(this->zones, silent);
+    this->judgeFleetTotals(now);
 }
 
 std::vector<UpstreamClaim> LoadTable::takeChanged()
@@ -96,6 +191,15 @@
 ResourceClaim LoadTable::totalClaim(const std::string &upstream) const
 {
     ResourceClaim sum = this->ownClaim(upstream);
+    if (this->fleetTotalsInUse) {
+        const auto found = this->fleet.claims.find(upstream);
+        if (found != this->fleet.claims.end()) {
+            ResourceClaim others = found->second;
+            others -= this->acknowledgedClaim(upstream);
+            sum += others;
+        }
+        return sum;
+    }
     for (const auto *reports : {&this->peers, &this->zones}) {
         for (const auto &[name, report] : *reports) {
             const auto found = report.claims.find(upstream);
@@ -125,17 +229,26 @@
 std::vector<UpstreamClaim> LoadTable::ownAndPeerClaims() const
 {
     std::map<std::string, ResourceClaim> sums(this->localClaims.begin(), this->localClaims.end());
-    for (const auto &[name, peer] : this->peers) {
-        for (const auto &[upstream, claim] : peer.claims) {
+    addTo(sums, this->peers);
+    return toList(sums);
+}
+
+std::vector<UpstreamClaim> LoadTable::allClaims() const
+{
+    std::map<std::string, ResourceClaim> sums(this->localClaims.begin(), this->localClaims.end());
+    addTo(sums, this->peers);
+    addTo(sums, this->zones);
+    return toList(sums);
+}
+
+void LoadTable::addTo(std::map<std::string, ResourceClaim> &sums,
+                      const std::unordered_map<std::string, Report> &reports)
+{
+    for (const auto &[name, report] : reports) {
+        for (const auto &[upstream, claim] : report.claims) {
             sums[upstream] += claim;
         }
     }
-    std::vector<UpstreamClaim> claims;
-    claims.reserve(sums.size());
-    for (const auto &[upstream, claim] : sums) {
-        claims.push_back({upstream, claim});
-    }
-    return claims;
 }
 
 } // namespace azurespindle::decision
--- a/src/members/coordinator.h
+++ b/src/members/coordinator.h
@@ -39,6 +39,8 @@
     std::function<void(const std::string &from, const ViewChanges &changes, std::size_t bytes)>
         onViewChanges {};
     std::function<void(const std::string &from, const ZoneReport &report)> onZoneReport {};
+    std::function<void(const std::string &from, const FleetReport &report)> onFleetReport {};
+    std::function<void(const std::string &from, const ViewStatus &status)> onViewStatus {};
 };
 
 /// Last known state of one member, for `azurespindle status`.
--- a/src/members/coordinator_messages.cpp
+++ b/src/members/coordinator_messages.cpp
@@ -69,6 +69,14 @@
         if (this->hooks.onZoneReport) {
             this->hooks.onZoneReport(from, *zoneReport);
         }
+    } else if (const auto *fleetReport = std::get_if<FleetReport>(&message)) {
+        if (this->hooks.onFleetReport) {
+            this->hooks.onFleetReport(from, *fleetReport);
+        }
+    } else if (const auto *viewStatus = std::get_if<ViewStatus>(&message)) {
+        if (this->hooks.onViewStatus) {
+            this->hooks.onViewStatus(from, *viewStatus);
+        }
     }
 }
 
--- a/src/members/internal/frame_codec.h
+++ b/src/members/internal/frame_codec.h
@@ -104,6 +104,10 @@
 void read(const Object &from, ViewRequest &request);
 void write(Packer &out, const ZoneReport &report);
 void read(const Object &from, ZoneReport &report);
+void write(Packer &out, const FleetReport &report);
+void read(const Object &from, FleetReport &report);
+void write(Packer &out, const ViewStatus &status);
+void read(const Object &from, ViewStatus &status);
 void write(Packer &out, const ViewChanges &changes);
 void read(const Object &from, ViewChanges &changes);
 
--- a/src/members/internal/routing_codec.cpp
+++ b/src/members/internal/routing_codec.cpp
@@ -164,7 +164,7 @@
 
 void write(Packer &out, const RouterReport &report)
 {
-    out.pack_array(8);
+    out.pack_array(9);
     out.pack(report.complete);
     out.pack(report.viewRevision);
     out.pack(report.readsStore);
@@ -173,6 +173,7 @@
     packList(out, report.observations);
     packList(out, report.blockedParts);
     packList(out, report.limits);
+    out.pack(report.sequence);
 }
 
 void read(const Object &from, RouterReport &report)
@@ -186,28 +187,79 @@
     unpackList(in.next(), report.observations);
     unpackList(in.next(), report.blockedParts);
     unpackList(in.next(), report.limits);
+    report.sequence = in.as<std::uint64_t>();
 }
 
 void write(Packer &out, const ZoneReport &report)
 {
-    out.pack_array(6);
+    out.pack_array(8);
     out.pack(report.zone);
+    out.pack(report.complete);
     out.pack(report.processCount);
     packList(out, report.claims);
     packList(out, report.requestCounts);
     packList(out, report.blockedParts);
     packList(out, report.limits);
+    packList(out, report.observations);
 }
 
 void read(const Object &from, ZoneReport &report)
 {
     ArrayReader in(from);
     report.zone = in.as<std::string>();
+    report.complete = in.as<bool>();
     report.processCount = in.as<std::uint32_t>();
     unpackList(in.next(), report.claims);
     unpackList(in.next(), report.requestCounts);
     unpackList(in.next(), report.blockedParts);
     unpackList(in.next(), report.limits);
+    unpackList(in.next(), report.observations);
+}
+
+void write(Packer &out, const FleetReport &report)
+{
+    out.pack_array(11);
+    out.pack(report.complete);
+    out.pack(report.acknowledged);
+    out.pack(report.processCount);
+    out.pack(report.viewRevision);
+    out.pack(report.readsStore);
+    packList(out, report.claims);
+    packList(out, report.requestCounts);
+    packList(out, report.observations);
+    packList(out, report.blockedParts);
+    packList(out, report.limits);
+    out.pack(report.silentZones);
+}
+
+void read(const Object &from, FleetReport &report)
+{
+    ArrayReader in(from);
+    report.complete = in.as<bool>();
+    report.acknowledged = in.as<std::uint64_t>();
+    report.processCount = in.as<std::uint32_t>();
+    report.viewRevision = in.as<std::uint64_t>();
+    report.readsStore = in.as<bool>();
+    unpackList(in.next(), report.claims);
+    unpackList(in.next(), report.requestCounts);
+    unpackList(in.next(), report.observations);
+    unpackList(in.next(), report.blockedParts);
+    unpackList(in.next(), report.limits);
+    report.silentZones = in.as<std::vector<std::string>>();
+}
+
+void write(Packer &out, const ViewStatus &status)
+{
+    out.pack_array(2);
+    out.pack(status.revision);
+    out.pack(status.readsStore);
+}
+
+void read(const Object &from, ViewStatus &status)
+{
+    ArrayReader in(from);
+    status.revision = in.as<std::uint64_t>();
+    status.readsStore = in.as<bool>();
 }
 
 void write(Packer &out, const ViewRequest &request)
--- a/src/members/messages.cpp
+++ b/src/members/messages.cpp
@@ -18,13 +18,14 @@
 
 void write(Packer &out, const MemberRecord &record)
 {
-    out.pack_array(6);
+    out.pack_array(7);
     out.pack(record.name);
     out.pack(record.zone);
     out.pack(record.memberAddress);
     out.pack(record.callerAddress);
     out.pack(record.incarnation);
     out.pack(static_cast<std::uint8_t>(record.state));
+    out.pack(record.capacity);
 }
 
 void read(const Object &from, MemberRecord &record)
@@ -36,6 +37,7 @@
     record.callerAddress = in.as<std::string>();
     record.incarnation = in.as<std::uint64_t>();
     record.state = in.enumeration<MemberState>(MemberState::Left);
+    record.capacity = in.as<std::uint32_t>();
 }
 
 void write(Packer &out, const Hello &hello)
--- a/src/members/messages.h
+++ b/src/members/messages.h
@@ -25,7 +25,7 @@
 /// Version of the protocol between entry processes. A connection whose frames carry another version
 /// is closed: during a rolling update the old and the new version form two separate fleets, each
 /// with its own leases, instead of misreading each other's messages.
-constexpr std::uint32_t protocolVersion = 4;
+constexpr std::uint32_t protocolVersion = 5;
 
 /// Largest frame accepted, in bytes; enough for a document of 1 MiB and its envelope.
 constexpr std::size_t maxFrameBytes = 1'500'000;
@@ -51,6 +51,9 @@
     std::string callerAddress; ///< IP:PORT of the HTTP interface for callers.
     std::uint64_t incarnation = 0;
     MemberState state = MemberState::Alive;
+    /// How much work for other members it can take on, in steps; the roles of relay and reader go
+    /// to members with the highest value.
+    std::uint32_t capacity = 0;
     bool operator==(const MemberRecord &other) const = default;
 };
 
@@ -172,21 +175,53 @@
     std::vector<routing::UpstreamObservation> observations;
     std::vector<decision::PartCrashes> blockedParts {};
     std::vector<decision::NamedLimit> limits {}; ///< Limits that the sender read in responses.
+    std::uint64_t sequence = 0; ///< Number of the report, ascending from 1 in a process's life.
     bool operator==(const RouterReport &other) const = default;
 };
 
-/// Sums of the router reports of one availability zone, sent to other zones.
+/// Sums of the router reports of one availability zone, which its relays send to the relays of
+/// other zones.
 struct ZoneReport
 {
     std::string zone;
+    bool complete = false; ///< Whether \a claims lists all claims rather than only changed ones.
     std::uint32_t processCount = 0; ///< Number of processes included in the sums.
     std::vector<decision::UpstreamClaim> claims;
     std::vector<decision::RequestCounts> requestCounts;
     std::vector<decision::PartCrashes> blockedParts {};
     std::vector<decision::NamedLimit> limits {}; ///< Limits that the zone's processes read.
+    /// Recent observations of the zone's processes.
+    std::vector<routing::UpstreamObservation> observations {};
     bool operator==(const ZoneReport &other) const = default;
 };
 
+/// Sums of the router reports of the whole fleet, which a relay sends to the members of its zone.
+struct FleetReport
+{
+    bool complete = false; ///< Whether \a claims lists all claims rather than only changed ones.
+    /// RouterReport::sequence of the receiver's last report that the sums include; 0: none.
+    std::uint64_t acknowledged = 0;
+    std::uint32_t processCount = 0; ///< Number of processes included in the sums.
+    std::uint64_t viewRevision = 0; ///< Store revision of the sender's view.
+    bool readsStore = false;        ///< Whether the sender reads the store itself and gets answers.
+    std::vector<decision::UpstreamClaim> claims;
+    std::vector<decision::RequestCounts>
+        requestCounts {}; ///< Empty if they are not told this time.
+    std::vector<routing::UpstreamObservation> observations {};
+    std::vector<decision::PartCrashes> blockedParts {};
+    std::vector<decision::NamedLimit> limits {};
+    std::vector<std::string> silentZones {}; ///< Zones whose relays the sender does not hear.
+    bool operator==(const FleetReport &other) const = default;
+};
+
+/// What a member that reads the store tells the others of its zone at regular intervals.
+struct ViewStatus
+{
+    std::uint64_t revision = 0; ///< Store revision of the sender's view.
+    bool readsStore = false;    ///< Whether the sender reads the store itself and gets answers.
+    bool operator==(const ViewStatus &other) const = default;
+};
+
 /// Requests everything that was published after a store revision.
 struct ViewRequest
 {
@@ -201,9 +236,10 @@
     bool operator==(const ViewChanges &other) const = default;
 };
 
-using Message = std::variant<Hello, Heartbeat, MembershipUpdate, DocumentRequest, DocumentResponse,
-                             LeaseRequests, LeaseGrants, CrashReport, PermitRequests, PermitAnswers,
-                             RouterReport, ViewRequest, ViewChanges, ZoneReport>;
+using Message
+    = std::variant<Hello, Heartbeat, MembershipUpdate, DocumentRequest, DocumentResponse,
+                   LeaseRequests, LeaseGrants, CrashReport, PermitRequests, PermitAnswers,
+                   RouterReport, ViewRequest, ViewChanges, ZoneReport, FleetReport, ViewStatus>;
 
 /// Encodes a message as a frame's payload: a msgpack array of protocol version, type and body.
 std::string encode(const Message &message);
--- a/src/routing/internal/active_request.h
+++ b/src/routing/internal/active_request.h
@@ -151,6 +151,14 @@
     Instant endsAt;
 };
 
+/// An observation that a relay passes on.
+struct HeardObservation
+{
+    Instant heardAt; ///< Time at which its condition was first heard.
+    UpstreamObservation observation;
+    ObservationSource source = ObservationSource::Self;
+};
+
 /// Connection failures to the upstreams of one zone.
 struct UnreachableZone
 {
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -18,6 +18,8 @@
 constexpr milliseconds drainResumeWindow {1'300};
 /// Time for which an observation of an upstream is reported to the peers.
 constexpr milliseconds observationLifetime {1'500};
+/// Time for which a relay passes an observation on: some reports, as each may be lost.
+constexpr milliseconds relayedObservationLifetime {450};
 /// Time for which an upstream that refused a connection receives no requests.
 constexpr milliseconds connectionRefusedPenalty {2'500};
 /// If two upstreams of another zone cannot be reached within this time, the zone is assumed to be
@@ -25,6 +27,8 @@
 constexpr milliseconds partitionDetectionWindow {2'000};
 /// Time for which that assumption holds.
 constexpr milliseconds partitionPenalty {1'500};
+/// Name under which the counts of the whole fleet are kept beside those of zones.
+constexpr const char *fleetName = "*";
 
 } // namespace
 
@@ -182,9 +186,11 @@
     if (event.report.timeUntilExit) {
         notice.exitsAt = this->now + *event.report.timeUntilExit;
     }
-    this->recordObservation({event.upstream, record->incarnation,
-                             UpstreamObservation::Kind::Draining,
-                             event.report.timeUntilExit.value_or(milliseconds(0))});
+    const UpstreamObservation observation {event.upstream, record->incarnation,
+                                           UpstreamObservation::Kind::Draining,
+                                           event.report.timeUntilExit.value_or(milliseconds(0))};
+    this->recordObservation(observation);
+    this->applyObservation(observation, ObservationSource::Self);
 }
 
 void Router::on(const StoreAvailabilityChanged &event)
@@ -246,12 +252,32 @@
     return recent;
 }
 
-void Router::applyObservation(const UpstreamObservation &observation)
+std::vector<UpstreamObservation> Router::observationsToRelay(ObservationSource furthest,
+                                                             Instant at) const
+{
+    std::vector<UpstreamObservation> relayed;
+    for (const auto &[upstream, heard] : this->heardObservations) {
+        if (heard.source <= furthest && at - heard.heardAt <= relayedObservationLifetime) {
+            relayed.push_back(heard.observation);
+        }
+    }
+    return relayed;
+}
+
+void Router::applyObservation(const UpstreamObservation &observation, ObservationSource source)
 {
     const UpstreamRecord *record = this->findUpstream(observation.upstream);
     if (record == nullptr || record->incarnation != observation.incarnation) {
         return;
     }
+    const auto heard = this->heardObservations.find(observation.upstream);
+    const bool isNews = heard == this->heardObservations.end()
+        || heard->second.observation.incarnation != observation.incarnation
+        || heard->second.observation.kind != observation.kind
+        || this->now - heard->second.heardAt > observationLifetime;
+    if (isNews) {
+        this->heardObservations[observation.upstream] = {this->now, observation, source};
+    }
     if (observation.kind == UpstreamObservation::Kind::ConnectionRefused) {
         this->connectionRefusedUntil[observation.upstream] = this->now + connectionRefusedPenalty;
         return;
@@ -294,17 +320,35 @@
         this->noteLimit(limit, decision::LimitSource::Member);
     }
     for (const UpstreamObservation &observation : event.observations) {
-        this->applyObservation(observation);
+        this->applyObservation(observation, ObservationSource::Member);
+    }
+}
+
+void Router::on(const FleetReportArrived &event)
+{
+    this->loads.updateFleet(event.claims, event.isSnapshot, event.acknowledged, this->now);
+    if (!event.requestCounts.empty()) {
+        this->retryBudget.updateZone(fleetName, event.requestCounts, event.processes, this->now);
+    }
+    this->mergeBlockedParts(event.blockedParts);
+    for (const decision::NamedLimit &limit : event.limits) {
+        this->noteLimit(limit, decision::LimitSource::Zone);
+    }
+    for (const UpstreamObservation &observation : event.observations) {
+        this->applyObservation(observation, ObservationSource::Relay);
     }
 }
 
 void Router::on(const ZoneReportArrived &event)
 {
+    for (const UpstreamObservation &observation : event.observations) {
+        this->applyObservation(observation, ObservationSource::Relay);
+    }
     this->mergeBlockedParts(event.blockedParts);
     for (const decision::NamedLimit &limit : event.limits) {
         this->noteLimit(limit, decision::LimitSource::Zone);
     }
-    this->loads.updateZone(event.zone, event.claims, this->now);
+    this->loads.updateZone(event.zone, event.claims, event.isSnapshot, this->now);
     this->retryBudget.updateZone(event.zone, event.requestCounts, event.processes, this->now);
 }
 
@@ -347,6 +391,9 @@
             this->checkInactivity(*each);
         }
     }
+    std::erase_if(this->heardObservations, [this](const auto &entry) {
+        return this->now - entry.second.heardAt > observationLifetime;
+    });
     std::erase_if(this->drainingSince, [this](const auto &entry) {
         return this->now - entry.second > drainRecordRetention;
     });
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -65,8 +65,19 @@
     RouterEffects handle(const RouterEvent &event, Instant now);
     /// Returns this process's claims that changed since the last call, for the peers.
     std::vector<decision::UpstreamClaim> takeChangedClaims() { return this->loads.takeChanged(); }
+    /// Records that this process's report \a number told \a claims to the peers.
+    /// \param all true if the report listed all claims.
+    void recordReport(std::uint64_t number, const std::vector<decision::UpstreamClaim> &claims,
+                      bool all, Instant at)
+    {
+        this->loads.recordReport(number, claims, all, at);
+    }
     /// Returns the recent observations of upstreams, for the peers, and drops the older ones.
     std::vector<UpstreamObservation> takeObservations(Instant at);
+    /// Returns the latest observations, for a relay to pass on.
+    /// \param furthest the furthest sources whose observations are returned.
+    std::vector<UpstreamObservation> observationsToRelay(ObservationSource furthest,
+                                                         Instant at) const;
 
     /// Returns the limits that this process read in responses, for the peers.
     /// \param all false to return nothing unless one changed since the last call.
@@ -74,12 +85,17 @@
     /// Returns the limits that the processes of this zone read, for other zones; see
     /// takeOwnLimits().
     std::vector<decision::NamedLimit> takeZoneLimits(bool all, Instant at);
+    /// Returns the limits that all processes read, for the members of a relay's zone; see
+    /// takeOwnLimits().
+    std::vector<decision::NamedLimit> takeFleetLimits(bool all, Instant at);
 
     // Queries
 
     RouterStatus status() const;
     /// Returns the claims of this process.
     std::vector<decision::UpstreamClaim> claims() const { return this->loads.ownClaims(); }
+    /// Returns the total claims of all processes of which this one hears.
+    std::vector<decision::UpstreamClaim> allClaims() const { return this->loads.allClaims(); }
     /// Returns the total claims of this process and its peers.
     std::vector<decision::UpstreamClaim> claimsWithPeers() const
     {
@@ -109,6 +125,7 @@
     using ConnectionLoss = internal::ConnectionLoss;
     using Stop = internal::Stop;
     using UnreachableZone = internal::UnreachableZone;
+    using HeardObservation = internal::HeardObservation;
 
     void on(const RequestArrived &event);
     void on(const CallerLeft &event);
@@ -121,6 +138,7 @@
     void on(const StoreAvailabilityChanged &event);
     void on(const PeerReportArrived &event);
     void on(const ZoneReportArrived &event);
+    void on(const FleetReportArrived &event);
     void on(const PeerCrashReported &event);
     void on(const ProcessesChanged &event);
     void on(const TimePassed &event);
@@ -310,7 +328,7 @@
     /// Stores an observation of this process for the peers.
     void recordObservation(const UpstreamObservation &observation);
     /// Applies an observation of this process or of a peer.
-    void applyObservation(const UpstreamObservation &observation);
+    void applyObservation(const UpstreamObservation &observation, ObservationSource source);
     /// Returns true if an upstream is draining or has refused a connection recently.
     bool isUnavailable(const UpstreamRecord &record) const;
     /// Returns true if a running generation may continue at an upstream: its zone is not evacuated,
@@ -343,6 +361,8 @@
     std::unordered_map<std::string, Instant> connectionRefusedUntil; ///< By upstream.
     std::unordered_map<std::string, Instant> reportRequestedAt;      ///< By engine.
     std::vector<std::pair<Instant, UpstreamObservation>> observations;
+    /// Observations that a relay passes on, by upstream.
+    std::unordered_map<std::string, HeardObservation> heardObservations;
     bool storeUnavailable = false;
     std::size_t processCount = 1;
     std::set<std::string> silentZones;
@@ -353,8 +373,9 @@
     decision::FleetRetryBudget retryBudget;
     decision::ColdStartLimiter coldStartLimiter;
     decision::UpstreamRateLimits rateLimits;
-    bool ownLimitsChanged = false;  ///< See takeOwnLimits().
-    bool zoneLimitsChanged = false; ///< See takeZoneLimits().
+    bool ownLimitsChanged = false;   ///< See takeOwnLimits().
+    bool zoneLimitsChanged = false;  ///< See takeZoneLimits().
+    bool fleetLimitsChanged = false; ///< See takeFleetLimits().
     decision::CrashTracker crashes;
     decision::CrashSuspects crashSuspects;
     std::vector<ConnectionLoss> recentLosses;
--- a/src/routing/router_admission.cpp
+++ b/src/routing/router_admission.cpp
@@ -228,7 +228,8 @@
     candidate.memoryCapacity = isEngine ? service->engine->memoryTokens : 0;
     candidate.sameZone = record.zone == nearZone;
     candidate.recentlyFailing = this->isUnreliable(record);
-    candidate.claimsDelayed = this->loads.hasZoneTotal(record.zone);
+    candidate.claimsDelayed = this->loads.usesFleetTotals() ? record.zone != this->options.zone
+                                                            : this->loads.hasZoneTotal(record.zone);
     return candidate;
 }
 
--- a/src/routing/router_attempts.cpp
+++ b/src/routing/router_attempts.cpp
@@ -269,7 +269,7 @@
                                            UpstreamObservation::Kind::ConnectionRefused,
                                            milliseconds(0)};
         this->recordObservation(refused);
-        this->applyObservation(refused);
+        this->applyObservation(refused, ObservationSource::Self);
     }
     const bool stopping = active.migration
         && (active.migration->stage == MigrationStage::Stopping
--- a/src/routing/router_events.h
+++ b/src/routing/router_events.h
@@ -153,11 +153,27 @@
 struct ZoneReportArrived
 {
     std::string zone;
+    bool isSnapshot = true;    ///< True if \a claims replaces all earlier claims of the zone.
     std::size_t processes = 0; ///< Number of processes that the report covers.
     std::vector<decision::UpstreamClaim> claims;
     std::vector<decision::RequestCounts> requestCounts;
     std::vector<decision::PartCrashes> blockedParts {}; ///< Prompt parts that the zone has blocked.
     std::vector<decision::NamedLimit> limits {};        ///< Limits that its processes read.
+    std::vector<UpstreamObservation> observations {};
+};
+
+/// A relay of this zone reported the total claims and request counts of all processes.
+struct FleetReportArrived
+{
+    bool isSnapshot = false; ///< True if \a claims replaces all earlier totals.
+    /// Number of this process's last report that the totals include; 0: none.
+    std::uint64_t acknowledged = 0;
+    std::size_t processes = 0; ///< Number of processes that the report covers.
+    std::vector<decision::UpstreamClaim> claims;
+    std::vector<decision::RequestCounts> requestCounts {}; ///< Empty if they are not told.
+    std::vector<UpstreamObservation> observations {};
+    std::vector<decision::PartCrashes> blockedParts {};
+    std::vector<decision::NamedLimit> limits {};
 };
 
 /// What a process reports about a crash.
@@ -206,11 +222,11 @@
 struct StopTimedOut
 { };
 
-using RouterEvent
-    = std::variant<RequestArrived, CallerLeft, HeadArrived, EventsArrived, AttemptEnded,
-                   MigrationResponseArrived, EngineReportArrived, FleetStateChanged,
-                   StoreAvailabilityChanged, PeerReportArrived, ZoneReportArrived,
-                   PeerCrashReported, ProcessesChanged, TimePassed, StopRequested, StopTimedOut>;
+using RouterEvent = std::variant<RequestArrived, CallerLeft, HeadArrived, EventsArrived,
+                                 AttemptEnded, MigrationResponseArrived, EngineReportArrived,
+                                 FleetStateChanged, StoreAvailabilityChanged, PeerReportArrived,
+                                 ZoneReportArrived, FleetReportArrived, PeerCrashReported,
+                                 ProcessesChanged, TimePassed, StopRequested, StopTimedOut>;
 
 // Effects: actions that the router requests. ------------------------------------------------
 
--- a/src/routing/router_limits.cpp
+++ b/src/routing/router_limits.cpp
@@ -56,6 +56,7 @@
     }
     this->ownLimitsChanged |= source == decision::LimitSource::Response;
     this->zoneLimitsChanged |= source != decision::LimitSource::Zone;
+    this->fleetLimitsChanged = true;
     if (!limit.requestsPerSecond) {
         this->emit(
             WriteJournal {{journal::EventId::LimitEnded,
@@ -83,6 +84,13 @@
                           : std::vector<decision::NamedLimit> {};
 }
 
+std::vector<decision::NamedLimit> Router::takeFleetLimits(bool all, Instant at)
+{
+    const bool changed = std::exchange(this->fleetLimitsChanged, false);
+    return all || changed ? this->rateLimits.limits(decision::LimitSource::Zone, at)
+                          : std::vector<decision::NamedLimit> {};
+}
+
 std::optional<microseconds> Router::waitForLimits(const ActiveRequest &active,
                                                   std::size_t ahead) const
 {
--- a/src/routing/upstream_observation.h
+++ b/src/routing/upstream_observation.h
@@ -24,6 +24,13 @@
     bool operator==(const UpstreamObservation &other) const = default;
 };
 
+/// Where an observation comes from.
+enum class ObservationSource : std::uint8_t {
+    Self = 0,
+    Member = 1, ///< A member of this process's zone, or any member of a small fleet.
+    Relay = 2,  ///< Another zone.
+};
+
 } // namespace azurespindle::routing
 
 #endif
--- a/src/serving/request_forwarder.cpp
+++ b/src/serving/request_forwarder.cpp
@@ -395,6 +395,13 @@
     return this->router.takeChangedClaims();
 }
 
+void RequestForwarder::recordReport(std::uint64_t number,
+                                    const std::vector<decision::UpstreamClaim> &claims, bool all)
+{
+    const std::lock_guard lock(this->mutex);
+    this->router.recordReport(number, claims, all, monotonicNow());
+}
+
 std::vector<routing::UpstreamObservation> RequestForwarder::takeObservations()
 {
     const std::lock_guard lock(this->mutex);
@@ -418,9 +425,27 @@
     const std::lock_guard lock(this->mutex);
     const Instant now = monotonicNow();
     const decision::FleetRetryBudget &budget = this->router.fleetRetryBudget();
-    return {"", static_cast<std::uint32_t>(budget.countedProcesses(now)),
-            this->router.claimsWithPeers(), budget.ownAndPeerCounts(now),
-            this->router.blockedParts(now)};
+    members::ZoneReport report;
+    report.processCount = static_cast<std::uint32_t>(budget.countedProcesses(now));
+    report.claims = this->router.claimsWithPeers();
+    report.requestCounts = budget.ownAndPeerCounts(now);
+    report.blockedParts = this->router.blockedParts(now);
+    report.observations = this->router.observationsToRelay(routing::ObservationSource::Member, now);
+    return report;
+}
+
+members::FleetReport RequestForwarder::fleetReport() const
+{
+    const std::lock_guard lock(this->mutex);
+    const Instant now = monotonicNow();
+    const decision::FleetRetryBudget &budget = this->router.fleetRetryBudget();
+    members::FleetReport report;
+    report.processCount = static_cast<std::uint32_t>(budget.freshProcesses(now));
+    report.claims = this->router.allClaims();
+    report.requestCounts = budget.allCounts(now);
+    report.blockedParts = this->router.blockedParts(now);
+    report.observations = this->router.observationsToRelay(routing::ObservationSource::Relay, now);
+    return report;
 }
 
 std::vector<decision::PartCrashes> RequestForwarder::blockedParts() const
@@ -441,6 +466,12 @@
     return this->router.takeZoneLimits(all, monotonicNow());
 }
 
+std::vector<decision::NamedLimit> RequestForwarder::takeFleetLimits(bool all)
+{
+    const std::lock_guard lock(this->mutex);
+    return this->router.takeFleetLimits(all, monotonicNow());
+}
+
 bool RequestForwarder::hasChangedLimits() const
 {
     const std::lock_guard lock(this->mutex);
--- a/src/serving/request_forwarder.h
+++ b/src/serving/request_forwarder.h
@@ -56,11 +56,15 @@
     void handle(const routing::RouterEvent &event);
     /// Returns the claims that changed since the last call.
     std::vector<decision::UpstreamClaim> takeChangedClaims();
+    /// See Router::recordReport().
+    void recordReport(std::uint64_t number, const std::vector<decision::UpstreamClaim> &claims,
+                      bool all);
     /// Returns the recent observations about upstreams that are to be sent to peers.
     std::vector<routing::UpstreamObservation> takeObservations();
     /// See Router::takeOwnLimits() and Router::takeZoneLimits().
     std::vector<decision::NamedLimit> takeOwnLimits(bool all);
     std::vector<decision::NamedLimit> takeZoneLimits(bool all);
+    std::vector<decision::NamedLimit> takeFleetLimits(bool all);
     /// Answers every later request with 503, because the process is about to stop.
     void rejectNewRequests() { this->rejectingRequests = true; }
 
@@ -72,6 +76,8 @@
     /// Returns the claims and arrival counts of this process and its peers together. The zone's
     /// name is left empty for the caller to fill in.
     members::ZoneReport zoneReport() const;
+    /// Returns the claims and arrival counts of all processes of which this one hears.
+    members::FleetReport fleetReport() const;
     std::vector<decision::PartCrashes> blockedParts() const;
     bool hasChangedLimits() const;
 
--- a/src/serving/routing_process.cpp
+++ b/src/serving/routing_process.cpp
@@ -14,16 +14,6 @@
 constexpr int statusNotFound = 404;
 constexpr int statusUnavailable = 503;
 constexpr milliseconds idleSweepInterval {1'000};
-constexpr milliseconds reportInterval {200};
-/// Claims that ended are reported within this time. New claims are reported at once, because two
-/// processes may choose the same engine while one does not know the other's claim.
-constexpr milliseconds changeReportInterval {100};
-constexpr milliseconds zoneReportInterval {100};
-constexpr std::uint64_t ticksPerFullReport = 5;
-constexpr std::uint64_t zoneReportsPerFullOne = 10;
-/// A report is sent at least every second tick, so that two fit into
-/// ViewSynchronizer::readerTimeout.
-constexpr std::uint64_t ticksPerHeartbeat = 2;
 constexpr milliseconds stopPollInterval {20};
 /// The load balancer stops sending to a process after two failed checks, one second apart.
 constexpr milliseconds balancerRemovalTime {2'300};
@@ -36,6 +26,9 @@
 constexpr seconds joinPeriod {6};
 /// Time after the start in which this process may not know the other processes yet.
 constexpr seconds discoveryPeriod {2};
+/// Steps in which the capacity of a VM is told to the others.
+constexpr double processorShareStep = 0.1;
+constexpr double linkMegabitsStep = 10.0;
 /// Share of the file descriptors for callers' connections, each of which may need a connection to
 /// an upstream as well.
 constexpr double callerDescriptorShare = 0.45;
@@ -57,6 +50,13 @@
     return to;
 }
 
+/// Returns MemberRecord::capacity of a process: the scarcer of its processor and its link.
+std::uint32_t capacityOf(const settings::RoutingSettings &settings)
+{
+    return static_cast<std::uint32_t>(std::min(settings.processorShare / processorShareStep,
+                                               settings.linkMegabits / linkMegabitsStep));
+}
+
 members::MemberRecord makeSelfRecord(const settings::RoutingSettings &settings)
 {
     return {settings.name,
@@ -64,7 +64,8 @@
             settings.announcedMemberAddress.value_or(settings.memberAddress).text(),
             settings.callerAddress.text(),
             wallClockMilliseconds(),
-            members::MemberState::Alive};
+            members::MemberState::Alive,
+            capacityOf(settings)};
 }
 
 settings::CallerLimits toCallerLimits(const routing::RequestLimits &limits, std::size_t descriptors)
@@ -113,7 +114,7 @@
                     crash.cleared ? members::CrashStatus::Cleared : members::CrashStatus::Suspected,
                     crash.parts});
            },
-           [this] { this->reportChanges(); }}),
+           [this] { this->reporter.reportPlacement(); }}),
       relay(this->settings.name, this->settings.zone),
       coordinator(this->memberSettings, makeSelfRecord(this->settings), this->client, this->timers,
                   this->registry, this->journal, this->coordinatorHooks()),
@@ -124,6 +125,8 @@
                 this->coordinator.send(member, message);
             },
             [this](const members::ViewChanges &changes) { this->sendToZone(changes); }}),
+      reporter(this->settings.name, this->settings.zone, this->forwarder, this->view, this->relay,
+               this->reporterHooks()),
       callerServer(this->settings.callerAddress,
                    toCallerLimits(routing::RequestLimits {}, this->settings.descriptors), 1,
                    [this](const http::ServerRequest &request, const http::ExchangePtr &exchange) {
@@ -164,14 +167,16 @@
              report.status == members::CrashStatus::Cleared}});
     };
     hooks.onRouterReport = [this](const std::string &from, const members::RouterReport &report) {
-        this->forwarder.handle(
-            routing::PeerReportArrived {from, report.complete, report.claims, report.requestCounts,
-                                        report.observations, report.blockedParts, report.limits});
-        this->view.handleReport(from, report);
-        this->relay.recordMemberHeard(from, monotonicNow());
+        this->reporter.handle(from, report);
     };
     hooks.onZoneReport = [this](const std::string &from, const members::ZoneReport &report) {
-        this->handleZoneReport(from, report);
+        this->reporter.handle(from, report);
+    };
+    hooks.onFleetReport = [this](const std::string &from, const members::FleetReport &report) {
+        this->reporter.handle(from, report);
+    };
+    hooks.onViewStatus = [this](const std::string &from, const members::ViewStatus &status) {
+        this->reporter.handle(from, status);
     };
     hooks.onViewRequest = [this](const std::string &from, const members::ViewRequest &request) {
         this->view.sendChanges(from, request);
@@ -183,13 +188,25 @@
     return hooks;
 }
 
+FleetReporterHooks RoutingProcess::reporterHooks()
+{
+    return {[this](const std::string &member, const members::Message &message) {
+                this->coordinator.send(member, message);
+            },
+            [this](const std::vector<std::string> &members, const members::Message &message) {
+                this->coordinator.sendToAll(members, message);
+            }};
+}
+
 std::error_code RoutingProcess::start()
 {
     this->timers.subscribe(routing::Router::tickInterval,
                            [this] { this->forwarder.handle(routing::TimePassed {}); });
-    this->timers.subscribe(reportInterval, [this] { this->tick(); });
-    this->timers.subscribe(changeReportInterval, [this] { this->reportChanges(); });
-    this->timers.subscribe(zoneReportInterval, [this] { this->reportToOtherZones(); });
+    this->timers.subscribe(FleetReporter::tickInterval, [this] { this->tick(); });
+    this->timers.subscribe(FleetReporter::changeInterval,
+                           [this] { this->reporter.reportChanges(); });
+    this->timers.subscribe(FleetReporter::totalsInterval,
+                           [this] { this->reporter.reportTotals(); });
     this->timers.subscribe(ViewSynchronizer::tickInterval, [this] { this->view.tick(); });
     this->timers.subscribe(idleSweepInterval, [this] {
         this->callerServer.enforceTimeouts();
@@ -292,96 +309,43 @@
     this->coordinator.sendToAll(others, message);
 }
 
+void RoutingProcess::updateMembers(Instant now)
+{
+    const std::uint64_t changes = this->coordinator.memberChanges();
+    if (this->lastProcessNames != nullptr && changes == this->lastMemberChanges) {
+        return;
+    }
+    this->lastMemberChanges = changes;
+    const std::vector<members::MemberRecord> active = this->coordinator.activeMembers();
+    std::vector<std::string> names;
+    names.reserve(active.size());
+    for (const members::MemberRecord &member : active) {
+        names.push_back(member.name);
+    }
+    this->relay.setMembers(active, now);
+    this->lastProcessNames = std::make_shared<const std::vector<std::string>>(std::move(names));
+    this->knownProcesses = this->coordinator.allMembers().size();
+}
+
 void RoutingProcess::tick()
 {
     const Instant now = monotonicNow();
-    this->relay.setMembers(this->coordinator.activeMembers(), now);
+    this->updateMembers(now);
     this->view.updateReaderRole(this->relay.ownZoneMembers(), this->settings.name);
-    const bool full = this->reportTicks % ticksPerFullReport == 0;
-    const bool due = full || this->reportTicks % ticksPerHeartbeat == 0;
-    this->reportTicks += 1;
-    {
-        const std::lock_guard lock(this->reportMutex);
-        std::vector<routing::UpstreamObservation> observations = this->forwarder.takeObservations();
-        if (due || !observations.empty() || this->forwarder.hasChangedLimits()) {
-            this->sendReport(full, this->forwarder.takeChangedClaims(), std::move(observations));
-        }
-    }
+    this->reporter.tick();
     this->forwarder.handle(routing::StoreAvailabilityChanged {this->view.storeUnavailable()});
-    const std::size_t knownProcesses = this->coordinator.allMembers().size();
     const bool joining = now - this->startTime < joinPeriod;
     const bool discovering = now - this->startTime < discoveryPeriod;
     this->forwarder.handle(routing::ProcessesChanged {
-        joining ? std::max(knownProcesses, assumedProcessesWhileJoining) : knownProcesses,
-        this->relay.silentZones(now), discovering ? nullptr : this->processNames()});
+        joining ? std::max(this->knownProcesses, assumedProcessesWhileJoining)
+                : this->knownProcesses,
+        this->relay.silentZones(now), discovering ? nullptr : this->lastProcessNames});
     if (const std::uint64_t droppedLines = journal::takeDroppedLineCount()) {
         this->journal.record(
             {journal::EventId::LogLinesDropped, {{"count", std::to_string(droppedLines)}}});
     }
 }
 
-decision::ProcessNames RoutingProcess::processNames() const
-{
-    std::vector<std::string> names;
-    for (const members::MemberRecord &member : this->coordinator.activeMembers()) {
-        names.push_back(member.name);
-    }
-    return std::make_shared<const std::vector<std::string>>(std::move(names));
-}
-
-void RoutingProcess::reportChanges()
-{
-    const std::lock_guard lock(this->reportMutex);
-    std::vector<decision::UpstreamClaim> changed = this->forwarder.takeChangedClaims();
-    if (!changed.empty()) {
-        this->sendReport(false, std::move(changed), this->forwarder.takeObservations());
-    }
-}
-
-void RoutingProcess::sendReport(bool full, std::vector<decision::UpstreamClaim> changed,
-                                std::vector<routing::UpstreamObservation> observations)
-{
-    members::RouterReport report;
-    report.complete = full;
-    report.viewRevision = this->view.revision();
-    report.readsStore = this->view.readsStore();
-    report.claims = full ? this->forwarder.claims() : std::move(changed);
-    report.observations = std::move(observations);
-    report.requestCounts = this->forwarder.arrivals();
-    report.limits = this->forwarder.takeOwnLimits(full);
-    if (full) {
-        report.blockedParts = this->forwarder.blockedParts();
-    }
-    this->coordinator.sendToAll(this->relay.reportRecipients(), report);
-}
-
-void RoutingProcess::reportToOtherZones()
-{
-    const std::vector<std::string> recipients = this->relay.remoteRelays();
-    if (recipients.empty()) {
-        return;
-    }
-    members::ZoneReport report = this->forwarder.zoneReport();
-    report.zone = this->settings.zone;
-    report.limits = this->forwarder.takeZoneLimits(this->zoneReports % zoneReportsPerFullOne == 0);
-    this->zoneReports += 1;
-    this->coordinator.sendToAll(recipients, report);
-}
-
-void RoutingProcess::handleZoneReport(const std::string &from, const members::ZoneReport &report)
-{
-    if (report.zone == this->settings.zone) {
-        return; // The members of this zone report to this process themselves.
-    }
-    this->relay.recordZoneHeard(report.zone, monotonicNow());
-    this->forwarder.handle(routing::ZoneReportArrived {report.zone, report.processCount,
-                                                       report.claims, report.requestCounts,
-                                                       report.blockedParts, report.limits});
-    if (this->relay.forwardsFrom(from)) {
-        this->sendToZone(report);
-    }
-}
-
 std::size_t RoutingProcess::stopGracefully()
 {
     this->journal.record({journal::EventId::ProcessStopping, {{"member", this->settings.name}}});
--- a/src/serving/routing_process.h
+++ b/src/serving/routing_process.h
@@ -7,6 +7,7 @@
 #include "members/coordinator.h"
 #include "metrics/registry.h"
 #include "routing/platform_adapter.h"
+#include "serving/fleet_reporter.h"
 #include "serving/request_forwarder.h"
 #include "serving/view_synchronizer.h"
 #include "serving/zone_relay.h"
@@ -60,23 +61,16 @@
     void applyFleetState(const std::shared_ptr<const routing::FleetState> &state);
     void respondReadiness(const http::ServerRequest &request, const http::ExchangePtr &exchange);
     void respondMetrics(const http::ExchangePtr &exchange);
-    /// Runs every reportInterval: updates membership and readers, and reports to peers when due.
+    /// Runs every FleetReporter::tickInterval: updates membership and readers, and reports to peers
+    /// when due.
     void tick();
-    /// Returns the names of the active processes, this one included unless it has left.
-    decision::ProcessNames processNames() const;
-    /// Reports claims that changed since the last report, if any, to the peers.
-    void reportChanges();
-    /// \param full reports all claims, not just \a changed.
-    void sendReport(bool full, std::vector<decision::UpstreamClaim> changed,
-                    std::vector<routing::UpstreamObservation> observations);
+    /// Takes over the members that the coordinator knows, if they have changed.
+    void updateMembers(Instant now);
     void journalReadinessChange();
     /// Sends a message to every other member of this process's zone.
     void sendToZone(const members::Message &message);
-    /// Sends the totals of this process's zone to the relays of other zones, if this process is a
-    /// relay.
-    void reportToOtherZones();
-    void handleZoneReport(const std::string &from, const members::ZoneReport &report);
     members::CoordinatorHooks coordinatorHooks();
+    FleetReporterHooks reporterHooks();
     void stop();
 
     const settings::RoutingSettings settings;
@@ -89,16 +83,17 @@
     const routing::PlatformAdapter adapter;
     std::atomic<bool> stopping {false};
     std::atomic<bool> lastReady {false};
-    /// Held from collecting changes until they are sent, so that reports arrive in order.
-    std::mutex reportMutex;
-    std::uint64_t zoneReports = 0; ///< Sent so far; used by one timer only.
-    std::uint64_t reportTicks = 0; ///< Calls of tick(); used by the timer's thread only.
+    // What tick() last told of the members; used by the timers' thread only.
+    std::uint64_t lastMemberChanges = 0;
+    decision::ProcessNames lastProcessNames;
+    std::size_t knownProcesses = 0;
     routing::RequestLimits
         currentLimits; ///< Limits last applied; accessed only while a fleet state is applied.
     RequestForwarder forwarder;
     ZoneRelay relay;
     members::Coordinator coordinator;
     ViewSynchronizer view;
+    FleetReporter reporter;
     http::Server callerServer;
     http::Server readinessServer;
     std::unique_ptr<http::Server> metricsServer;
--- a/src/serving/view_synchronizer.cpp
+++ b/src/serving/view_synchronizer.cpp
@@ -181,9 +181,9 @@
     this->watcher->setActive(reads);
 }
 
-void ViewSynchronizer::handleReport(const std::string &member, const members::RouterReport &report)
+void ViewSynchronizer::handleReport(const std::string &member, const members::ViewStatus &report)
 {
-    const std::uint64_t peerRevision = report.viewRevision;
+    const std::uint64_t peerRevision = report.revision;
     const Instant now = monotonicNow();
     std::uint64_t ownRevision = 0;
     {
--- a/src/serving/view_synchronizer.h
+++ b/src/serving/view_synchronizer.h
@@ -68,7 +68,7 @@
     void stop() { this->watcher->setActive(false); }
     /// Records the view revision of a member and whether it watches the store, and requests
     /// changes from it if this process lags behind.
-    void handleReport(const std::string &member, const members::RouterReport &report);
+    void handleReport(const std::string &member, const members::ViewStatus &report);
     /// Starts or stops watching the store: the first of \a zoneMembers that gets responses from the
     /// store watches it, and so does a process that has been lagging for 2 * lagBeforeRequest.
     /// \param zoneMembers names of the members in this zone, in the same order at all members.
--- a/src/serving/zone_relay.h
+++ b/src/serving/zone_relay.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -16,9 +17,10 @@
 /// reports arrive.
 ///
 /// In a fleet of up to maxFullMeshMembers, each process reports to all others. In a larger one each
-/// reports to its own zone only, and the relays of a zone, its first relaysPerZone members by name,
-/// send the zone's totals to the relays of all other zones, which forward them within their own.
-/// Thread-safe.
+/// reports to the relays of its zone only, so that what it sends and hears does not grow with the
+/// fleet. The relays are the relaysPerZone members with the highest capacity. One of them, the
+/// active one, sends the sums of the zone to the relays of other zones and the sums of the fleet to
+/// the members of its zone; the next one replaces it when it falls silent. Thread-safe.
 class ZoneRelay
 {
 public:
@@ -28,6 +30,8 @@
     static constexpr std::size_t relaysPerZone = 2;
     /// A zone from which no report arrived for this long counts as silent.
     static constexpr milliseconds zoneSilenceTimeout {1'200};
+    /// A relay from which no report arrived for this long is replaced by the next one.
+    static constexpr milliseconds relaySilenceTimeout {350};
 
     /// \param self name of this process.
     /// \param zone availability zone of this process.
@@ -42,32 +46,50 @@
     void recordMemberHeard(const std::string &member, Instant now);
     /// Records that the totals of a zone arrived.
     void recordZoneHeard(const std::string &zone, Instant now);
+    /// Records that a relay of this zone sent the totals of the fleet.
+    /// \param silentZones the zones that it does not hear.
+    /// \return true if they are to be used: no relay with a higher rank has been heard lately.
+    bool recordFleetReport(const std::string &member, std::set<std::string> silentZones,
+                           Instant now);
 
     // Queries
 
+    /// Returns true if the fleet is so large that members report to the relays of their zone.
+    bool reportsToRelays() const;
     /// Returns the members to which this process sends its own reports.
     std::vector<std::string> reportRecipients() const;
-    /// Returns the members of this process's zone, itself included, sorted by name.
+    /// Returns the members of this process's zone, itself included, by falling capacity, those of
+    /// equal capacity by name.
     std::vector<std::string> ownZoneMembers() const;
+    /// Returns true if this process is a relay of a large fleet.
+    bool isRelay() const;
+    /// Returns true if this process is the relay of a large fleet that sends totals: no relay with
+    /// a higher rank has been heard lately.
+    bool isActiveRelay(Instant now) const;
     /// Returns the relays of other zones if this process is a relay of a large fleet, else nothing.
     std::vector<std::string> remoteRelays() const;
-    /// Returns true if the zone totals that \a member sends are to be forwarded within this
-    /// process's zone, which is the case if the member is of another zone.
-    bool forwardsFrom(const std::string &member) const;
-    /// Returns the other zones from which no report arrived within zoneSilenceTimeout.
+    /// Returns the other zones from which no report arrived within zoneSilenceTimeout, or, if this
+    /// process does not hear other zones itself, those that its relay does not hear.
     std::set<std::string> silentZones(Instant now) const;
 
 private:
-    /// Requires the lock.
-    bool isRelay() const;
+    // All require the lock.
+    bool isLarge() const { return this->memberCount > maxFullMeshMembers; }
+    /// Returns the rank of a member among the relays of this zone, or nothing if it is no relay.
+    std::optional<std::size_t> rankOf(const std::string &member) const;
+    /// Returns true if a relay whose rank is higher than \a rank has been heard lately.
+    bool hearsRelayBefore(std::size_t rank, Instant now) const;
 
     const std::string self;
     const std::string zone;
-    mutable std::mutex mutex;                                      ///< Guards the members below.
-    std::map<std::string, std::vector<std::string>> membersByZone; ///< Names, sorted.
+    mutable std::mutex mutex; ///< Guards the members below.
+    /// Names by falling capacity, those of equal capacity by name.
+    std::map<std::string, std::vector<std::string>> membersByZone;
     std::map<std::string, std::string> zoneOfMember;
     /// When a report of each zone last arrived; initially, when the zone was first known.
     std::map<std::string, Instant> zoneLastHeard;
+    std::map<std::string, Instant> relayLastHeard; ///< When a relay last sent totals, by name.
+    std::set<std::string> reportedSilentZones;     ///< Those that the relay in use does not hear.
     std::size_t memberCount = 0;
 };
 
--- a/src/settings/routing_settings.cpp
+++ b/src/settings/routing_settings.cpp
@@ -57,6 +57,9 @@
     const std::string format = reader.choice("logFormat", {"text", "json"}, "json");
     settings.logFormat = format == "json" ? LogFormat::Json : LogFormat::Text;
     settings.descriptors = readSize(reader, "descriptors", {64, 10'000'000}, settings.descriptors);
+    settings.processorShare
+        = reader.number("processorShare", {0.001, 1e3}, settings.processorShare);
+    settings.linkMegabits = reader.number("linkMegabits", {0.001, 1e6}, settings.linkMegabits);
     reader.object("bounds",
                   [&](json::ObjectReader &bounds) { settings.bounds = readBounds(bounds); });
     reader.finish();
--- a/src/settings/routing_settings.h
+++ b/src/settings/routing_settings.h
@@ -38,6 +38,8 @@
     std::map<std::string, std::string> regionOfZone; ///< Region by zone, for all zones.
     LogFormat logFormat = LogFormat::Json;
     std::size_t descriptors = 4'096; ///< File descriptors that the process may open.
+    double processorShare = 1.0;     ///< Share of a core that the VM provides.
+    double linkMegabits = 1'000.0;   ///< Bandwidth of the VM's link, in Mbit/s.
     FleetBounds bounds;
 
     bool operator==(const RoutingSettings &other) const = default;
--- a/tests/decision/load_table_test.cpp
+++ b/tests/decision/load_table_test.cpp
@@ -13,6 +13,11 @@
     CPPUNIT_TEST(aCompleteReportReplacesEarlierOnes);
     CPPUNIT_TEST(anotherZonesTotalCountsButIsNotReportedAsOwn);
     CPPUNIT_TEST(claimsDoNotFallBelowZero);
+    CPPUNIT_TEST(theFleetsTotalIsCountedWithoutWhatThisProcessReported);
+    CPPUNIT_TEST(newOwnClaimsCountBesideATotalThatDoesNotIncludeThem);
+    CPPUNIT_TEST(changedTotalsAreAddedToThoseKnown);
+    CPPUNIT_TEST(oldTotalsGiveWayToPeers);
+    CPPUNIT_TEST(reportsAreForgottenInTime);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -63,12 +68,13 @@
         LoadTable table;
         table.add("e1", {1, 100, 0});
         table.updatePeer("peer", {{"e1", {1, 200, 0}}}, true, Instant(seconds(1)));
-        table.updateZone("south", {{"e1", {5, 4'000, 0}}, {"e2", {1, 10, 0}}}, Instant(seconds(1)));
+        table.updateZone("south", {{"e1", {5, 4'000, 0}}, {"e2", {1, 10, 0}}}, true,
+                         Instant(seconds(1)));
         CPPUNIT_ASSERT((ResourceClaim {7, 4'300, 0}) == table.totalClaim("e1"));
         const std::vector<UpstreamClaim> claims = table.ownAndPeerClaims();
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), claims.size());
         CPPUNIT_ASSERT((ResourceClaim {2, 300, 0}) == claims[0].claim);
-        table.updateZone("south", {}, Instant(seconds(1)));
+        table.updateZone("south", {}, true, Instant(seconds(1)));
         CPPUNIT_ASSERT((ResourceClaim {2, 300, 0}) == table.totalClaim("e1"));
     }
 
@@ -81,6 +87,85 @@
         table.subtract("unknown", {1, 1, 1});
         CPPUNIT_ASSERT((ResourceClaim {}) == table.totalClaim("unknown"));
     }
+
+    void theFleetsTotalIsCountedWithoutWhatThisProcessReported()
+    {
+        const Instant now(seconds(1));
+        LoadTable table;
+        table.add("e1", {2, 2'000, 100});
+        table.recordReport(1, table.takeChanged(), false, now);
+        table.updateFleet({{"e1", {7, 9'000, 100}}, {"e2", {1, 10, 0}}}, true, 1, now);
+        CPPUNIT_ASSERT((ResourceClaim {7, 9'000, 100}) == table.totalClaim("e1"));
+        CPPUNIT_ASSERT((ResourceClaim {1, 10, 0}) == table.totalClaim("e2"));
+        CPPUNIT_ASSERT(table.usesFleetTotals());
+    }
+
+    void newOwnClaimsCountBesideATotalThatDoesNotIncludeThem()
+    {
+        const Instant now(seconds(1));
+        LoadTable table;
+        table.add("e1", {1, 1'000, 0});
+        table.recordReport(1, table.takeChanged(), false, now);
+        table.add("e1", {1, 1'000, 0});
+        table.recordReport(2, table.takeChanged(), false, now);
+        table.add("e1", {1, 1'000, 0}); // Not reported yet.
+        table.updateFleet({{"e1", {1, 1'000, 0}}}, false, 1, now);
+        CPPUNIT_ASSERT((ResourceClaim {3, 3'000, 0}) == table.totalClaim("e1"));
+        table.updateFleet({{"e1", {2, 2'000, 0}}}, false, 2, now);
+        CPPUNIT_ASSERT((ResourceClaim {3, 3'000, 0}) == table.totalClaim("e1"));
+        table.subtract("e1", {3, 3'000, 0});
+        CPPUNIT_ASSERT_MESSAGE("none of it is anybody else's",
+                               ResourceClaim {} == table.totalClaim("e1"));
+        table.updateFleet({{"e1", {5, 5'000, 0}}}, false, 0, now);
+        CPPUNIT_ASSERT_MESSAGE("a relay that does not know this process yet",
+                               (ResourceClaim {5, 5'000, 0}) == table.totalClaim("e1"));
+    }
+
+    void changedTotalsAreAddedToThoseKnown()
+    {
+        const Instant now(seconds(1));
+        LoadTable table;
+        table.updateFleet({{"e1", {1, 10, 0}}, {"e2", {2, 20, 0}}}, true, 0, now);
+        table.updateFleet({{"e2", {}}, {"e3", {3, 30, 0}}}, false, 0, now);
+        CPPUNIT_ASSERT_EQUAL(1U, table.totalClaim("e1").attempts);
+        CPPUNIT_ASSERT_EQUAL(0U, table.totalClaim("e2").attempts);
+        CPPUNIT_ASSERT_EQUAL(3U, table.totalClaim("e3").attempts);
+    }
+
+    void oldTotalsGiveWayToPeers()
+    {
+        const Instant now(seconds(1));
+        LoadTable table;
+        table.updateFleet({{"e1", {4, 40, 0}}}, true, 0, now);
+        table.removeSilent(now + LoadTable::reportTimeout);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("nothing better is known", 4U,
+                                     table.totalClaim("e1").attempts);
+        table.updatePeer("peer", {{"e1", {1, 10, 0}}}, true, now + LoadTable::reportTimeout);
+        table.removeSilent(now + LoadTable::reportTimeout);
+        CPPUNIT_ASSERT_EQUAL(1U, table.totalClaim("e1").attempts);
+        table.updateFleet({}, false, 0, now + LoadTable::reportTimeout);
+        CPPUNIT_ASSERT(table.usesFleetTotals());
+        table.removeSilent(now + 3 * LoadTable::reportTimeout);
+        CPPUNIT_ASSERT(!table.usesFleetTotals());
+    }
+
+    void reportsAreForgottenInTime()
+    {
+        Instant now(seconds(1));
+        LoadTable table;
+        std::uint64_t report = 0;
+        for (int round = 0; round < 100; ++round) {
+            const std::string upstream = "e" + std::to_string(round);
+            table.add(upstream, {1, 10, 0});
+            table.recordReport(++report, table.takeChanged(), false, now);
+            table.subtract(upstream, {1, 10, 0});
+            table.recordReport(++report, table.takeChanged(), round % 5 == 0, now);
+            now += milliseconds(200);
+        }
+        const auto shortest
+            = static_cast<std::size_t>(LoadTable::reportTimeout / milliseconds(200));
+        CPPUNIT_ASSERT(table.rememberedReports() <= shortest + 2);
+    }
 };
 
 REGISTER_SUITE(LoadTableTest, "load_table");
--- a/tests/routing/router_test.cpp
+++ b/tests/routing/router_test.cpp
@@ -337,7 +337,7 @@
         harness.configure();
         harness.addEngine("e1", "east");
         harness.addEngine("e2", "south");
-        harness.handle(ZoneReportArrived {"south", 20, {{"e1", {6, 20'000, 9'000}}}, {}});
+        harness.handle(ZoneReportArrived {"south", true, 20, {{"e1", {6, 20'000, 9'000}}}, {}});
         for (int call = 0; call < 3; ++call) {
             harness.sendRequest("/long/1");
             CPPUNIT_ASSERT_EQUAL(std::string("e2"), harness.lastUpstream());
@@ -354,7 +354,7 @@
             harness.addEngine(id, "south");
         }
         harness.addEngine("e5", "east");
-        harness.handle(ZoneReportArrived {"east", 20, {{"e5", {3, 8'000, 0}}}, {}});
+        harness.handle(ZoneReportArrived {"east", true, 20, {{"e5", {3, 8'000, 0}}}, {}});
         const RequestId request = harness.sendRequest("/long/1");
         CPPUNIT_ASSERT(harness.lastUpstream() != "e5");
         harness.endAttempt(request, AttemptEnd::NotSent);
--- a/tests/serving/view_synchronizer_test.cpp
+++ b/tests/serving/view_synchronizer_test.cpp
@@ -41,12 +41,9 @@
     ViewSynchronizer synchronizer;
 };
 
-members::RouterReport makeReport(std::uint64_t viewRevision, bool reads)
+members::ViewStatus makeReport(std::uint64_t revision, bool reads)
 {
-    members::RouterReport report;
-    report.viewRevision = viewRevision;
-    report.readsStore = reads;
-    return report;
+    return {revision, reads};
 }
 
 const std::vector<std::string> zoneMembers {"a", "b", "c"};
--- a/tests/settings/routing_settings_test.cpp
+++ b/tests/settings/routing_settings_test.cpp
@@ -67,6 +67,8 @@
             {{{"seeds", "10.0.0.1:82"}}, "$.seeds"},
             {{{"bounds", {{"stopSeconds", "8"}}}}, "$.bounds.stopSeconds"},
             {{{"descriptors", 1}}, "$.descriptors"},
+            {{{"processorShare", 0}}, "$.processorShare"},
+            {{{"linkMegabits", "fast"}}, "$.linkMegabits"},
             {{{"regionOfZone", {{"north", 3}}}}, "$.regionOfZone.north"},
             {{{"unknown", 1}}, "$.unknown"},
         };
@@ -105,6 +107,8 @@
             {"{{seeds|json}}", "[\"10.0.0.1:82\"]"},
             {"{{zones|json}}", "{\"z\":\"r\"}"},
             {"{{limits.max_fds|json}}", "4100"},
+            {"{{limits.cpu_quota|json}}", "0.25"},
+            {"{{limits.link_mbps|json}}", "200.0"},
             {"{{bounds.retry_budget_ratio|json}}", "0.2"},
             {"{{bounds.budget_slack|json}}", "58"},
             {"{{bounds.retry_window_s|json}}", "10"},
--- a/tests/support/slow_zone.cpp
+++ b/tests/support/slow_zone.cpp
@@ -137,7 +137,7 @@
     const members::Message message = decoded.takeValue();
     const std::string &sender = this->members[from]->name;
     if (const auto *report = std::get_if<members::RouterReport>(&message)) {
-        synchronizer.handleReport(sender, *report);
+        synchronizer.handleReport(sender, {report->viewRevision, report->readsStore});
     } else if (const auto *request = std::get_if<members::ViewRequest>(&message)) {
         synchronizer.sendChanges(sender, *request);
     } else if (const auto *changes = std::get_if<members::ViewChanges>(&message)) {
