Write to callers only what their sockets take at once

Ways weighed: several threads (more callers stop them, too), another HTTP library (all framing and limits anew), writing ourselves and letting the library's poller tell when a socket is writable. Taken: the last.

Measured: one, ten and a hundred callers that read nothing of 4 MB, as a response and as a stream: all of 50 others are answered within a second each (ServerTest callersThatDoNotReadHoldUpNobodyElse). Trickled bytes, half heads, 300 silent connections and connections opened and closed in a loop: the same.

--- a/src/http/internal/connection.h
+++ b/src/http/internal/connection.h
@@ -2,6 +2,7 @@
 #define AZURESPINDLE_HTTP_INTERNAL_CONNECTION_H
 
 #include "base/time_types.h"
+#include "http/internal/connection_writer.h"
 #include "http/internal/request_reader.h"
 #include "http/internal/server_state.h"
 
@@ -20,8 +21,10 @@
     explicit Connection(const settings::CallerLimits &limits) : reader(limits) { }
 
     RequestReader reader;
-    bool disconnected = false; ///< The connection is closed and its exchange has been notified.
-    bool closing = false;      ///< Close after the current response; ignore further input.
+    ConnectionWriter writer;
+    bool awaitsWritable = false; ///< The poller tells when the socket takes bytes again.
+    bool disconnected = false;   ///< The connection is closed and its exchange has been notified.
+    bool closing = false;        ///< Close after the current response; ignore further input.
     Instant lastActivity; ///< Time of connecting, of a request's first byte or of a response's end.
     std::shared_ptr<ConnectionExchange> exchange; ///< The response in progress, or nullptr.
     /// The last complete response, whose bytes may still be unsent.
--- a/src/http/internal/connection_exchange.cpp
+++ b/src/http/internal/connection_exchange.cpp
@@ -125,7 +125,7 @@
     owner->post([self = this->shared_from_this()] { self->flush(); });
 }
 
-/// Hands the buffered bytes to Pistache. Runs on the owning thread.
+/// Hands the buffered bytes to the connection. Runs on the owning thread.
 void ConnectionExchange::flush()
 {
     const auto owner = this->transport.lock();
@@ -158,27 +158,28 @@
         connection->lastActivity = monotonicNow();
         connection->closing = connection->closing || this->closeAfterResponse;
     }
-    const std::size_t size = bytes.size();
-    this->peer->send(Pistache::RawBuffer(std::move(bytes), size))
-        .then(
-            [self, size, last](ssize_t) {
-                self->onBytesSent(size);
-                if (last) {
-                    const std::lock_guard lock(self->mutex);
-                    self->markEnded();
-                }
-                const auto alive = self->transport.lock();
-                const bool close = last && self->closeAfterResponse && alive != nullptr;
-                if (close) {
-                    alive->post([self, alive] { alive->disconnect(self->peer); });
-                }
-            },
-            [](const std::exception_ptr &) {});
+    connection->writer.push(std::move(bytes), [self, last](std::size_t sent, bool partSent) {
+        self->onBytesSent(sent);
+        if (last && partSent) {
+            self->onResponseSent();
+        }
+    });
+    owner->continueWriting(this->peer);
     if (last && !connection->closing) {
         connection->onResponseComplete();
     }
-    // Transport::flush() is not called here: it busy-waits until the socket accepts the bytes, so a
-    // caller that does not read would block all other callers served by this thread.
+}
+
+void ConnectionExchange::onResponseSent()
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        this->markEnded();
+    }
+    const auto alive = this->transport.lock();
+    if (this->closeAfterResponse && alive != nullptr) {
+        alive->post([self = this->shared_from_this(), alive] { alive->disconnect(self->peer); });
+    }
 }
 
 void ConnectionExchange::onBytesSent(std::size_t bytes)
--- a/src/http/internal/connection_exchange.h
+++ b/src/http/internal/connection_exchange.h
@@ -47,6 +47,8 @@
     void append(const std::string &bytes, bool last);
     void flush();
     void onBytesSent(std::size_t bytes);
+    /// Ends the exchange once its last byte is sent.
+    void onResponseSent();
     void markEnded();
     std::string head(int status, const HeaderFields &fields, const std::string &framing);
 
@@ -64,7 +66,7 @@
     bool disconnected = false;
     bool ended = false; ///< No longer counted in ServerState::openExchanges.
     bool wasCongested = false;
-    std::size_t bytesInTransport = 0; ///< Handed to Pistache, not yet written to the socket.
+    std::size_t bytesInTransport = 0; ///< Handed to the connection, not yet written.
     Instant lastWriteProgress;
     std::function<void()> disconnectedCallback;
     std::function<void()> drainedCallback;
--- a/src/http/internal/posting_transport.cpp
+++ b/src/http/internal/posting_transport.cpp
@@ -40,12 +40,65 @@
 
 void PostingTransport::onReady(const Pistache::Aio::FdSet &fds)
 {
-    Pistache::Tcp::Transport::onReady(fds);
+    Pistache::Tcp::Transport::onReady(Pistache::Aio::FdSet(this->takeWritable(fds)));
     while (auto closure = this->postedClosures.popSafe()) {
         (*closure)();
     }
 }
 
+std::vector<Pistache::Polling::Event>
+PostingTransport::takeWritable(const Pistache::Aio::FdSet &fds)
+{
+    std::vector<Pistache::Polling::Event> others;
+    others.reserve(fds.size());
+    for (const Pistache::Aio::FdSet::Entry &entry : fds) {
+        Pistache::Polling::Event event(entry.getTag());
+        if (entry.isReadable()) {
+            event.flags.setFlag(Pistache::Polling::NotifyOn::Read);
+        }
+        if (entry.isHangup()) {
+            event.flags.setFlag(Pistache::Polling::NotifyOn::Hangup);
+        }
+        if (entry.isWritable()) {
+            const auto found = this->peers.find(static_cast<Pistache::Fd>(entry.getTag().value()));
+            if (found != this->peers.end()) {
+                const std::shared_ptr<Peer> peer = found->second;
+                this->continueWriting(peer);
+            }
+        }
+        others.push_back(std::move(event));
+    }
+    return others;
+}
+
+void PostingTransport::awaitWritable(const std::shared_ptr<Peer> &peer, bool awaits)
+{
+    const std::shared_ptr<Connection> connection = connectionOf(peer);
+    if (std::exchange(connection->awaitsWritable, awaits) == awaits) {
+        return;
+    }
+    using Pistache::Polling::NotifyOn;
+    this->reactor()->modifyFd(this->key(), peer->fd(),
+                              awaits ? NotifyOn::Read | NotifyOn::Write : NotifyOn::Read,
+                              Pistache::Polling::Mode::Edge);
+}
+
+void PostingTransport::continueWriting(const std::shared_ptr<Peer> &peer)
+{
+    const std::shared_ptr<Connection> connection = connectionOf(peer);
+    if (connection == nullptr || connection->disconnected) {
+        return;
+    }
+    const WriteProgress progress = connection->writer.write(peer->fd());
+    if (progress == WriteProgress::Failed) {
+        this->post([self = this->shared_from_this(), peer] { self->disconnect(peer); });
+        return;
+    }
+    // The interest is set anew each time, which tells at once if the socket is writable already.
+    connection->awaitsWritable = connection->awaitsWritable && progress == WriteProgress::Finished;
+    this->awaitWritable(peer, progress == WriteProgress::Blocked);
+}
+
 std::shared_ptr<Pistache::Aio::Handler> PostingTransport::clone() const
 {
     return create(this->handlerPrototype->clone(), this->state);
--- a/src/http/internal/posting_transport.h
+++ b/src/http/internal/posting_transport.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <vector>
 
 namespace azurespindle::http::internal {
 
@@ -31,6 +32,9 @@
     /// Returns true if \a peer is an open connection of this transport. Call on the owning thread
     /// only.
     bool owns(const std::shared_ptr<Pistache::Tcp::Peer> &peer) const;
+    /// Writes what a connection has yet to send, as far as its socket takes it; the rest follows
+    /// when the socket is writable again. Call on the owning thread only.
+    void continueWriting(const std::shared_ptr<Pistache::Tcp::Peer> &peer);
     /// Closes a connection. Call on the owning thread only.
     void disconnect(const std::shared_ptr<Pistache::Tcp::Peer> &peer);
     /// Closes connections that exceeded a timeout and, if \a draining, idle ones. Call on the
@@ -41,6 +45,11 @@
     std::size_t closeFinished();
 
 private:
+    /// Handles the sockets that are writable again. \return the other events, for Pistache.
+    std::vector<Pistache::Polling::Event> takeWritable(const Pistache::Aio::FdSet &fds);
+    /// Sets whether the poller tells when a socket is writable.
+    void awaitWritable(const std::shared_ptr<Pistache::Tcp::Peer> &peer, bool awaits);
+
     std::shared_ptr<Pistache::Tcp::Handler> handlerPrototype;
     std::shared_ptr<ServerState> state;
     Pistache::PollableQueue<std::function<void()>> postedClosures;
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -4,9 +4,11 @@
 #include "support/raw_connection.h"
 #include "support/suite.h"
 
+#include <atomic>
 #include <condition_variable>
 #include <csignal>
 #include <future>
+#include <memory>
 #include <random>
 #include <sys/wait.h>
 #include <thread>
@@ -88,6 +90,9 @@
     CPPUNIT_TEST(aResponseStillUnsentIsNotCutWhenTheServerDrains);
     CPPUNIT_TEST(aResponseStillUnsentWhenTheServerStopsArrives);
     CPPUNIT_TEST(requestsThatArriveAsTheServerStopsAreRefusedAndNotDropped);
+    CPPUNIT_TEST(callersThatDoNotReadHoldUpNobodyElse);
+    CPPUNIT_TEST(aLargeResponseArrivesWholeHoweverSlowlyItIsRead);
+    CPPUNIT_TEST(connectionsThatSendLittleOrNothingHoldUpNobodyElse);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -527,6 +532,117 @@
         }
         return {};
     }
+
+    /// One, ten and many callers ask for a large response, or a long stream, and read nothing of
+    /// it.
+    void callersThatDoNotReadHoldUpNobodyElse()
+    {
+        constexpr std::size_t largeBytes = 4'000'000;
+        for (const bool stream : {false, true}) {
+            for (const std::size_t idle : {1U, 10U, 100U}) {
+                settings::CallerLimits limits;
+                limits.connections = 1'000;
+                Server server(anyPort, limits, 1,
+                              [&](const ServerRequest &request, const ExchangePtr &exchange) {
+                                  if (request.path == "/small") {
+                                      exchange->respond(200, {}, "small");
+                                  } else if (stream) {
+                                      exchange->beginStream(200, {});
+                                      exchange->send(std::string(largeBytes, 's'));
+                                  } else {
+                                      exchange->respond(200, {}, std::string(largeBytes, 'l'));
+                                  }
+                              });
+                CPPUNIT_ASSERT(!server.start());
+                std::vector<std::unique_ptr<tests::RawConnection>> callers;
+                for (std::size_t number = 0; number < idle; ++number) {
+                    callers.push_back(std::make_unique<tests::RawConnection>(
+                        server.port(), tests::Connecting::Finished, 4'096));
+                    callers.back()->send("GET /large HTTP/1.1\r\nHost: h\r\n\r\n");
+                }
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(idle), std::size_t(0),
+                                             this->lateAnswers(server.port(), 50));
+                server.stop();
+            }
+        }
+    }
+
+    void aLargeResponseArrivesWholeHoweverSlowlyItIsRead()
+    {
+        std::string body;
+        for (int number = 0; body.size() < 2'000'000; ++number) {
+            body += std::to_string(number) + ",";
+        }
+        Server server(anyPort, {}, 1, [&](const ServerRequest &, const ExchangePtr &exchange) {
+            exchange->respond(200, {}, body);
+        });
+        CPPUNIT_ASSERT(!server.start());
+        const tests::RawConnection caller(server.port(), tests::Connecting::Finished, 4'096);
+        caller.send("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        std::string received;
+        std::mt19937 random(3);
+        while (const auto bytes = caller.readSome(receiveTimeout, 1 + random() % 60'000)) {
+            if (bytes->empty()) {
+                break;
+            }
+            received += *bytes;
+        }
+        const std::size_t head = received.find("\r\n\r\n");
+        CPPUNIT_ASSERT(head != std::string::npos);
+        CPPUNIT_ASSERT(body == received.substr(head + 4));
+        server.stop();
+    }
+
+    /// Bytes one at a time, half heads, silent connections, and connections opened and closed.
+    void connectionsThatSendLittleOrNothingHoldUpNobodyElse()
+    {
+        settings::CallerLimits limits;
+        limits.connections = 1'000;
+        Server server(anyPort, limits, 1, [](const ServerRequest &, const ExchangePtr &exchange) {
+            exchange->respond(200, {}, "small");
+        });
+        CPPUNIT_ASSERT(!server.start());
+        std::vector<std::unique_ptr<tests::RawConnection>> others;
+        for (int number = 0; number < 300; ++number) {
+            others.push_back(std::make_unique<tests::RawConnection>(server.port()));
+            if (number % 3 == 0) {
+                others.back()->send("GET / HTT");
+            }
+        }
+        std::atomic<bool> ending {false};
+        std::thread trickling([&] {
+            const std::string request = "GET /small HTTP/1.1\r\nHost: h\r\n\r\n";
+            for (std::size_t at = 0; !ending; at = (at + 1) % request.size()) {
+                others[1]->send(request.substr(at, 1));
+                const tests::RawConnection reset(server.port());
+                reset.send("GET");
+            }
+        });
+        const std::size_t late = this->lateAnswers(server.port(), 50);
+        ending = true;
+        trickling.join();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), late);
+        server.stop();
+    }
+
+private:
+    /// Sends requests one after the other, each on a new connection.
+    /// \return how many were not answered within a second.
+    static std::size_t lateAnswers(std::uint16_t port, int requests)
+    {
+        std::size_t late = 0;
+        for (int number = 0; number < requests; ++number) {
+            const tests::RawConnection caller(port);
+            const Instant sentAt = monotonicNow();
+            caller.send("GET /small HTTP/1.1\r\nHost: h\r\n\r\n");
+            const bool answered = !caller.readUntil("small", seconds(1)).empty();
+            late += answered && monotonicNow() - sentAt < seconds(1) ? 0 : 1;
+            if (late > 3) {
+                break; // It will not become any better.
+            }
+        }
+        return late;
+    }
 };
 
 REGISTER_SUITE(ServerTest, "server");
