Let only as many processes send to a cold upstream as it bears

Cause: each process spaced its own requests to a cold upstream, but the first was free: with 295 processes all of them could send one in the same second to an upstream that bears 27.

Change: where a process's part is less than one request a second, the senders are chosen by rendezvous hashing, as for rates that upstreams name (the choice is a function of its own now). A service of few upstreams is open to more.

--- a/src/decision/cold_start_limiter.cpp
+++ b/src/decision/cold_start_limiter.cpp
@@ -1,5 +1,8 @@
 #include "decision/cold_start_limiter.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace azurespindle::decision {
 
 void ColdStartLimiter::recordSend(const std::string &upstream, Instant now)
@@ -7,19 +10,37 @@
     this->lastSends.touch(upstream) = now;
 }
 
+void ColdStartLimiter::setProcesses(const ProcessNames &processNames, const std::string &ownName)
+{
+    this->names = processNames;
+    this->self = ownName;
+}
+
+std::size_t ColdStartLimiter::senderCount(double usedRate, std::size_t alternatives) const
+{
+    const std::size_t count = this->names->size();
+    const auto borne = static_cast<std::size_t>(std::max(1.0, std::floor(usedRate)));
+    const std::size_t share = (count + alternatives - 1) / std::max<std::size_t>(alternatives, 1);
+    return std::min(count, std::max(borne, share));
+}
+
 bool ColdStartLimiter::allows(const std::string &upstream, double requestsPerSecond,
-                              Instant now) const
+                              std::size_t alternatives, Instant now) const
 {
     if (requestsPerSecond <= 0.0) {
         return true;
     }
-    const Instant *last = this->lastSends.find(upstream);
-    if (last == nullptr) {
-        return true;
+    const double usedRate = requestsPerSecond * usedShare;
+    auto senders = static_cast<double>(this->processes);
+    if (this->names != nullptr && static_cast<double>(this->names->size()) > usedRate) {
+        const std::size_t count = this->senderCount(usedRate, alternatives);
+        if (!isSender(*this->names, this->self, upstream, count)) {
+            return false;
+        }
+        senders = static_cast<double>(count);
     }
-    const double spacingSeconds
-        = static_cast<double>(this->processes) / (requestsPerSecond * usedShare);
-    return inSeconds(now - *last) >= spacingSeconds;
+    const Instant *last = this->lastSends.find(upstream);
+    return last == nullptr || inSeconds(now - *last) >= senders / usedRate;
 }
 
 } // namespace azurespindle::decision
--- a/src/decision/cold_start_limiter.h
+++ b/src/decision/cold_start_limiter.h
@@ -3,6 +3,7 @@
 
 #include "base/recent_map.h"
 #include "base/time_types.h"
+#include "decision/sender_choice.h"
 
 #include <cstddef>
 #include <string>
@@ -13,8 +14,9 @@
 ///
 /// When a zone comes back, its upstreams are empty, so that every process finds them the best
 /// choice at the same moment. Each process gets an equal part of the rate that a cold upstream
-/// sustains and spaces its requests evenly. The total therefore holds without communication between
-/// processes.
+/// sustains and spaces its requests evenly. Where that part would be less than one request a
+/// second, only as many processes send as the upstream takes requests, because each may send its
+/// first at once. The total therefore holds without communication between processes.
 class ColdStartLimiter
 {
 public:
@@ -27,6 +29,9 @@
 
     /// Sets the number of processes that share the rate of an upstream. 0 counts as 1.
     void setProcessCount(std::size_t count) { this->processes = count == 0 ? 1 : count; }
+    /// Sets the processes that share the rates, and the name of this one. While \a names is
+    /// nullptr, only their number counts.
+    void setProcesses(const ProcessNames &names, const std::string &ownName);
     /// Records that a request was sent to a cold upstream.
     void recordSend(const std::string &upstream, Instant now);
 
@@ -34,9 +39,17 @@
 
     /// Returns true if a request may be sent to a cold upstream now.
     /// \param requestsPerSecond rate that the upstream sustains while cold; 0 means no limit.
-    bool allows(const std::string &upstream, double requestsPerSecond, Instant now) const;
+    /// \param alternatives number of upstreams of its service. If there are few, more processes may
+    /// send to each, so that every process may send to one.
+    bool allows(const std::string &upstream, double requestsPerSecond, std::size_t alternatives,
+                Instant now) const;
 
 private:
+    /// Returns the number of processes that may send to one upstream.
+    std::size_t senderCount(double usedRate, std::size_t alternatives) const;
+
+    ProcessNames names;
+    std::string self;
     std::size_t processes = 1;
     RecentMap<std::string, Instant> lastSends {maxUpstreams};
 };
--- a/src/decision/upstream_rate_limits.cpp
+++ b/src/decision/upstream_rate_limits.cpp
@@ -1,7 +1,5 @@
 #include "decision/upstream_rate_limits.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <cmath>
 
@@ -13,11 +11,6 @@
 /// Difference up to which an amount counts as saved up, as sums of fractions are not exact.
 constexpr double tolerance = 1e-6;
 
-std::uint64_t weightOf(const std::string &process, std::uint64_t seed)
-{
-    return XXH3_64bits_withSeed(process.data(), process.size(), seed);
-}
-
 /// Returns how many processes share the rate of an upstream. Each gets at most one request a
 /// second, so that what the senders save up is a small part of what the upstream takes.
 std::size_t senderCount(double requestsPerSecond, std::size_t processes)
@@ -26,18 +19,6 @@
     return std::min(std::max(wanted, UpstreamRateLimits::minSenders), processes);
 }
 
-/// Returns true if \a self is one of the \a count processes with the highest weights.
-bool isAmongHighest(const std::vector<std::string> &processes, const std::string &self,
-                    const std::string &upstream, std::size_t count)
-{
-    const std::uint64_t seed = XXH3_64bits(upstream.data(), upstream.size());
-    const std::uint64_t own = weightOf(self, seed);
-    const auto higher
-        = std::count_if(processes.begin(), processes.end(),
-                        [&](const std::string &process) { return weightOf(process, seed) > own; });
-    return static_cast<std::size_t>(higher) < count;
-}
-
 } // namespace
 
 const char *name(LimitSource source)
@@ -67,7 +48,7 @@
     }
     const double rate = std::max(*limit.requestsPerSecond, minRequestsPerSecond);
     const std::size_t count = senderCount(rate, this->processes->size());
-    if (isAmongHighest(*this->processes, this->self, upstream, count)) {
+    if (isSender(*this->processes, this->self, upstream, count)) {
         limit.ownRate = rate / static_cast<double>(count);
     }
     if (before == 0.0) {
--- a/src/decision/upstream_rate_limits.h
+++ b/src/decision/upstream_rate_limits.h
@@ -2,6 +2,7 @@
 #define AZURESPINDLE_DECISION_UPSTREAM_RATE_LIMITS_H
 
 #include "base/time_types.h"
+#include "decision/sender_choice.h"
 
 #include <cstdint>
 #include <functional>
@@ -34,9 +35,6 @@
 /// Returns the name of \a source for logs.
 const char *name(LimitSource source);
 
-/// Names of the active entry processes, which all processes know alike but for moments.
-using ProcessNames = std::shared_ptr<const std::vector<std::string>>;
-
 /// Fleet-wide request rates that upstreams name in their responses.
 ///
 /// The rate of an upstream is divided among a few processes, its senders, which are chosen by
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -163,7 +163,11 @@
         }
     }
     this->state = event.state;
-    this->rateLimits.forgetUnless([this](const std::string &id, std::uint64_t incarnation) {
+    this->upstreamsOfService.clear();
+    for (const auto &[id, record] : this->state->upstreams) {
+        this->upstreamsOfService[record.service] += 1;
+    }
+    const auto isCurrent = [this](const std::string &id, std::uint64_t incarnation) {
         const UpstreamRecord *record = this->findUpstream(id);
         return record != nullptr && record->incarnation == incarnation;
     });
@@ -361,6 +365,7 @@
     this->silentZones = event.silentZones;
 }
 
+    this->coldStartLimiter.setProcesses(event.names, this->options.name);
 void Router::on(const StopRequested &event)
 {
     this->stop = Stop {this->now, event.endsAt};
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -388,4 +388,5 @@
 
 } // namespace azurespindle::routing
 
+    std::map<std::string, std::size_t> upstreamsOfService; ///< Number of upstreams by service.
 #endif
--- a/src/routing/router_admission.cpp
+++ b/src/routing/router_admission.cpp
@@ -213,7 +213,7 @@
     const bool isCold = cold != this->coldUntil.end() && cold->second > this->now;
     return !isCold || active.service == nullptr
         || this->coldStartLimiter.allows(record.id, active.service->coldRequestsPerSecond,
-                                         this->now);
+                                         this->upstreamsOfService.at(record.service), this->now);
 }
 
 decision::UpstreamCandidate Router::makeCandidate(const UpstreamRecord &record,
