Take note of what upstreams state of themselves in their responses

Cause: a server that leaves says so in all its responses, and one that turns a request away with 503 may say for how long it wants nothing. Nobody read either: a process out of touch with the store went on sending to a leaving server, and the next request went to a full one at once.

Change: leaving is a fact about one lifetime of an upstream, which wins over what the store says before or after, moves what runs there, and goes to all members as an observation, to other zones through the relays. A pause holds for one process and one lifetime; placements, retries, moves, backups and takeovers observe it; if all upstreams pause, the caller hears at once how long.

--- a/src/journal/event_id.cpp
+++ b/src/journal/event_id.cpp
@@ -64,6 +64,10 @@
          "An upstream names another rate of requests that it takes from the whole fleet; `ownRate` "
          "is the part of this process."},
         {E::LimitEnded, "limit-ended", S::Info, "An upstream names no rate of requests any more."},
+        {E::UpstreamLeaving, "upstream-leaving", S::Info,
+         "An upstream states in a response that it is shutting down; it receives no new requests."},
+        {E::UpstreamPaused, "upstream-paused", S::Info,
+         "An upstream turned a request away and wants nothing of this process for `pauseMs`."},
         {E::ConfigurationAccepted, "configuration-accepted", S::Info,
          "A higher revision is in force in this process."},
         {E::ConfigurationRefused, "configuration-refused", S::Error,
--- a/src/journal/event_id.h
+++ b/src/journal/event_id.h
@@ -45,6 +45,8 @@
     PromptPartsCleared = 311,
     LimitNamed = 312,
     LimitEnded = 313,
+    UpstreamLeaving = 314,
+    UpstreamPaused = 315,
 
     ConfigurationAccepted = 400,
     ConfigurationRefused = 401,
--- a/src/members/internal/routing_codec.cpp
+++ b/src/members/internal/routing_codec.cpp
@@ -119,7 +119,7 @@
     observation.upstream = in.as<std::string>();
     observation.incarnation = in.as<std::uint64_t>();
     observation.kind = in.enumeration<routing::UpstreamObservation::Kind>(
-        routing::UpstreamObservation::Kind::Draining);
+        routing::UpstreamObservation::Kind::Leaving);
     observation.timeUntilExit = milliseconds(in.as<std::int64_t>());
 }
 
--- a/src/routing/internal/active_request.h
+++ b/src/routing/internal/active_request.h
@@ -123,6 +123,9 @@
     Instant noticedAt;
     std::optional<Instant> exitsAt; ///< Time at which the engine exits, if it reports one.
     std::uint64_t incarnation = 0;
+    /// True if the engine stated it in a response: it holds as long as the engine lives.
+    bool stated = false;
+    bool reportRequested = false; ///< True if the engine was asked when it exits.
 };
 
 /// A lost attempt that may have crashed its upstream.
@@ -144,6 +147,13 @@
     std::string upstream;
 };
 
+/// How long a request has to wait for upstreams that take none now.
+struct UpstreamWait
+{
+    microseconds time {0};
+    bool isPause = false; ///< True if it ends with a pause, whose end the upstream stated.
+};
+
 /// The time span in which the process stops.
 struct Stop
 {
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -170,7 +170,9 @@
     const auto isCurrent = [this](const std::string &id, std::uint64_t incarnation) {
         const UpstreamRecord *record = this->findUpstream(id);
         return record != nullptr && record->incarnation == incarnation;
-    });
+    };
+    this->rateLimits.forgetUnless(isCurrent);
+    this->pauses.forgetUnless(isCurrent, this->now);
     this->confirmCrashes();
     for (auto cold = this->coldUntil.begin(); cold != this->coldUntil.end();) {
         cold = cold->second < this->now ? this->coldUntil.erase(cold) : std::next(cold);
@@ -184,11 +186,9 @@
     if (record == nullptr || (!event.report.draining && !event.report.timeUntilExit)) {
         return;
     }
-    DrainNotice &notice
-        = this->drainNotices.try_emplace(event.upstream, DrainNotice {this->now, {}}).first->second;
-    notice.incarnation = record->incarnation;
-    if (event.report.timeUntilExit) {
-        notice.exitsAt = this->now + *event.report.timeUntilExit;
+    DrainNotice *notice = this->noteDrain(event.upstream, record->incarnation);
+    if (notice != nullptr && event.report.timeUntilExit) {
+        notice->exitsAt = this->now + *event.report.timeUntilExit;
     }
     const UpstreamObservation observation {event.upstream, record->incarnation,
                                            UpstreamObservation::Kind::Draining,
@@ -286,20 +286,25 @@
         this->connectionRefusedUntil[observation.upstream] = this->now + connectionRefusedPenalty;
         return;
     }
-    DrainNotice &notice
-        = this->drainNotices.try_emplace(observation.upstream, DrainNotice {this->now, {}})
-              .first->second;
-    notice.incarnation = observation.incarnation;
+    DrainNotice *notice = this->noteDrain(observation.upstream, observation.incarnation);
+    if (notice == nullptr) {
+        return;
+    }
+    notice->stated |= observation.kind == UpstreamObservation::Kind::Leaving;
     if (observation.timeUntilExit.count() > 0) {
-        notice.exitsAt = this->now + observation.timeUntilExit;
+        notice->exitsAt = this->now + observation.timeUntilExit;
     }
 }
 
 bool Router::acceptsTakeover(const UpstreamRecord &record) const
 {
     const auto found = this->drainingSince.find(record.id);
-    const bool drainedForLong
-        = found != this->drainingSince.end() && this->now - found->second > drainResumeWindow;
+    const auto notice = this->drainNotices.find(record.id);
+    const bool statedLongAgo = notice != this->drainNotices.end() && notice->second.stated
+        && notice->second.incarnation == record.incarnation
+        && this->now - notice->second.noticedAt > drainResumeWindow;
+    const bool drainedForLong = statedLongAgo
+        || (found != this->drainingSince.end() && this->now - found->second > drainResumeWindow);
     return this->findUpstream(record.id) != nullptr && !drainedForLong
         && this->state->evacuatedZones.count(record.zone) == 0;
 }
@@ -360,12 +365,12 @@
 {
     this->retryBudget.setProcessCount(event.count);
     this->coldStartLimiter.setProcessCount(event.count);
+    this->coldStartLimiter.setProcesses(event.names, this->options.name);
     this->processCount = event.count;
     this->rateLimits.setProcesses(event.names, this->options.name, this->now);
     this->silentZones = event.silentZones;
 }
 
-    this->coldStartLimiter.setProcesses(event.names, this->options.name);
 void Router::on(const StopRequested &event)
 {
     this->stop = Stop {this->now, event.endsAt};
@@ -403,8 +408,12 @@
         return this->now - entry.second > drainRecordRetention;
     });
     std::erase_if(this->drainNotices, [this](const auto &entry) {
-        return this->now - entry.second.noticedAt > drainRecordRetention;
+        const UpstreamRecord *record = this->findUpstream(entry.first);
+        const bool lives = record != nullptr && record->incarnation == entry.second.incarnation;
+        return this->now - entry.second.noticedAt > drainRecordRetention
+            && !(entry.second.stated && lives);
     });
+    this->pauses.forgetUnless([](const std::string &, std::uint64_t) { return true; }, this->now);
     this->placeQueued();
     this->rejectUnplaceable();
 }
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -8,6 +8,7 @@
 #include "decision/fleet_retry_budget.h"
 #include "decision/length_forecast.h"
 #include "decision/load_table.h"
+#include "decision/upstream_pauses.h"
 #include "decision/upstream_rate_limits.h"
 #include "routing/internal/active_request.h"
 #include "routing/router_events.h"
@@ -39,6 +40,9 @@
     std::uint64_t migrationsStarted = 0;
     std::uint64_t migrationsCompleted = 0;
     std::uint64_t generationsLost = 0;
+    std::uint64_t upstreamsLeaving = 0; ///< Upstreams that stated in a response that they leave.
+    std::uint64_t pausesNoted = 0;      ///< Pauses that upstreams asked for.
+    std::uint64_t pausesUnreadable = 0; ///< Stated pauses that could not be read.
     std::uint64_t streamsCutByStop = 0; ///< Streams that ran until the process had to end.
 };
 
@@ -124,6 +128,7 @@
     using SuspectedCrash = internal::SuspectedCrash;
     using ConnectionLoss = internal::ConnectionLoss;
     using Stop = internal::Stop;
+    using UpstreamWait = internal::UpstreamWait;
     using UnreachableZone = internal::UnreachableZone;
     using HeardObservation = internal::HeardObservation;
 
@@ -267,14 +272,24 @@
 
     // Limits that upstreams name (router_limits.cpp)
 
+    /// Takes note of all that an upstream states of itself in the head of a response.
+    /// \param sentAt time at which the request was sent.
+    void noteStatements(const UpstreamRecord &upstream, const ResponseHead &head, Instant sentAt);
+    /// Takes note that an upstream states that it is shutting down.
+    void noteLeaving(const UpstreamRecord &upstream);
+    void notePause(const UpstreamRecord &upstream, const ResponseHead &head);
+    /// Records that an upstream is shutting down.
+    /// \return its notice, or nullptr if a later lifetime of the upstream is known.
+    DrainNotice *noteDrain(const std::string &upstream, std::uint64_t incarnation);
     /// Takes note of the limit that an upstream names in the head of a response, or of its end.
     /// \param sentAt time at which the request was sent.
     void noteLimit(const UpstreamRecord &upstream, const ResponseHead &head, Instant sentAt);
     void noteLimit(const decision::NamedLimit &limit, decision::LimitSource source);
     /// Returns the time until a request can be sent if all upstreams that could serve it name
-    /// limits, or nothing if one does not.
+    /// limits or want nothing for a while, or nothing if one takes requests now.
     /// \param ahead number of requests that take their turn before it.
-    std::optional<microseconds> waitForLimits(const ActiveRequest &active, std::size_t ahead) const;
+    std::optional<UpstreamWait> waitForUpstreams(const ActiveRequest &active,
+                                                 std::size_t ahead) const;
     /// Rejects the queued requests that the limits of their upstreams keep from being sent in time.
     void rejectBeyondLimits();
 
@@ -363,6 +378,7 @@
     std::vector<std::pair<Instant, UpstreamObservation>> observations;
     /// Observations that a relay passes on, by upstream.
     std::unordered_map<std::string, HeardObservation> heardObservations;
+    std::map<std::string, std::size_t> upstreamsOfService; ///< Number of upstreams by service.
     bool storeUnavailable = false;
     std::size_t processCount = 1;
     std::set<std::string> silentZones;
@@ -373,6 +389,7 @@
     decision::FleetRetryBudget retryBudget;
     decision::ColdStartLimiter coldStartLimiter;
     decision::UpstreamRateLimits rateLimits;
+    decision::UpstreamPauses pauses;
     bool ownLimitsChanged = false;   ///< See takeOwnLimits().
     bool zoneLimitsChanged = false;  ///< See takeZoneLimits().
     bool fleetLimitsChanged = false; ///< See takeFleetLimits().
@@ -388,5 +405,4 @@
 
 } // namespace azurespindle::routing
 
-    std::map<std::string, std::size_t> upstreamsOfService; ///< Number of upstreams by service.
 #endif
--- a/src/routing/router_admission.cpp
+++ b/src/routing/router_admission.cpp
@@ -206,7 +206,8 @@
 
 bool Router::isEligible(const ActiveRequest &active, const UpstreamRecord &record) const
 {
-    if (!this->canServe(active, record) || !this->rateLimits.allows(record.id, this->now)) {
+    if (!this->canServe(active, record) || !this->rateLimits.allows(record.id, this->now)
+        || !this->pauses.allows(record.id, record.incarnation, this->now)) {
         return false;
     }
     const auto cold = this->coldUntil.find(record.id);
--- a/src/routing/router_attempts.cpp
+++ b/src/routing/router_attempts.cpp
@@ -86,6 +86,7 @@
         this->coldStartLimiter.recordSend(upstream.id, this->now);
     }
     this->rateLimits.recordSend(upstream.id, this->now);
+    this->pauses.recordSend(upstream.id, this->now);
     AttemptPlan plan = this->makePlan(active, upstream);
     plan.takeover = takeover;
     plan.backupAddress = active.backup ? active.backup->address : "";
@@ -149,7 +150,7 @@
     ActiveRequest *found = this->findRequest(event.attempt.request);
     if (found != nullptr && found->parallel && found->parallel->number == event.attempt.number) {
         const ResponseHead &head = event.head;
-        this->noteLimit(found->parallel->upstream, head, found->parallel->startedAt);
+        this->noteStatements(found->parallel->upstream, head, found->parallel->startedAt);
         if (head.status == statusOk && head.eventStream && head.authentic) {
             this->promoteParallelTakeover(*found, head);
         }
@@ -160,7 +161,7 @@
         return;
     }
     ActiveRequest &active = *current;
-    this->noteLimit(active.upstream, event.head, active.attemptStartedAt);
+    this->noteStatements(active.upstream, event.head, active.attemptStartedAt);
     active.head = event.head;
     active.headReceived = true;
     active.lastActivityAt = this->now;
@@ -257,6 +258,7 @@
     this->releaseUpstream(*current);
     this->handleAttemptEnd(*current, event.end, event.detail);
     this->placeQueued();
+    this->rejectBeyondLimits();
 }
 
 void Router::handleAttemptEnd(ActiveRequest &active, AttemptEnd end, const std::string &detail)
@@ -328,7 +330,10 @@
     }
     this->unreliableUntil[active.upstream.id]
         = this->now + (unreachable ? unreachablePenalty : noCapacityPenalty);
-    active.excluded.push_back(active.upstream.id);
+    // After a pause the upstream may be asked again.
+    if (this->pauses.allows(active.upstream.id, active.upstream.incarnation, this->now)) {
+        active.excluded.push_back(active.upstream.id);
+    }
     if (unreachable) {
         active.possibleDeliveries -= 1;
     }
--- a/src/routing/router_migrations.cpp
+++ b/src/routing/router_migrations.cpp
@@ -70,8 +70,10 @@
 void Router::noteDraining(const ActiveRequest &active)
 {
     const DrainNotice notice {this->now, {}, active.upstream.incarnation};
-    const bool added = this->drainNotices.try_emplace(active.upstream.id, notice).second;
-    if (added) {
+    const auto [known, added] = this->drainNotices.try_emplace(active.upstream.id, notice);
+    const bool asksAgain = known->second.stated && !known->second.exitsAt;
+    const bool wasAsked = std::exchange(known->second.reportRequested, true);
+    if (added || (asksAgain && !wasAsked)) {
         this->emit(RequestEngineReport {active.upstream.id, active.upstream.address});
     }
 }
@@ -175,6 +177,7 @@
     for (const auto &[id, record] : this->state->upstreams) {
         const bool isCandidate = record.service == active.serviceName
             && !this->isUnavailable(record) && this->regionAllowed(active, record)
+            && this->pauses.allows(record.id, record.incarnation, this->now)
             && id != active.upstream.id && !contains(migration.rejectedBy, id)
             && this->state->evacuatedZones.count(record.zone) == 0
             && this->rateLimits.allows(id, this->now);
--- a/src/routing/router_takeovers.cpp
+++ b/src/routing/router_takeovers.cpp
@@ -67,7 +67,8 @@
     const UpstreamRecord *current = this->findUpstream(active.backup->id);
     return current != nullptr && !this->isUnavailable(*current)
         && current->incarnation == active.backup->incarnation && this->acceptsTakeover(*current)
-        && !active.parallel && this->now >= active.nextParallelTakeover;
+        && this->pauses.allows(current->id, current->incarnation, this->now) && !active.parallel
+        && this->now >= active.nextParallelTakeover;
 }
 
 bool Router::backupReady(const ActiveRequest &active) const
--- a/src/routing/types.h
+++ b/src/routing/types.h
@@ -179,7 +179,11 @@
     bool endsWithConnection = false; ///< True if neither a length nor chunks tell its end.
     /// Requests per second that the upstream takes from the whole fleet, if it names a limit.
     std::optional<double> requestsPerSecond {};
-    http::HeaderFields fields; ///< Header fields for the caller.
+    bool leaving = false; ///< True if the upstream states that it is shutting down.
+    /// Time for which the upstream, which is unavailable, wants no requests of this process.
+    std::optional<milliseconds> retryAfter {};
+    std::uint32_t invalidRetryAfters = 0; ///< Stated times that could not be read.
+    http::HeaderFields fields;            ///< Header fields for the caller.
 };
 
 /// A reply that this process generates itself instead of forwarding one from an upstream.
--- a/src/routing/upstream_observation.h
+++ b/src/routing/upstream_observation.h
@@ -15,6 +15,7 @@
     enum class Kind : std::uint8_t {
         ConnectionRefused = 0, ///< No process listens at the upstream's address.
         Draining = 1,          ///< The upstream reports that it is shutting down.
+        Leaving = 2,           ///< The upstream stated in a response that it is shutting down.
     };
 
     std::string upstream;          ///< Id of the upstream.
--- a/src/serving/routing_process.cpp
+++ b/src/serving/routing_process.cpp
@@ -295,6 +295,9 @@
          << "azurespindle_moves_begun_total " << status.migrationsStarted << "\n"
          << "azurespindle_moves_done_total " << status.migrationsCompleted << "\n"
          << "azurespindle_generations_lost_total " << status.generationsLost << "\n"
+         << "azurespindle_upstreams_leaving_total " << status.upstreamsLeaving << "\n"
+         << "azurespindle_upstream_pauses_total " << status.pausesNoted << "\n"
+         << "azurespindle_upstream_pauses_unreadable_total " << status.pausesUnreadable << "\n"
          << "azurespindle_view_revision " << this->view.revision() << "\n"
          << "azurespindle_ready " << (this->ready() ? 1 : 0) << "\n"
          << "azurespindle_publisher_away " << (this->view.storeUnavailable() ? 1 : 0) << "\n";
