Believe a refusal only if it names the request

A faulty server that wrote the refusal of an earlier request for one that it had run made the router tell the caller 'not run, try again', or send the request to a second server. Kept connections are not used here, which leaves this way.

Change: a refusal counts only if it bears this request's id; without any id only for requests that may be repeated. The stand-ins echo the id in their refusals, as the protocol says that servers do; without it the test aNonIdempotentCallRunsAtMostOnceWhateverItsUpstreamDoes failed.

--- a/src/routing/router_attempts.cpp
+++ b/src/routing/router_attempts.cpp
@@ -282,7 +282,7 @@
                        {"upstream", active.upstream.id},
                        {"end", name(end)},
                        {"status", std::to_string(active.head.status)},
-                       {"notRun", active.head.notRun || active.head.wrongInstance ? "yes" : "no"},
+                       {"notRun", statesNotRun(active, end) ? "yes" : "no"},
                        {"events", std::to_string(active.eventCount)},
                        {"tookMs", internal::millisecondsSince(active.attemptStartedAt, this->now)},
                        {"detail", detail}});
@@ -294,8 +294,7 @@
     } else if (streamed) {
         this->handleStreamEnd(active, end, detail);
     } else if (end == AttemptEnd::NotSent || end == AttemptEnd::ConnectionRefused
-               || (end == AttemptEnd::Complete
-                   && (active.head.notRun || active.head.wrongInstance))) {
+               || statesNotRun(active, end)) {
         this->handleNotRun(active, end, detail);
     } else if (end == AttemptEnd::Complete && active.head.authentic
                && !active.head.requestIdMismatch && !active.relaying
@@ -311,13 +310,24 @@
     }
 }
 
-bool Router::canRetry(const ActiveRequest &active) const
+bool Router::statesNotRun(const ActiveRequest &active, AttemptEnd end)
+{
+    const ResponseHead &head = active.head;
+    const bool states = end == AttemptEnd::Complete && (head.notRun || head.wrongInstance);
+    return states && !head.requestIdMismatch && (!head.requestIdMissing || mayRepeat(active));
+}
+
+bool Router::mayRepeat(const ActiveRequest &active)
 {
-    const bool mayRepeat = active.route->kind == RouteKind::Idempotent
+    return active.route->kind == RouteKind::Idempotent
         || (active.route->kind == RouteKind::Streaming && active.route->resumable);
+}
+
+bool Router::canRetry(const ActiveRequest &active) const
+{
     // The attempt that just ended is not in mayHaveRunOn yet.
     const bool attemptsLeft = active.mayHaveRunOn.size() + 1 < active.route->maxAttempts;
-    return mayRepeat && attemptsLeft
+    return mayRepeat(active) && attemptsLeft
         && active.attemptCount<totalAttemptLimit &&this->timeLeft(active)> minTimeForRetry
         && this->retryBudget.allows(active.serviceName, active.eventCount > 0, this->now);
 }
--- a/src/routing/router_takeovers.cpp
+++ b/src/routing/router_takeovers.cpp
@@ -218,7 +218,7 @@
         this->state->upstreams.begin(), this->state->upstreams.end(),
         [&](const auto &entry) { return entry.second.address == active.takeoverAddress; });
     const bool notRun = end == AttemptEnd::NotSent || end == AttemptEnd::ConnectionRefused
-        || (end == AttemptEnd::Complete && active.head.notRun);
+        || statesNotRun(active, end);
     if (notRun && atDestination && source != this->state->upstreams.end()
         && this->acceptsTakeover(source->second)) {
         const UpstreamRecord origin = source->second;
--- a/src/routing/types.h
+++ b/src/routing/types.h
@@ -175,6 +175,7 @@
     bool wrongInstance = false; ///< True if another upstream now listens at the address.
     bool authentic = false;     ///< True if it has the upstream's signature and this request's id.
     bool requestIdMismatch = false;  ///< True if it carries the id of another request.
+    bool requestIdMissing = false;   ///< True if it carries no request's id.
     bool eventStream = false;        ///< True if the body is a stream of server-sent events.
     bool endsWithConnection = false; ///< True if neither a length nor chunks tell its end.
     /// Requests per second that the upstream takes from the whole fleet, if it names a limit.
--- a/tests/platform/fake_platform.cpp
+++ b/tests/platform/fake_platform.cpp
@@ -287,7 +287,7 @@
 {
     const std::string requestId = headerField(request, "azurespindle-attempt-id");
     if (headerField(request, "azurespindle-expected-instance") != this->id) {
-        exchange->respond(421, {}, "");
+        exchange->respond(421, {{"azurespindle-attempt-id", requestId}}, "");
         return;
     }
     this->lastArrivalUs = monotonicNow().time_since_epoch().count();
@@ -301,7 +301,9 @@
         const std::lock_guard copiesLock(copiesMutex);
         const auto copy = copies.find(source);
         if (copy == copies.end()) {
-            exchange->respond(503, {{"azurespindle-not-executed", "1"}}, "");
+            exchange->respond(
+                503, {{"azurespindle-not-executed", "1"}, {"azurespindle-attempt-id", requestId}},
+                "");
             return;
         }
         copies.erase(copy);
@@ -427,12 +429,13 @@
 {
     const std::string requestId = headerField(request, "azurespindle-attempt-id");
     if (this->behaviour == Behaviour::RejectsAsFull) {
-        exchange->respond(503, {{"azurespindle-not-executed", "1"}}, "");
+        exchange->respond(
+            503, {{"azurespindle-not-executed", "1"}, {"azurespindle-attempt-id", requestId}}, "");
         return;
     }
     const bool isAddressed = headerField(request, "azurespindle-expected-instance") == this->id;
     if (this->behaviour == Behaviour::RejectsAsMisdirected || !isAddressed) {
-        exchange->respond(421, {}, "");
+        exchange->respond(421, {{"azurespindle-attempt-id", requestId}}, "");
         return;
     }
     {
--- a/tests/platform/http_translation_test.cpp
+++ b/tests/platform/http_translation_test.cpp
@@ -66,6 +66,9 @@
     CPPUNIT_TEST(responseHeadsTellWhetherTheResponseIsAuthentic);
     CPPUNIT_TEST(aNamedLimitIsRead);
     CPPUNIT_TEST(localRepliesGiveRetryAfterInFractionsOfSeconds);
+    CPPUNIT_TEST(whetherAnUpstreamLeavesIsRead);
+    CPPUNIT_TEST(theTimeForWhichAnUpstreamWantsNothingIsRead);
+    CPPUNIT_TEST(aResponseWithoutARequestIdIsMarked);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -210,6 +213,53 @@
             std::string(),
             valueOf(writeLocalReplyHead("", {504, milliseconds(0), ""}), "Retry-After"));
     }
+
+    void whetherAnUpstreamLeavesIsRead()
+    {
+        CPPUNIT_ASSERT(readHead({}, 200, {{"server-leaving", "1"}}).leaving);
+        CPPUNIT_ASSERT(readHead({}, 503, {{"Server-Leaving", "1"}}).leaving);
+        for (const std::string value : {"0", "", "yes", "11"}) {
+            CPPUNIT_ASSERT(!readHead({}, 200, {{"Server-Leaving", value}}).leaving);
+        }
+        CPPUNIT_ASSERT(!readHead({}, 200, {}).leaving);
+    }
+
+    void theTimeForWhichAnUpstreamWantsNothingIsRead()
+    {
+        const auto read = [](int status, const std::vector<std::string> &values) {
+            http::HeaderFields fields;
+            for (const std::string &value : values) {
+                fields.emplace_back("Retry-After", value);
+            }
+            return readHead({}, status, fields);
+        };
+        CPPUNIT_ASSERT(milliseconds(2'000) == read(503, {"2"}).retryAfter);
+        CPPUNIT_ASSERT(milliseconds(1'251) == read(503, {"1.2501"}).retryAfter);
+        CPPUNIT_ASSERT_MESSAGE("the longest of several",
+                               milliseconds(3'000) == read(503, {"1", "3", "2"}).retryAfter);
+        CPPUNIT_ASSERT_MESSAGE("bounded",
+                               milliseconds(86'400'000) == read(503, {"1e300"}).retryAfter);
+        CPPUNIT_ASSERT(!read(503, {"0"}).retryAfter);
+        CPPUNIT_ASSERT_EQUAL(0U, read(503, {"0"}).invalidRetryAfters);
+        for (const std::string value :
+             {"-1", "", "soon", "nan", "inf", "1 s", "Sat, 05 Dec 2026 00:00:00 GMT"}) {
+            CPPUNIT_ASSERT_MESSAGE(value, !read(503, {value}).retryAfter);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(value, 1U, read(503, {value}).invalidRetryAfters);
+        }
+        CPPUNIT_ASSERT_MESSAGE("another status", !read(429, {"2"}).retryAfter);
+        CPPUNIT_ASSERT(milliseconds(2'000) == read(503, {"soon", "2"}).retryAfter);
+    }
+
+    void aResponseWithoutARequestIdIsMarked()
+    {
+        routing::RoutedRequest request;
+        request.callerRequestId = "r1";
+        CPPUNIT_ASSERT(readHead(request, 503, {}).requestIdMissing);
+        CPPUNIT_ASSERT(
+            !readHead(request, 503, {{"Azurespindle-Attempt-Id", "r1"}}).requestIdMissing);
+        CPPUNIT_ASSERT(
+            readHead(request, 503, {{"Azurespindle-Attempt-Id", "r2"}}).requestIdMismatch);
+    }
 };
 
 REGISTER_SUITE(HttpTranslationTest, "http_translation");
--- a/tests/routing/router_test.cpp
+++ b/tests/routing/router_test.cpp
@@ -47,6 +47,8 @@
     CPPUNIT_TEST(aRequestThatCrashesUpstreamsIsRejected);
     CPPUNIT_TEST(retriesStayWithinTheBudget);
     CPPUNIT_TEST(aResponseToAnotherRequestIsNotForwarded);
+    CPPUNIT_TEST(aRefusalOfAnotherRequestPromisesNothing);
+    CPPUNIT_TEST(aResumedStreamIsNotCompletedByAnotherAnswer);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -664,6 +666,53 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), harness.countEffects<ForwardResponse>());
         CPPUNIT_ASSERT_EQUAL(502, harness.lastReplyStatus());
     }
+
+    void aRefusalOfAnotherRequestPromisesNothing()
+    {
+        for (const bool otherId : {false, true}) {
+            for (const std::string path : {"/order/1", "/look/1"}) {
+                RouterHarness harness;
+                harness.configure();
+                harness.addPlainUpstream("p1");
+                harness.addPlainUpstream("p2");
+                harness.sendRequest(path);
+                const AttemptId attempt = harness.lastEffect<StartAttempt>()->attempt;
+                ResponseHead head;
+                head.status = 503;
+                head.notRun = true;
+                head.requestIdMismatch = otherId;
+                head.requestIdMissing = !otherId;
+                harness.handle(HeadArrived {attempt, head});
+                harness.handle(AttemptEnded {attempt, AttemptEnd::Complete, ""});
+                const bool repeatable = path == "/look/1";
+                CPPUNIT_ASSERT_EQUAL(std::size_t(repeatable ? 2 : 1),
+                                     harness.countEffects<StartAttempt>());
+                CPPUNIT_ASSERT_EQUAL(repeatable ? 0 : 502, harness.lastReplyStatus());
+            }
+        }
+    }
+
+    void aResumedStreamIsNotCompletedByAnotherAnswer()
+    {
+        RouterHarness harness;
+        harness.configure();
+        harness.addEngine("e1");
+        harness.addEngine("e2");
+        const RequestId request = harness.sendRequest("/short/1");
+        harness.receiveStreamHead(request);
+        harness.receiveEvents(request, 2);
+        harness.endAttempt(request, AttemptEnd::Lost);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), harness.countEffects<StartAttempt>());
+        const AttemptId second = harness.lastEffect<StartAttempt>()->attempt;
+        ResponseHead head;
+        head.status = 200;
+        head.eventStream = true;
+        head.requestIdMismatch = true;
+        harness.handle(HeadArrived {second, head});
+        harness.handle(AttemptEnded {second, AttemptEnd::Complete, ""});
+        harness.advanceTime(seconds(1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), harness.countEffects<EndStream>());
+    }
 };
 
 REGISTER_SUITE(RouterTest, "router");
--- /dev/null
+++ b/tests/serving/damaged_answers_test.cpp
@@ -0,0 +1,316 @@
+// Plays answers that are damaged at any byte against a real process, and judges from the callers'
+// and the servers' side alone.
+
+#include "support/raw_fleet.h"
+#include "support/suite.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <cstdlib>
+#include <map>
+#include <mutex>
+#include <random>
+#include <set>
+
+namespace azurespindle::tests {
+namespace {
+
+constexpr std::uint16_t firstPort = 22'700;
+constexpr std::size_t eventsOfAStream = 4;
+/// Seeds played by default; AZURESPINDLE_DAMAGED_ANSWERS names another number.
+constexpr int defaultSeeds = 400;
+
+enum class Damage {
+    None,
+    RefusalOfAnother, ///< The refusal of an earlier request, though this one was run.
+    RefusalWithoutId, ///< A refusal that names no request, though this one was run.
+    AnswerOfAnother,  ///< The success of an earlier request.
+    Cut,              ///< The answer ends after some byte.
+    Reset,            ///< The answer is reset after some byte.
+    SecondHead,       ///< An error's head and text follow the first events.
+    ServerError,      ///< The server answers with its own error.
+    ForeignPage,      ///< A success without the server's signature.
+    TooLong,          ///< The stated length is longer than the body.
+    Interim,          ///< 100 and 103 come first; the answer is sound.
+    SoundRefusal,     ///< The request is refused and was not run.
+    Count
+};
+
+/// How the end of a body is told.
+enum class Framing { Length, Chunks, Connection, Count };
+
+const char *const paths[] = {"/draft/1", "/check/1", "/order/1", "/look/1"};
+
+std::string eventText(std::size_t number)
+{
+    return "id: " + std::to_string(number) + "\ndata: d" + std::to_string(number) + "\n\n";
+}
+
+std::string chunkOf(const std::string &bytes)
+{
+    std::array<char, 20> size {};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+    return size.data() + bytes + "\r\n";
+}
+
+std::string fieldOf(const std::string &request, const std::string &name)
+{
+    const std::size_t at = request.find("\r\n" + name + ": ");
+    if (at == std::string::npos) {
+        return "";
+    }
+    const std::size_t begin = at + name.size() + 4;
+    return request.substr(begin, request.find("\r\n", begin) - begin);
+}
+
+bool isStream(const std::string &path)
+{
+    return path == paths[0] || path == paths[1];
+}
+
+bool mayRepeat(const std::string &path)
+{
+    return path == paths[1] || path == paths[3];
+}
+
+std::string bodyOf(const std::string &id)
+{
+    return "the whole answer to " + id;
+}
+
+std::string framed(const std::string &head, const std::vector<std::string> &pieces, Framing framing)
+{
+    std::string body;
+    if (framing == Framing::Chunks) {
+        for (const std::string &piece : pieces) {
+            body += chunkOf(piece);
+        }
+        return head + "Transfer-Encoding: chunked\r\n\r\n" + body + "0\r\n\r\n";
+    }
+    for (const std::string &piece : pieces) {
+        body += piece;
+    }
+    const std::string length = framing == Framing::Length
+        ? "Content-Length: " + std::to_string(body.size()) + "\r\n"
+        : "";
+    return head + length + "\r\n" + body;
+}
+
+/// Makes the answers of one seed and remembers what was done with each request.
+class DamagingServers
+{
+public:
+    RawAnswer answer(const std::string &request)
+    {
+        const std::string id = fieldOf(request, "Azurespindle-Attempt-Id");
+        const std::lock_guard lock(this->mutex);
+        Play &play = this->plays[id];
+        const auto choose = [&play](std::size_t count) { return play.random() % count; };
+        const Damage damage = play.attempts == 0
+            ? play.first
+            : static_cast<Damage>(choose(static_cast<std::size_t>(Damage::Count)));
+        const auto framing = static_cast<Framing>(choose(static_cast<std::size_t>(Framing::Count)));
+        play.attempts += 1;
+        if (damage == Damage::SoundRefusal) {
+            return {refusal(id)};
+        }
+        play.runs += 1;
+        return this->damaged(play, request, id, damage, framing);
+    }
+
+    void prepare(const std::string &id, int seed, const std::string &path)
+    {
+        const std::lock_guard lock(this->mutex);
+        Play &play = this->plays[id];
+        play.random.seed(static_cast<unsigned>(seed));
+        play.first = static_cast<Damage>(seed % static_cast<int>(Damage::Count));
+        play.path = path;
+    }
+
+    std::size_t runsOf(const std::string &id) const
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->plays.at(id).runs;
+    }
+
+private:
+    struct Play
+    {
+        std::mt19937 random;
+        Damage first = Damage::None;
+        std::string path;
+        std::size_t attempts = 0;
+        std::size_t runs = 0; ///< Attempts that a server did not truthfully refuse.
+    };
+
+    static std::string headOf(int status, const std::string &id)
+    {
+        return "HTTP/1.1 " + std::to_string(status) + " X\r\n"
+            + (id.empty() ? "" : "Azurespindle-Attempt-Id: " + id + "\r\n");
+    }
+
+    static std::string refusal(const std::string &id)
+    {
+        return framed(headOf(503, id) + "Azurespindle-Not-Executed: 1\r\n", {"full"},
+                      Framing::Length);
+    }
+
+    /// Returns the events after the one that the request states that its caller has.
+    static std::vector<std::string> piecesFor(const Play &play, const std::string &request,
+                                              const std::string &id)
+    {
+        if (!isStream(play.path)) {
+            return {bodyOf(id)};
+        }
+        const std::string last = fieldOf(request, "Last-Event-Id");
+        std::vector<std::string> events;
+        for (std::size_t number = last.empty() ? 1 : std::stoul(last) + 1;
+             number <= eventsOfAStream; ++number) {
+            events.push_back(eventText(number));
+        }
+        return events;
+    }
+
+    RawAnswer damaged(Play &play, const std::string &request, const std::string &id, Damage damage,
+                      Framing framing)
+    {
+        const std::string seal = "Azurespindle-Server-Seal: s." + id + "\r\n";
+        const std::string type = isStream(play.path) ? "Content-Type: text/event-stream\r\n" : "";
+        const std::string head = headOf(200, id) + seal + type;
+        const std::vector<std::string> pieces = piecesFor(play, request, id);
+        const std::string whole = framed(head, pieces, framing);
+        switch (damage) {
+        case Damage::RefusalOfAnother:
+            return {refusal("earlier")};
+        case Damage::RefusalWithoutId:
+            return {refusal("")};
+        case Damage::AnswerOfAnother:
+            return {
+                framed(headOf(200, "earlier") + seal + type,
+                       isStream(play.path) ? pieces : std::vector<std::string> {bodyOf("earlier")},
+                       framing)};
+        case Damage::Cut:
+        case Damage::Reset: {
+            // Without a length or chunks, an end after whole events looks like the end.
+            const Framing told = framing == Framing::Connection ? Framing::Length : framing;
+            std::string cut = framed(head, pieces, told);
+            cut.resize(play.random() % cut.size());
+            return {cut, damage == Damage::Cut ? RawEnd::Close : RawEnd::Reset};
+        }
+        case Damage::SecondHead: {
+            std::vector<std::string> begun(
+                pieces.begin(),
+                pieces.begin()
+                    + std::min<std::ptrdiff_t>(1, static_cast<std::ptrdiff_t>(pieces.size())));
+            // Behind a whole body without length or chunks, a head would be a part of the body.
+            const Framing told = isStream(play.path) ? Framing::Connection : Framing::Length;
+            std::string bytes = framed(head, begun, told);
+            if (framing == Framing::Chunks && isStream(play.path)) {
+                bytes = head + "Transfer-Encoding: chunked\r\n\r\n";
+                for (const std::string &piece : begun) {
+                    bytes += chunkOf(piece);
+                }
+            }
+            return {bytes + framed(headOf(500, id), {"broken"}, Framing::Length)};
+        }
+        case Damage::ServerError:
+            return {framed(headOf(500, id) + seal, {"the error of a server"}, framing)};
+        case Damage::ForeignPage:
+            return {framed(headOf(200, id) + type, {"id: 1\ndata: foreign\n\n"}, framing)};
+        case Damage::TooLong: {
+            std::string body;
+            for (const std::string &piece : pieces) {
+                body += piece;
+            }
+            return {head + "Content-Length: " + std::to_string(body.size() + 5) + "\r\n\r\n"
+                    + body};
+        }
+        case Damage::Interim:
+            return {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+                    + whole};
+        default:
+            return {whole};
+        }
+    }
+
+    mutable std::mutex mutex;
+    std::map<std::string, Play> plays;
+};
+
+/// Returns what is wrong with a response, or an empty text.
+std::string faultOf(const std::string &path, const std::string &id, const CallerResponse &response,
+                    std::size_t runs)
+{
+    const bool complete = response.end == http::TransferEnd::Complete;
+    const bool promisesNotRun = response.status == 503 || response.status == 429
+        || response.status == 408 || response.status == 421;
+    if (complete && promisesNotRun && !mayRepeat(path) && runs > 0) {
+        return "REFUSED though it was run";
+    }
+    if (!mayRepeat(path) && runs > 1) {
+        return "TWICE: run " + std::to_string(runs) + " times";
+    }
+    if (response.status != 200) {
+        const bool sealed = response.headers.count("azurespindle-server-seal") > 0;
+        return sealed && response.status != 500 ? "MIXED: another status under a seal" : "";
+    }
+    if (!isStream(path)) {
+        return complete && response.body != bodyOf(id) ? "MIXED: " + response.body : "";
+    }
+    std::string events;
+    for (std::size_t number = 1; number <= eventsOfAStream; ++number) {
+        events += eventText(number);
+    }
+    if (events.rfind(response.body, 0) != 0) {
+        return "ORDER: " + response.body;
+    }
+    return complete && response.body != events ? "ORDER: complete too early: " + response.body : "";
+}
+
+int seedsToPlay()
+{
+    const char *text = std::getenv("AZURESPINDLE_DAMAGED_ANSWERS");
+    return text == nullptr ? defaultSeeds : std::atoi(text);
+}
+
+} // namespace
+
+class DamagedAnswersTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(DamagedAnswersTest);
+    CPPUNIT_TEST(noDamageIsTakenForAnAnswer);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void noDamageIsTakenForAnAnswer()
+    {
+        DamagingServers servers;
+        RawFleet fleet(firstPort, [&servers](std::size_t, const std::string &request) {
+            return servers.answer(request);
+        });
+        CPPUNIT_ASSERT(fleet.ready());
+        std::string faults;
+        std::size_t complete = 0;
+        const int seeds = seedsToPlay();
+        for (int seed = 0; seed < seeds; ++seed) {
+            const std::string path = paths[static_cast<std::size_t>(seed)
+                                           / static_cast<std::size_t>(Damage::Count) % 4];
+            const std::string id = "d" + std::to_string(seed);
+            servers.prepare(id, seed, path);
+            const CallerResponse response = fleet.send(path, id).get();
+            complete += response.status == 200 && response.end == http::TransferEnd::Complete;
+            const std::string fault = faultOf(path, id, response, servers.runsOf(id));
+            if (!fault.empty()) {
+                faults += "seed " + std::to_string(seed) + " " + path + ": " + fault + "\n";
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string(), faults);
+        CPPUNIT_ASSERT_MESSAGE("sound answers arrive",
+                               complete > static_cast<std::size_t>(seeds / 8));
+    }
+};
+
+REGISTER_SUITE(DamagedAnswersTest, "damaged_answers");
+
+} // namespace azurespindle::tests
