End a stream only with the end of the attempt that was forwarded

Cause (report b): after a stream broke off, the response of the next server counted as the stream if it looked like one: an event stream without the server's signature, or of another request, was not forwarded, but its end ended the caller's stream as if it were complete.

Change: the router remembers which attempt's stream was forwarded last.

--- a/src/routing/internal/active_request.h
+++ b/src/routing/internal/active_request.h
@@ -101,7 +101,8 @@
     std::vector<std::string> mayHaveRunOn; ///< Upstreams that may have executed the request.
     std::vector<std::string> excluded;     ///< Upstreams that did not accept the request.
 
-    bool relaying = false; ///< True once a stream is forwarded to the caller.
+    bool relaying = false;            ///< True once a stream is forwarded to the caller.
+    AttemptNumber relayedAttempt = 0; ///< Last attempt whose stream was forwarded; 0: none.
     bool resuming = false; ///< True until a new attempt of a forwarded stream sends events.
     /// Attempts in a row that took the stream over and ended without a new event.
     std::uint32_t fruitlessTakeovers = 0;
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -220,6 +220,11 @@
     /// Returns true if the upstream's response to the current attempt states that it was not
     /// executed, and may be believed: it names this request, or the request may be repeated.
     static bool statesNotRun(const ActiveRequest &active, AttemptEnd end);
+    /// Returns true if the stream of the current attempt was forwarded.
+    static bool relayedCurrentAttempt(const ActiveRequest &active)
+    {
+        return active.relayedAttempt == active.attempt;
+    }
     /// Handles the end of an attempt that was certainly not executed.
     void handleNotRun(ActiveRequest &active, AttemptEnd end, const std::string &detail);
     /// Handles a failed attempt that may have been executed.
--- a/src/routing/router_attempts.cpp
+++ b/src/routing/router_attempts.cpp
@@ -170,6 +170,7 @@
         && event.head.authentic && !event.head.requestIdMismatch;
     if (streamStarts) {
         active.relaying = true;
+        active.relayedAttempt = active.attempt;
         this->emit(RelayStream {event.attempt});
     }
 }
@@ -287,8 +288,7 @@
                        {"tookMs", internal::millisecondsSince(active.attemptStartedAt, this->now)},
                        {"detail", detail}});
     }
-    const bool streamed = active.headReceived && active.relaying && active.head.eventStream
-        && active.head.status == statusOk;
+    const bool streamed = active.relaying && relayedCurrentAttempt(active);
     if (active.isTakeover && !streamed) {
         this->handleTakeoverFailure(active, end, detail);
     } else if (streamed) {
--- a/src/routing/router_takeovers.cpp
+++ b/src/routing/router_takeovers.cpp
@@ -138,6 +138,7 @@
     this->discardMigration(active, !parallel.fromMigration);
     active.backup.reset();
     active.attempt = parallel.number;
+    active.relayedAttempt = parallel.number;
     active.running = true;
     active.upstream = parallel.upstream;
     active.claim = parallel.claim;
