--- a/src/serving/request_forwarder.cpp
+++ b/src/serving/request_forwarder.cpp
@@ -10,6 +10,8 @@
 constexpr const char *routedTrafficClass = "routed";
 constexpr int statusUnavailable = 503;
 constexpr milliseconds stoppingRetryAfter {20};
+/// Bytes with which the head of a response begins. No line of an event does.
+constexpr const char *responseHeadStart = "HTTP/1.";
 /// Responses up to this size are so many at most that their sum is not checked.
 constexpr std::size_t smallResponseBytes = 16'384;
 
@@ -219,16 +221,24 @@
                                      std::string_view bytes)
 {
     std::string forwarded;
+    bool headInStream = false;
     routing::EventsArrived arrived {attempt, 0, session.lastEventId};
     for (const upstreams::RawEvent &event : session.currentTransfer.splitter.feed(bytes)) {
         if (event.id && *event.id <= session.lastEventId) {
             continue; // The caller has it already, from an earlier attempt.
         }
+        if (event.bytes.rfind(responseHeadStart, 0) == 0) {
+            headInStream = true;
+            break;
+        }
         session.lastEventId = event.id.value_or(session.lastEventId);
         arrived.count += 1;
         forwarded += event.bytes;
     }
     if (arrived.count == 0) {
+        if (headInStream) {
+            this->giveUp(attempt, "a response's head stands in the stream");
+        }
         return;
     }
     if (!std::exchange(session.headSent, true)) {
@@ -244,6 +254,9 @@
     session.exchange->send(forwarded);
     arrived.lastEventId = session.lastEventId;
     this->dispatch(arrived);
+    if (headInStream && this->findTransfer(attempt) != nullptr) {
+        this->giveUp(attempt, "a response's head stands in the stream");
+    }
 }
 
 void RequestForwarder::onDone(const routing::AttemptId &attempt, const http::TransferResult &result)
