Choose the senders to a cold upstream once, not for each request

Cause: the choice hashes the names of all processes, for each cold upstream and each request that waits; while a whole fleet is cold that would be 36,000 hashes for a placement at 295 processes. And upstreams were counted by service at each change of the published state.

Change: the choice is kept until the processes change, the count while an upstream is cold.

Measured: suites cold_start_limiter, router, router_limits, router_crashes.

--- a/src/decision/cold_start_limiter.cpp
+++ b/src/decision/cold_start_limiter.cpp
@@ -12,10 +12,22 @@
 
 void ColdStartLimiter::setProcesses(const ProcessNames &processNames, const std::string &ownName)
 {
+    if (this->names != processNames || this->self != ownName) {
+        this->senderChoices.eraseIf([](const auto &, const auto &) { return true; });
+    }
     this->names = processNames;
     this->self = ownName;
 }
 
+bool ColdStartLimiter::isSenderTo(const std::string &upstream, std::size_t count) const
+{
+    std::pair<std::size_t, bool> &choice = this->senderChoices.touch(upstream);
+    if (choice.first != count) {
+        choice = {count, isSender(*this->names, this->self, upstream, count)};
+    }
+    return choice.second;
+}
+
 std::size_t ColdStartLimiter::senderCount(double usedRate, std::size_t alternatives) const
 {
     const std::size_t count = this->names->size();
@@ -34,7 +46,7 @@
     auto senders = static_cast<double>(this->processes);
     if (this->names != nullptr && static_cast<double>(this->names->size()) > usedRate) {
         const std::size_t count = this->senderCount(usedRate, alternatives);
-        if (!isSender(*this->names, this->self, upstream, count)) {
+        if (!this->isSenderTo(upstream, count)) {
             return false;
         }
         senders = static_cast<double>(count);
--- a/src/decision/cold_start_limiter.h
+++ b/src/decision/cold_start_limiter.h
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <string>
+#include <utility>
 
 namespace azurespindle::decision {
 
@@ -48,8 +49,13 @@
     /// Returns the number of processes that may send to one upstream.
     std::size_t senderCount(double usedRate, std::size_t alternatives) const;
 
+    /// Returns true if this process may send to the upstream at all.
+    bool isSenderTo(const std::string &upstream, std::size_t count) const;
+
     ProcessNames names;
     std::string self;
+    /// Results of isSenderTo() for these names, by upstream; the number of senders is part of each.
+    mutable RecentMap<std::string, std::pair<std::size_t, bool>> senderChoices {maxUpstreams};
     std::size_t processes = 1;
     RecentMap<std::string, Instant> lastSends {maxUpstreams};
 };
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -163,9 +163,11 @@
         }
     }
     this->state = event.state;
-    this->upstreamsOfService.clear();
-    for (const auto &[id, record] : this->state->upstreams) {
-        this->upstreamsOfService[record.service] += 1;
+    if (!this->coldUntil.empty()) {
+        this->upstreamsOfService.clear();
+        for (const auto &[id, record] : this->state->upstreams) {
+            this->upstreamsOfService[record.service] += 1;
+        }
     }
     const auto isCurrent = [this](const std::string &id, std::uint64_t incarnation) {
         const UpstreamRecord *record = this->findUpstream(id);
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -388,7 +388,8 @@
     std::vector<std::pair<Instant, UpstreamObservation>> observations;
     /// Observations that a relay passes on, by upstream.
     std::unordered_map<std::string, HeardObservation> heardObservations;
-    std::map<std::string, std::size_t> upstreamsOfService; ///< Number of upstreams by service.
+    /// Number of upstreams by service; kept while an upstream is cold.
+    std::map<std::string, std::size_t> upstreamsOfService;
     bool storeUnavailable = false;
     std::size_t processCount = 1;
     std::set<std::string> silentZones;
