Announce placements to the zone at once, ahead of the sums

Cause: since members report to relays, a placement was known to the others of its zone only with the next sums, up to 100 ms later.

Change: a process tells its zone a new claim at once; it counts for 150 ms, until the sums include it. Each member receives 64 such notices a second at most: in a larger or busier zone a process announces a part of its placements. Ended claims are reported each 100 ms again.

Measured: suites load_table, messages, fleet_reporter, router, routing_process.

--- a/src/decision/load_table.cpp
+++ b/src/decision/load_table.cpp
@@ -105,6 +105,21 @@
     this->fleetTotalsInUse = age <= (onlySource ? reportTimeout : fleetTotalsTimeout);
 }
 
+void LoadTable::announce(const std::vector<UpstreamClaim> &claims, Instant now)
+{
+    this->dropAnnouncements(now);
+    for (const UpstreamClaim &each : claims) {
+        this->announcements.push_back({each, now + announcementLifetime});
+    }
+}
+
+void LoadTable::dropAnnouncements(Instant now)
+{
+    while (!this->announcements.empty() && this->announcements.front().expiresAt <= now) {
+        this->announcements.pop_front();
+    }
+}
+
 void LoadTable::recordReport(std::uint64_t number, const std::vector<UpstreamClaim> &claims,
                              bool complete, Instant now)
 {
@@ -177,6 +192,7 @@
     std::erase_if(this->peers, silent);
     std::erase_if(this->zones, silent);
     this->judgeFleetTotals(now);
+    this->dropAnnouncements(now);
 }
 
 std::vector<UpstreamClaim> LoadTable::takeChanged()
@@ -198,6 +214,11 @@
             others -= this->acknowledgedClaim(upstream);
             sum += others;
         }
+        for (const Announcement &each : this->announcements) {
+            if (each.claim.upstream == upstream) {
+                sum += each.claim.claim;
+            }
+        }
         return sum;
     }
     for (const auto *reports : {&this->peers, &this->zones}) {
--- a/src/decision/load_table.h
+++ b/src/decision/load_table.h
@@ -45,6 +45,8 @@
 public:
     /// Time without a report after which the claims of a peer or zone are dropped.
     static constexpr milliseconds reportTimeout {3'000};
+    /// Time until the totals of the fleet include a claim that was announced.
+    static constexpr milliseconds announcementLifetime {150};
     /// Age from which the totals of the fleet count only if nothing is known of peers.
     static constexpr milliseconds fleetTotalsTimeout {1'000};
 
@@ -68,6 +70,9 @@
     /// \param acknowledged number of this process's last report that the totals include; 0: none.
     void updateFleet(const std::vector<UpstreamClaim> &claims, bool complete,
                      std::uint64_t acknowledged, Instant now);
+    /// Records new claims of another process, which the totals of the fleet include only later.
+    /// They count for announcementLifetime.
+    void announce(const std::vector<UpstreamClaim> &claims, Instant now);
     /// Records that this process reported \a claims in its report \a number.
     /// \param complete true if the report listed all claims.
     void recordReport(std::uint64_t number, const std::vector<UpstreamClaim> &claims, bool complete,
@@ -109,6 +114,12 @@
         std::uint64_t report = 0;
         ResourceClaim claim;
     };
+    /// A claim that was announced ahead of the totals.
+    struct Announcement
+    {
+        UpstreamClaim claim;
+        Instant expiresAt;
+    };
     /// Time of one of this process's reports.
     struct SentReport
     {
@@ -124,6 +135,7 @@
     ResourceClaim acknowledgedClaim(const std::string &upstream) const;
     /// Decides whether the totals of the fleet count.
     void judgeFleetTotals(Instant now);
+    void dropAnnouncements(Instant now);
     /// Forgets reports that no total can be behind any more.
     void trimReported(Instant now);
 
@@ -137,6 +149,7 @@
     /// What this process reported of each upstream, in the order of the reports.
     std::unordered_map<std::string, std::vector<ReportedClaim>> reported;
     std::deque<SentReport> sentReports;
+    std::deque<Announcement> announcements; ///< In the order of their arrival.
 };
 
 } // namespace azurespindle::decision
--- a/src/members/coordinator.h
+++ b/src/members/coordinator.h
@@ -41,6 +41,7 @@
     std::function<void(const std::string &from, const ZoneReport &report)> onZoneReport {};
     std::function<void(const std::string &from, const FleetReport &report)> onFleetReport {};
     std::function<void(const std::string &from, const ViewStatus &status)> onViewStatus {};
+    std::function<void(const PlacementNotice &notice)> onPlacementNotice {};
 };
 
 /// Last known state of one member, for `azurespindle status`.
--- a/src/members/coordinator_messages.cpp
+++ b/src/members/coordinator_messages.cpp
@@ -77,6 +77,10 @@
         if (this->hooks.onViewStatus) {
             this->hooks.onViewStatus(from, *viewStatus);
         }
+    } else if (const auto *notice = std::get_if<PlacementNotice>(&message)) {
+        if (this->hooks.onPlacementNotice) {
+            this->hooks.onPlacementNotice(*notice);
+        }
     }
 }
 
--- a/src/members/internal/frame_codec.h
+++ b/src/members/internal/frame_codec.h
@@ -106,6 +106,8 @@
 void read(const Object &from, ZoneReport &report);
 void write(Packer &out, const FleetReport &report);
 void read(const Object &from, FleetReport &report);
+void write(Packer &out, const PlacementNotice &notice);
+void read(const Object &from, PlacementNotice &notice);
 void write(Packer &out, const ViewStatus &status);
 void read(const Object &from, ViewStatus &status);
 void write(Packer &out, const ViewChanges &changes);
--- a/src/members/internal/routing_codec.cpp
+++ b/src/members/internal/routing_codec.cpp
@@ -248,6 +248,18 @@
     report.silentZones = in.as<std::vector<std::string>>();
 }
 
+void write(Packer &out, const PlacementNotice &notice)
+{
+    out.pack_array(1);
+    packList(out, notice.claims);
+}
+
+void read(const Object &from, PlacementNotice &notice)
+{
+    ArrayReader in(from);
+    unpackList(in.next(), notice.claims);
+}
+
 void write(Packer &out, const ViewStatus &status)
 {
     out.pack_array(2);
--- a/src/members/messages.h
+++ b/src/members/messages.h
@@ -214,6 +214,14 @@
     bool operator==(const FleetReport &other) const = default;
 };
 
+/// New claims of one process, sent to the members of its zone at once, ahead of the sums that will
+/// include them.
+struct PlacementNotice
+{
+    std::vector<decision::UpstreamClaim> claims;
+    bool operator==(const PlacementNotice &other) const = default;
+};
+
 /// What a member that reads the store tells the others of its zone at regular intervals.
 struct ViewStatus
 {
@@ -236,10 +244,10 @@
     bool operator==(const ViewChanges &other) const = default;
 };
 
-using Message
-    = std::variant<Hello, Heartbeat, MembershipUpdate, DocumentRequest, DocumentResponse,
-                   LeaseRequests, LeaseGrants, CrashReport, PermitRequests, PermitAnswers,
-                   RouterReport, ViewRequest, ViewChanges, ZoneReport, FleetReport, ViewStatus>;
+using Message = std::variant<Hello, Heartbeat, MembershipUpdate, DocumentRequest, DocumentResponse,
+                             LeaseRequests, LeaseGrants, CrashReport, PermitRequests, PermitAnswers,
+                             RouterReport, ViewRequest, ViewChanges, ZoneReport, FleetReport,
+                             ViewStatus, PlacementNotice>;
 
 /// Encodes a message as a frame's payload: a msgpack array of protocol version, type and body.
 std::string encode(const Message &message);
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -350,6 +350,11 @@
     }
 }
 
+void Router::on(const PlacementsAnnounced &event)
+{
+    this->loads.announce(event.claims, this->now);
+}
+
 void Router::on(const ZoneReportArrived &event)
 {
     for (const UpstreamObservation &observation : event.observations) {
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -18,6 +18,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace azurespindle::routing {
@@ -69,6 +70,12 @@
     RouterEffects handle(const RouterEvent &event, Instant now);
     /// Returns this process's claims that changed since the last call, for the peers.
     std::vector<decision::UpstreamClaim> takeChangedClaims() { return this->loads.takeChanged(); }
+    /// Returns the claims of the attempts that were started since the last call, for the members of
+    /// this process's zone.
+    std::vector<decision::UpstreamClaim> takePlacements()
+    {
+        return std::exchange(this->placements, {});
+    }
     /// Records that this process's report \a number told \a claims to the peers.
     /// \param all true if the report listed all claims.
     void recordReport(std::uint64_t number, const std::vector<decision::UpstreamClaim> &claims,
@@ -144,6 +151,7 @@
     void on(const PeerReportArrived &event);
     void on(const ZoneReportArrived &event);
     void on(const FleetReportArrived &event);
+    void on(const PlacementsAnnounced &event);
     void on(const PeerCrashReported &event);
     void on(const ProcessesChanged &event);
     void on(const TimePassed &event);
@@ -397,6 +405,7 @@
     std::unordered_map<RequestId, ActiveRequest> activeRequests;
     std::vector<RequestId> queue; ///< Queued requests by priority and time of arrival.
     decision::LoadTable loads;
+    std::vector<decision::UpstreamClaim> placements; ///< See takePlacements().
     decision::FleetRetryBudget retryBudget;
     decision::ColdStartLimiter coldStartLimiter;
     decision::UpstreamRateLimits rateLimits;
--- a/src/routing/router_attempts.cpp
+++ b/src/routing/router_attempts.cpp
@@ -73,6 +73,9 @@
     active.resuming = active.relaying;
     active.takeover = takeover.value_or(Takeover {});
     this->loads.add(upstream.id, claim);
+    if (active.service != nullptr && active.service->engine) {
+        this->placements.push_back({upstream.id, claim});
+    }
     active.backup = this->chooseBackup(active, upstream, claim);
     if (active.backup) {
         active.backupClaim = {0, claim.memory, 0};
--- a/src/routing/router_events.h
+++ b/src/routing/router_events.h
@@ -176,6 +176,12 @@
     std::vector<decision::NamedLimit> limits {};
 };
 
+/// Another process of this zone placed requests.
+struct PlacementsAnnounced
+{
+    std::vector<decision::UpstreamClaim> claims;
+};
+
 /// What a process reports about a crash.
 struct CrashReport
 {
@@ -222,11 +228,12 @@
 struct StopTimedOut
 { };
 
-using RouterEvent = std::variant<RequestArrived, CallerLeft, HeadArrived, EventsArrived,
-                                 AttemptEnded, MigrationResponseArrived, EngineReportArrived,
-                                 FleetStateChanged, StoreAvailabilityChanged, PeerReportArrived,
-                                 ZoneReportArrived, FleetReportArrived, PeerCrashReported,
-                                 ProcessesChanged, TimePassed, StopRequested, StopTimedOut>;
+using RouterEvent
+    = std::variant<RequestArrived, CallerLeft, HeadArrived, EventsArrived, AttemptEnded,
+                   MigrationResponseArrived, EngineReportArrived, FleetStateChanged,
+                   StoreAvailabilityChanged, PeerReportArrived, ZoneReportArrived,
+                   FleetReportArrived, PlacementsAnnounced, PeerCrashReported, ProcessesChanged,
+                   TimePassed, StopRequested, StopTimedOut>;
 
 // Effects: actions that the router requests. ------------------------------------------------
 
--- a/src/serving/fleet_reporter.cpp
+++ b/src/serving/fleet_reporter.cpp
@@ -10,12 +10,12 @@
 /// A report is sent at least every second tick, so that two fit into
 /// ViewSynchronizer::readerTimeout.
 constexpr std::uint64_t ticksPerHeartbeat = 2;
-/// In a large fleet, claims that ended or grew are reported at every second call only.
-constexpr std::uint64_t changeTicksPerReportToRelays = 2;
 constexpr std::uint64_t totalsPerZoneReport = 2;
 constexpr std::uint64_t totalsPerCounts = 5;
 constexpr std::uint64_t zoneReportsPerCompleteOne = 10;
 constexpr std::uint64_t fleetReportsPerCompleteOne = 20;
+/// Notices of placements that a process may save up.
+constexpr double maxSavedNotices = 4.0;
 
 } // namespace
 
@@ -58,10 +58,6 @@
 
 void FleetReporter::reportChanges()
 {
-    this->changeTicks += 1;
-    if (this->relay.reportsToRelays() && this->changeTicks % changeTicksPerReportToRelays != 0) {
-        return;
-    }
     const std::lock_guard lock(this->reportMutex);
     this->sendChanges();
 }
@@ -70,6 +66,25 @@
 {
     const std::lock_guard lock(this->reportMutex);
     this->sendChanges();
+    this->announcePlacements(monotonicNow());
+}
+
+void FleetReporter::announcePlacements(Instant now)
+{
+    const std::vector<decision::UpstreamClaim> placements = this->forwarder.takePlacements();
+    if (placements.empty() || !this->relay.reportsToRelays()) {
+        return;
+    }
+    std::vector<std::string> others = this->relay.ownZoneMembers();
+    std::erase(others, this->self);
+    const double ownRate = maxNoticesPerSecond / static_cast<double>(others.size() + 1);
+    this->savedNotices = std::min(
+        maxSavedNotices, this->savedNotices + ownRate * inSeconds(now - this->noticesSavedAt));
+    this->noticesSavedAt = now;
+    if (this->savedNotices >= 1.0) {
+        this->savedNotices -= 1.0;
+        this->hooks.sendToAll(others, members::PlacementNotice {placements});
+    }
 }
 
 void FleetReporter::sendChanges()
@@ -230,6 +245,11 @@
     }
 }
 
+void FleetReporter::handle(const members::PlacementNotice &notice)
+{
+    this->forwarder.handle(routing::PlacementsAnnounced {notice.claims});
+}
+
 void FleetReporter::handle(const std::string &from, const members::ViewStatus &status)
 {
     this->view.handleReport(from, status);
--- a/src/serving/fleet_reporter.h
+++ b/src/serving/fleet_reporter.h
@@ -42,6 +42,8 @@
     static constexpr milliseconds changeInterval {100};
     /// Interval of reportTotals().
     static constexpr milliseconds totalsInterval {100};
+    /// Notices of placements that a member of a large fleet receives a second at most.
+    static constexpr double maxNoticesPerSecond = 64.0;
 
     /// \param self name of this process.
     /// \param zone availability zone of this process.
@@ -63,6 +65,7 @@
     void handle(const std::string &from, const members::ZoneReport &report);
     void handle(const std::string &from, const members::FleetReport &report);
     void handle(const std::string &from, const members::ViewStatus &status);
+    void handle(const members::PlacementNotice &notice);
 
 private:
     /// What a relay knows of the reports of one member of its zone.
@@ -72,6 +75,9 @@
         Instant heardAt;
     };
 
+    /// Announces placements to the zone of a large fleet, as often as its size permits. Requires
+    /// reportMutex.
+    void announcePlacements(Instant now);
     /// Sends the claims that changed. Requires reportMutex.
     void sendChanges();
     /// \param full reports all claims, not just \a changed. Requires reportMutex.
@@ -92,10 +98,12 @@
     /// Held from collecting changes until they are sent, so that reports arrive in order.
     std::mutex reportMutex;
     std::uint64_t reportNumber = 0; ///< Number of the last report; guarded by reportMutex.
+    /// Notices that may be sent now, and when that was worked out; guarded by reportMutex.
+    double savedNotices = 0.0;
+    Instant noticesSavedAt;
 
     // Used by the timers' thread only.
     std::uint64_t ticks = 0;
-    std::uint64_t changeTicks = 0;
     std::uint64_t totalsTicks = 0;
     bool toldReading = false; ///< Whether the zone was last told that this process reads the store.
     bool wasActiveRelay = false;
--- a/src/serving/request_forwarder.cpp
+++ b/src/serving/request_forwarder.cpp
@@ -408,6 +408,12 @@
     return this->router.takeChangedClaims();
 }
 
+std::vector<decision::UpstreamClaim> RequestForwarder::takePlacements()
+{
+    const std::lock_guard lock(this->mutex);
+    return this->router.takePlacements();
+}
+
 void RequestForwarder::recordReport(std::uint64_t number,
                                     const std::vector<decision::UpstreamClaim> &claims, bool all)
 {
--- a/src/serving/request_forwarder.h
+++ b/src/serving/request_forwarder.h
@@ -56,6 +56,8 @@
     void handle(const routing::RouterEvent &event);
     /// Returns the claims that changed since the last call.
     std::vector<decision::UpstreamClaim> takeChangedClaims();
+    /// See Router::takePlacements().
+    std::vector<decision::UpstreamClaim> takePlacements();
     /// See Router::recordReport().
     void recordReport(std::uint64_t number, const std::vector<decision::UpstreamClaim> &claims,
                       bool all);
--- a/src/serving/routing_process.cpp
+++ b/src/serving/routing_process.cpp
@@ -175,6 +175,8 @@
     hooks.onFleetReport = [this](const std::string &from, const members::FleetReport &report) {
         this->reporter.handle(from, report);
     };
+    hooks.onPlacementNotice
+        = [this](const members::PlacementNotice &notice) { this->reporter.handle(notice); };
     hooks.onViewStatus = [this](const std::string &from, const members::ViewStatus &status) {
         this->reporter.handle(from, status);
     };
--- a/tests/decision/load_table_test.cpp
+++ b/tests/decision/load_table_test.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(theFleetsTotalIsCountedWithoutWhatThisProcessReported);
     CPPUNIT_TEST(newOwnClaimsCountBesideATotalThatDoesNotIncludeThem);
     CPPUNIT_TEST(changedTotalsAreAddedToThoseKnown);
+    CPPUNIT_TEST(announcedClaimsCountUntilTheTotalsIncludeThem);
     CPPUNIT_TEST(oldTotalsGiveWayToPeers);
     CPPUNIT_TEST(reportsAreForgottenInTime);
     CPPUNIT_TEST_SUITE_END();
@@ -132,6 +133,20 @@
         CPPUNIT_ASSERT_EQUAL(3U, table.totalClaim("e3").attempts);
     }
 
+    void announcedClaimsCountUntilTheTotalsIncludeThem()
+    {
+        const Instant now(seconds(1));
+        LoadTable table;
+        table.announce({{"e1", {1, 100, 50}}}, now);
+        CPPUNIT_ASSERT_MESSAGE("a member of a small fleet hears the reports themselves",
+                               ResourceClaim {} == table.totalClaim("e1"));
+        table.updateFleet({{"e1", {2, 200, 0}}}, true, 0, now);
+        CPPUNIT_ASSERT((ResourceClaim {3, 300, 50}) == table.totalClaim("e1"));
+        CPPUNIT_ASSERT(ResourceClaim {} == table.totalClaim("e2"));
+        table.removeSilent(now + LoadTable::announcementLifetime);
+        CPPUNIT_ASSERT((ResourceClaim {2, 200, 0}) == table.totalClaim("e1"));
+    }
+
     void oldTotalsGiveWayToPeers()
     {
         const Instant now(seconds(1));
