--- a/src/http/internal/posting_transport.cpp
+++ b/src/http/internal/posting_transport.cpp
@@ -66,7 +66,7 @@
                 this->continueWriting(peer);
             }
         }
-        others.push_back(std::move(event));
+        others.push_back(event);
     }
     return others;
 }
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -634,7 +634,6 @@
         server.stop();
     }
 
-private:
     /// Sends requests one after the other, each on a new connection.
     /// \return how many were not answered within receiveTimeout.
     static std::size_t lateAnswers(std::uint16_t port, int requests)
--- a/tests/serving/damaged_answers_test.cpp
+++ b/tests/serving/damaged_answers_test.cpp
@@ -302,7 +302,8 @@
             complete += response.status == 200 && response.end == http::TransferEnd::Complete;
             const std::string fault = faultOf(path, id, response, servers.runsOf(id));
             if (!fault.empty()) {
-                faults += "seed " + std::to_string(seed) + " " + path + ": " + fault + "\n";
+                faults.append("seed ").append(std::to_string(seed)).append(" ").append(path);
+                faults.append(": ").append(fault).append("\n");
             }
         }
         CPPUNIT_ASSERT_EQUAL(std::string(), faults);
--- a/tests/support/raw_fleet.cpp
+++ b/tests/support/raw_fleet.cpp
@@ -42,7 +42,8 @@
 
 } // namespace
 
-RawFleet::RawFleet(std::uint16_t firstPort, Script script) : firstPort(firstPort), store(firstPort)
+RawFleet::RawFleet(std::uint16_t firstPort, const Script &script)
+    : firstPort(firstPort), store(firstPort)
 {
     this->store.put("op/config", platformConfiguration(1));
     for (std::size_t index = 0; index < serversPerService; ++index) {
--- a/tests/support/raw_fleet.h
+++ b/tests/support/raw_fleet.h
@@ -32,7 +32,7 @@
     using Script = std::function<RawAnswer(std::size_t server, const std::string &request)>;
 
     /// \param firstPort the first of 14 ports that are used.
-    RawFleet(std::uint16_t firstPort, Script script);
+    RawFleet(std::uint16_t firstPort, const Script &script);
     ~RawFleet();
     RawFleet(const RawFleet &) = delete;
     RawFleet &operator=(const RawFleet &) = delete;
