--- a/review/support/engine.cpp
+++ b/review/support/engine.cpp
@@ -40,6 +40,12 @@
     return document.substr(begin, document.find('"', begin) - begin);
 }
 
+std::string eventText(int number, const std::string &request)
+{
+    const std::string digits = std::to_string(number);
+    return "id: " + digits + "\ndata: " + request + ":" + digits + "\n\n";
+}
+
 std::string chunk(const std::string &text)
 {
     char size[20];
@@ -167,14 +173,14 @@
                                      "Azurespindle-Attempt-Id: "
                                      + id + "\r\nAzurespindle-Server-Seal: seal-of-" + this->name
                                      + "\r\nTransfer-Encoding: chunked\r\n\r\n");
+    const std::string copyAtBackup = backup + "/" + id;
     bool moved = false;
     while (number < total && !moved && !this->exited && (connected || !this->traits.dropsOnClose)) {
         number += 1;
-        const std::string event = "id: " + std::to_string(number) + "\ndata: " + id + ":"
-            + std::to_string(number) + "\n\n";
-        connected = connected && connection.send(chunk(event)) && !closedByPeer(connection);
+        connected = connected && connection.send(chunk(eventText(number, id)))
+            && !closedByPeer(connection);
         if (!backup.empty()) {
-            this->saveCopy(backup + "/" + id, number);
+            this->saveCopy(copyAtBackup, number);
         }
         {
             const std::lock_guard lock(this->mutex);
--- a/review/support/http.cpp
+++ b/review/support/http.cpp
@@ -237,7 +237,7 @@
 {
     std::string text = "HTTP/1.1 " + std::to_string(status) + " Status\r\n";
     for (const auto &[name, value] : fields) {
-        text += name + ": " + value + "\r\n";
+        text.append(name).append(": ").append(value).append("\r\n");
     }
     return text + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
--- a/review/support/platform.cpp
+++ b/review/support/platform.cpp
@@ -169,7 +169,8 @@
     return connection.send(responseText(statusOk, fields, body));
 }
 
-EntryProcess::EntryProcess(EntrySettings settings, std::string root, const std::string &folder)
+EntryProcess::EntryProcess(EntrySettings settings, const std::string &root,
+                           const std::string &folder)
     : given(std::move(settings))
 {
     std::string file = folder + "/" + this->given.name + ".json";
@@ -218,6 +219,20 @@
     return this->process == 0;
 }
 
+std::size_t EntryProcess::memoryMegabytes() const
+{
+    constexpr std::size_t kilobytesPerMegabyte = 1'000;
+    std::ifstream status("/proc/" + std::to_string(this->process) + "/status");
+    std::string word;
+    std::size_t kilobytes = 0;
+    while (status >> word) {
+        if (word == "VmRSS:") {
+            status >> kilobytes;
+        }
+    }
+    return kilobytes / kilobytesPerMegabyte;
+}
+
 int EntryProcess::readiness() const
 {
     const Socket connection = Socket::connect(this->given.readyPort);
--- a/review/support/platform.h
+++ b/review/support/platform.h
@@ -78,7 +78,7 @@
 public:
     /// \param root the repository
     /// \param folder where its settings file and its log are written
-    EntryProcess(EntrySettings settings, std::string root, const std::string &folder);
+    EntryProcess(EntrySettings settings, const std::string &root, const std::string &folder);
     ~EntryProcess();
     EntryProcess(const EntryProcess &) = delete;
     EntryProcess &operator=(const EntryProcess &) = delete;
@@ -87,6 +87,8 @@
     void signal(int number) const;
     /// Returns true if the process has ended by itself.
     bool hasEnded();
+    /// Returns the memory that it uses, in MB.
+    std::size_t memoryMegabytes() const;
     /// Returns the status of a readiness question, or 0 if there is no answer in a second.
     int readiness() const;
 
