Stop a generation at its engine before another one continues it

Cause: a takeover began beside the running attempt, which was ended by closing its connection at the takeover's head. The time for which both run was bounded by nothing but the destination's speed, and a closed connection was taken for a stopped run. The same on related paths: lost and silent streams, streams that may be resumed, takeovers that are lost themselves, a destination that leaves meanwhile.

Change: the source is asked to stop (a final move) first. The takeover begins when the stream has ended by that, from the copy that the destination has already, without waiting for the final copy; or when the engine confirms that it runs nothing. Runs that are left are asked to stop again until that is confirmed, also after their request has ended. Event 214 and three metrics tell of it; a refused connection is an answer of its own.

--- a/src/journal/event_id.cpp
+++ b/src/journal/event_id.cpp
@@ -40,6 +40,10 @@
         {E::RequestCut, "request-cut", S::Warning,
          "A stream was still running when the process had to end; its caller's connection was "
          "closed."},
+        {E::RunStopUnconfirmed, "run-stop-unconfirmed", S::Warning,
+         "An engine was asked to stop a run that continues elsewhere, and has not confirmed that "
+         "it "
+         "did; it is asked again."},
         {E::UpstreamAdded, "upstream-added", S::Info, "An upstream is known now."},
         {E::UpstreamRemoved, "upstream-removed", S::Info, "An upstream is no longer listed."},
         {E::UpstreamCondition, "upstream-condition", S::Info,
--- a/src/journal/event_id.h
+++ b/src/journal/event_id.h
@@ -30,6 +30,7 @@
     MoveAnswered = 211,
     GenerationLost = 212,
     RequestCut = 213,
+    RunStopUnconfirmed = 214,
 
     UpstreamAdded = 300,
     UpstreamRemoved = 301,
--- a/src/routing/internal/active_request.h
+++ b/src/routing/internal/active_request.h
@@ -19,9 +19,9 @@
     ChoosingDestination, ///< No destination is chosen, or the last one had no capacity.
     Copying,             ///< The first copy is in progress while the generation continues.
     Copied,              ///< The first copy is complete.
-    HandingOver, ///< The destination takes over from the first copy while the source continues.
-    Stopping,    ///< The source was asked to stop the generation and copy the rest.
-    Stopped,     ///< The final copy is complete; the source's last events may still arrive.
+    Stopping,            ///< The source was asked to stop the generation and copy the rest.
+    Stopped,             ///< The source has stopped; its last events may still arrive.
+    TakingOver,          ///< The destination was asked to continue from the earlier copy.
 };
 
 /// The migration of a running generation to another engine.
@@ -29,34 +29,64 @@
 {
     MigrationStage stage = MigrationStage::ChoosingDestination;
     std::string reason;
-    UpstreamRecord destination;
-    decision::ResourceClaim claim; ///< Claim on the destination.
+    UpstreamRecord source;
+    AttemptNumber sourceAttempt = 0; ///< Attempt that runs, or ran, at the source.
+    UpstreamRecord destination;      ///< Engine that the source copies the generation to.
+    decision::ResourceClaim claim;   ///< Claim on the destination.
     Instant startedAt;
-    Instant retryAt;     ///< Earliest time of the next choice of a destination.
-    Instant finalCopyAt; ///< Time at which the link is expected to be free for the final copy.
-    Instant stoppedAt;   ///< Time at which the final copy was complete.
-    std::string handle;  ///< Handle of the latest copy; empty if there is none.
+    Instant retryAt;         ///< Earliest time of the next choice of a destination.
+    Instant finalCopyAt;     ///< Time at which the link is expected to be free for the final copy.
+    Instant stopRequestedAt; ///< Time at which the source was asked to stop the generation.
+    Instant stoppedAt;       ///< Time at which the source stated that it had stopped it.
+    std::string handle;      ///< Handle of the latest copy; empty if there is none.
+    /// Location, as in Takeover::source, of a copy that was made while the generation ran: its
+    /// backup or its first copy. Empty if there is none.
+    std::string earlierCopy;
+    UpstreamRecord earlierCopyHolder; ///< Engine that holds \a earlierCopy.
+    /// The source's answer to the request to stop; nothing while there is none.
+    std::optional<MigrationStatus> stopStatus;
     /// True if the source is stopped without a first copy, as its stream is silent anyway.
     bool stopImmediately = false;
-    bool handoverFailed = false;  ///< True if a takeover from the first copy has failed.
     bool sourceEnded = false;     ///< True if the source's stream has ended.
+    bool endedUnasked = false;    ///< True if it had ended before the source was asked to stop.
     bool sourceCompleted = false; ///< True if the source's stream ended as complete.
     std::uint32_t failures = 0;   ///< Number of failed copies, up to maxFailures.
     /// Destinations that lacked capacity or became unusable.
     std::vector<std::string> rejectedBy;
 };
 
-/// An attempt that takes a generation over from a copy while the current attempt still streams.
-/// If the copy turns out to be missing, the current attempt simply continues.
+/// An attempt that takes a generation over from a copy while the current attempt, whose engine
+/// cannot be reached, has not ended. If the copy turns out to be missing, the current attempt
+/// simply continues.
 struct ParallelTakeover
 {
     AttemptNumber number = 0;
     UpstreamRecord upstream;
     decision::ResourceClaim claim;
-    bool fromMigration = false; ///< True if the copy is a migration's, false if it is a backup.
     Instant startedAt {};
 };
 
+/// A run at an engine that the generation leaves, until the engine has confirmed that it works on
+/// it no longer. A closed connection does not confirm that.
+struct RunStop
+{
+    AttemptId attempt;
+    UpstreamRecord engine;
+    std::string destination; ///< IP:PORT of the engine that the generation continues at.
+    std::string callerRequestId;
+    Instant until; ///< Time at which the run ends in any case.
+    Instant askAgainAt;
+    bool answerPending = true;
+    std::uint32_t failures = 0; ///< Number of requests without a confirmation.
+};
+
+/// An attempt that ended without a confirmation from its engine, which may work on it still.
+struct UnconfirmedEnd
+{
+    AttemptNumber attempt = 0;
+    UpstreamRecord engine;
+};
+
 /// A request from its arrival until RequestClosed.
 struct ActiveRequest
 {
@@ -92,9 +122,10 @@
     bool headReceived = false;
     bool isTakeover = false; ///< True if the current attempt continues from a copy.
     Takeover takeover;
-    /// IP:PORT of the engine that holds the copy and can continue from it if the current
-    /// attempt fails; empty if there is none.
-    std::string takeoverAddress;
+    /// The engine that stopped the generation and can continue it if the current attempt fails.
+    std::optional<UpstreamRecord> takeoverSource;
+    /// The last attempt, if its engine has to be asked to stop it before the request is sent on.
+    std::optional<UnconfirmedEnd> unconfirmedEnd;
 
     std::uint32_t possibleDeliveries = 0; ///< Attempts that may have reached an upstream.
     std::uint32_t attemptCount = 0;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -62,6 +62,8 @@
         return "no-room";
     case MigrationStatus::Failed:
         return "failed";
+    case MigrationStatus::EngineGone:
+        return "engine-gone";
     }
     return "unknown";
 }
@@ -87,6 +89,7 @@
     for (const auto &[id, each] : this->activeRequests) {
         status.migratingGenerations += each.migration ? 1 : 0;
     }
+    status.unconfirmedStops = this->runStops.size();
     return status;
 }
 
@@ -397,6 +400,7 @@
 {
     this->loads.removeSilent(this->now);
     this->judgeLosses();
+    this->repeatRunStops();
     for (const RequestId id : this->activeRequestIds()) {
         if (ActiveRequest *each = this->findRequest(id)) {
             this->checkDeadline(*each);
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -41,6 +41,9 @@
     std::uint64_t migrationsStarted = 0;
     std::uint64_t migrationsCompleted = 0;
     std::uint64_t generationsLost = 0;
+    std::uint64_t runStopsAsked = 0;    ///< Requests to engines to stop a run.
+    std::uint64_t takeoversBeside = 0;  ///< Takeovers from engines that could not be reached.
+    std::size_t unconfirmedStops = 0;   ///< Runs whose engines have not confirmed their stop.
     std::uint64_t upstreamsLeaving = 0; ///< Upstreams that stated in a response that they leave.
     std::uint64_t pausesNoted = 0;      ///< Pauses that upstreams asked for.
     std::uint64_t pausesUnreadable = 0; ///< Stated pauses that could not be read.
@@ -130,6 +133,7 @@
     using MigrationStage = internal::MigrationStage;
     using Migration = internal::Migration;
     using ParallelTakeover = internal::ParallelTakeover;
+    using RunStop = internal::RunStop;
     using ActiveRequest = internal::ActiveRequest;
     using DrainNotice = internal::DrainNotice;
     using SuspectedCrash = internal::SuspectedCrash;
@@ -211,7 +215,7 @@
     /// Starts a takeover at \a destination while the current attempt continues.
     /// \param source location of the copy, as in Takeover::source.
     void startParallelTakeover(ActiveRequest &active, const UpstreamRecord &destination,
-                               const std::string &source, bool fromMigration);
+                               const std::string &source);
     /// Replaces the current attempt by the parallel takeover.
     void promoteParallelTakeover(ActiveRequest &active, const ResponseHead &head);
     void handleParallelTakeoverFailure(ActiveRequest &active, AttemptEnd end,
@@ -323,21 +327,64 @@
     bool canUseBackup(const ActiveRequest &active) const;
     /// Returns true if the generation has run for long enough to have a backup copy.
     bool backupReady(const ActiveRequest &active) const;
+    /// Gives up the backup copy and its claim.
+    void releaseBackup(ActiveRequest &active);
+    /// Returns true if the engine that stopped the generation can continue it.
+    bool sourceCanContinue(const ActiveRequest &active) const;
     /// Asks an engine for its report while the publishing store is unavailable.
     void pollEngineReport(const ActiveRequest &active);
-    void takeOverFromBackup(ActiveRequest &active);
+    /// Hands a generation over to the engine that holds its backup copy.
+    void handOverToBackup(ActiveRequest &active, const std::string &reason);
     void startMigration(ActiveRequest &active, const std::string &reason);
     /// Starts a migration if the engine is draining or unavailable, or takes the next step of a
     /// current one.
     void advanceMigration(ActiveRequest &active);
     void chooseDestination(ActiveRequest &active);
-    void handOver(ActiveRequest &active);
-    void requestFinalCopy(ActiveRequest &active);
     void onFirstCopyResponse(ActiveRequest &active, const MigrationResponse &response);
-    void onFinalCopyResponse(ActiveRequest &active, const MigrationResponse &response);
-    /// Starts a takeover of the copy \a handle, which the engine at \a address holds.
+
+    // Hand-overs (router_handovers.cpp): a generation is stopped at its source before it continues
+    // elsewhere.
+
+    /// Asks the source to stop the generation and to copy the rest of it to the destination.
+    void stopSource(ActiveRequest &active);
+    void onStopResponse(ActiveRequest &active, const MigrationResponse &response);
+    /// Reacts to the source's answer that it did not stop a generation that still streams.
+    void onStopRefused(ActiveRequest &active);
+    /// Asks a source that could not copy the generation to copy it to another engine.
+    void askAgainToStop(ActiveRequest &active);
+    /// Continues at the destination, or ends the request, once the source's stream has ended or the
+    /// source turns out to be unreachable.
+    void advanceStop(ActiveRequest &active);
+    /// Continues a generation that works at its source no longer, from the best copy there is.
+    void continueElsewhere(ActiveRequest &active);
+    void takeOverEarlierCopy(ActiveRequest &active);
+    /// Continues without the earlier copy, which the destination could not use.
+    void onEarlierCopyRefused(ActiveRequest &active);
+    /// Gives up a takeover that brings nothing, if the source can continue instead.
+    void checkTakeoverTime(ActiveRequest &active);
+    /// Ends the caller's stream as complete.
+    void completeStream(ActiveRequest &active);
+    /// Starts a takeover of the copy \a handle, which the engine \a source holds since it stopped
+    /// the generation.
     void takeOver(ActiveRequest &active, const UpstreamRecord &destination,
-                  const std::string &address, const std::string &handle);
+                  const UpstreamRecord &source, const std::string &handle);
+
+    // Confirmation that runs have stopped (router_run_stops.cpp)
+
+    /// Asks an engine to stop a run, again and again until it confirms that.
+    void stopRun(const ActiveRequest &active, AttemptNumber attempt, const UpstreamRecord &engine,
+                 const std::string &destination);
+    /// Notes the current attempt, which ended without its engine's confirmation.
+    void noteUnconfirmedEnd(ActiveRequest &active);
+    void emitRunStop(const RunStop &stop);
+    /// Asks the engines again that have not confirmed a stop.
+    void repeatRunStops();
+    /// Takes note of an engine's answer to a request to stop a run.
+    /// \param awaited false if nothing uses the copy that the engine made; it is released.
+    void noteRunStopAnswer(const MigrationResponseArrived &event, bool awaited);
+    /// Asks for the stop of a run no longer, as the run continues.
+    void forgetRunStop(const AttemptId &attempt);
+
     void handleTakeoverFailure(ActiveRequest &active, AttemptEnd end, const std::string &detail);
     /// Tries to migrate a generation whose stream broke or became silent. \return false if this is
     /// not possible.
@@ -418,6 +465,7 @@
     std::vector<ConnectionLoss> recentLosses;
     RecentMap<std::string, decision::LengthForecast> forecasts {maxForecasts}; ///< By route.
     std::vector<SuspectedCrash> suspectedCrashes;
+    std::vector<RunStop> runStops; ///< Also of requests that have ended.
     RouterStatus counters;
     std::uint64_t tieBreakCounter = 0;
     std::optional<Stop> stop; ///< Set while the process is stopping.
--- a/src/routing/router_attempts.cpp
+++ b/src/routing/router_attempts.cpp
@@ -98,6 +98,9 @@
         plan.resumeAfterEvent = active.lastEventId;
     }
     this->journalPlacement(active, active.attempt, plan);
+    if (const auto unconfirmed = std::exchange(active.unconfirmedEnd, std::nullopt)) {
+        this->stopRun(active, unconfirmed->attempt, unconfirmed->engine, upstream.address);
+    }
     this->emit(StartAttempt {{active.id, active.attempt}, std::move(plan)});
 }
 
@@ -172,6 +175,10 @@
     const bool streamStarts = isStream && event.head.status == statusOk && event.head.eventStream
         && event.head.authentic && !event.head.requestIdMismatch;
     if (streamStarts) {
+        if (active.migration && active.migration->stage == MigrationStage::TakingOver) {
+            this->discardMigration(active, true);
+        }
+        this->counters.migrationsCompleted += active.isTakeover ? 1 : 0;
         active.relaying = true;
         active.relayedAttempt = active.attempt;
         this->emit(RelayStream {event.attempt});
@@ -371,6 +378,9 @@
     const bool retry = this->canRetry(active) && !mayCrash;
     active.mayHaveRunOn.push_back(active.upstream.id);
     if (retry) {
+        if (end != AttemptEnd::Complete) {
+            this->noteUnconfirmedEnd(active);
+        }
         this->enqueue(active);
         return;
     }
@@ -380,29 +390,18 @@
 void Router::handleStreamEnd(ActiveRequest &active, AttemptEnd end, const std::string &detail)
 {
     const bool complete = end == AttemptEnd::Complete;
-    const bool stopped = active.migration
+    const bool stopping = active.migration
         && (active.migration->stage == MigrationStage::Stopping
             || active.migration->stage == MigrationStage::Stopped);
-    if (stopped) {
-        active.migration->sourceEnded = true;
-        active.migration->sourceCompleted = complete;
-        this->advanceMigration(active);
+    // The end of a stopped stream without chunks looks like that of a complete one.
+    if (complete && !(stopping && active.head.endsWithConnection)) {
+        this->completeStream(active);
         return;
     }
-    if (complete) {
-        this->crashes.clearSuspect(active.fingerprint);
-        this->cancelAttempts(active);
-        this->discardMigration(active, true);
-        const bool isFullOutput
-            = !active.request->lastEventId && active.service != nullptr && active.service->engine;
-        if (isFullOutput) {
-            this->forecasts.touch(active.route->name)
-                .observe("", "",
-                         static_cast<Tokens>(active.eventCount)
-                             * active.service->engine->tokensPerEvent);
-        }
-        this->emit(EndStream {active.id});
-        this->finishRequest(active);
+    if (stopping) {
+        active.migration->sourceEnded = true;
+        active.migration->sourceCompleted = complete;
+        this->advanceStop(active);
         return;
     }
     if (active.eventCount == 0) {
@@ -416,19 +415,19 @@
         this->abortStream(active, "no upstream continues the stream: " + detail);
         return;
     }
-    const bool copied = active.migration && active.migration->stage == MigrationStage::Copied;
-    if (!copied && this->canUseBackup(active)) {
-        this->discardMigration(active, true);
-        this->takeOverFromBackup(active);
+    if (active.migration && active.migration->stage == MigrationStage::Copied) {
+        active.migration->sourceEnded = true;
+        this->stopSource(active);
         return;
     }
-    if (active.migration && active.migration->stage == MigrationStage::Copied) {
-        const Migration migration = *active.migration;
-        this->takeOver(active, migration.destination, active.upstream.address, migration.handle);
+    if (this->canUseBackup(active)) {
+        this->discardMigration(active, true);
+        this->handOverToBackup(active, "stream " + std::string(name(end)));
         return;
     }
     this->discardMigration(active, false);
     if (this->canRetry(active) && !this->mayCrashAgain(active)) {
+        this->noteUnconfirmedEnd(active);
         active.mayHaveRunOn.push_back(active.upstream.id);
         this->unreliableUntil[active.upstream.id] = this->now + failedPenalty;
         this->enqueue(active);
@@ -439,6 +438,23 @@
     }
 }
 
+void Router::completeStream(ActiveRequest &active)
+{
+    this->crashes.clearSuspect(active.fingerprint);
+    this->cancelAttempts(active);
+    this->discardMigration(active, true);
+    const bool isFullOutput
+        = !active.request->lastEventId && active.service != nullptr && active.service->engine;
+    if (isFullOutput) {
+        this->forecasts.touch(active.route->name)
+            .observe("", "",
+                     static_cast<Tokens>(active.eventCount)
+                         * active.service->engine->tokensPerEvent);
+    }
+    this->emit(EndStream {active.id});
+    this->finishRequest(active);
+}
+
 void Router::checkDeadline(ActiveRequest &active)
 {
     if (this->now < active.deadline) {
@@ -469,7 +485,7 @@
             this->handleStreamEnd(active, AttemptEnd::TimedOut, "silent");
             this->placeQueued();
         } else if (this->canUseBackup(active) && this->backupReady(active)) {
-            this->takeOverFromBackup(active);
+            this->handOverToBackup(active, "silent");
         } else if (this->canMigrate(active)) {
             this->recoverGeneration(active, "silent");
         }
--- a/src/routing/router_events.h
+++ b/src/routing/router_events.h
@@ -48,6 +48,7 @@
     InProgress, ///< An earlier copy of the generation is still in progress.
     NoCapacity, ///< The destination has no capacity or is unreachable.
     Failed,     ///< No response arrived, or it could not be parsed.
+    EngineGone, ///< Nothing listens at the engine's address.
 };
 
 /// Returns the name of \a status for logs.
--- a/src/routing/router_migrations.cpp
+++ b/src/routing/router_migrations.cpp
@@ -25,8 +25,6 @@
 /// and some of an engine's copies stay in its zone while others leave it.
 constexpr double copyDurationMargin = 1.4;
 constexpr double megabitsPerByte = 8.0 / 1e6;
-/// Time for which the last events of a stopped generation may still arrive.
-constexpr milliseconds lastEventsTimeout {80};
 /// Fraction of the expected remaining output that is claimed as memory.
 constexpr double claimedOutputFraction = 0.5;
 
@@ -93,6 +91,8 @@
 {
     Migration migration;
     migration.reason = reason;
+    migration.source = active.upstream;
+    migration.sourceAttempt = active.attempt;
     migration.startedAt = this->now;
     migration.retryAt = this->now;
     // The generations of all processes at the engine share its link.
@@ -119,8 +119,9 @@
         }
         this->noteDraining(active);
         if (this->canUseBackup(active)) {
-            if (this->now >= this->handoverDeadline(active) && this->backupReady(active)) {
-                this->takeOverFromBackup(active);
+            if (this->now >= this->handoverDeadline(active) && this->backupReady(active)
+                && !active.resuming) {
+                this->handOverToBackup(active, "upstream is draining");
             }
             return;
         }
@@ -149,23 +150,18 @@
         }
         break;
     case MigrationStage::Copied:
-        if (!migration.handoverFailed) {
-            this->handOver(active);
-        } else if (this->now >= std::min(migration.finalCopyAt, this->handoverDeadline(active))) {
-            this->requestFinalCopy(active);
+        if (this->now >= std::min(migration.finalCopyAt, this->handoverDeadline(active))) {
+            this->stopSource(active);
         }
         break;
+    case MigrationStage::Stopping:
     case MigrationStage::Stopped:
-        if (migration.sourceEnded || this->now - migration.stoppedAt >= lastEventsTimeout) {
-            const Migration completed = migration;
-            this->cancelAttempts(active);
-            this->takeOver(active, completed.destination, active.upstream.address,
-                           completed.handle);
-        }
+        this->advanceStop(active);
+        break;
+    case MigrationStage::TakingOver:
+        this->checkTakeoverTime(active);
         break;
     case MigrationStage::Copying:
-    case MigrationStage::HandingOver:
-    case MigrationStage::Stopping:
         break; // Waits for a response.
     }
 }
@@ -196,62 +192,50 @@
     const auto chosen = decision::chooseEngine(
         candidates, {active.request->promptTokens, claim.memory, true, true},
         this->nextTieBreaker());
-    if (!chosen) {
+    const bool hasCopy = !migration.earlierCopy.empty();
+    if (!chosen && !hasCopy) {
         migration.retryAt = this->now + noDestinationRetryDelay;
         migration.rejectedBy.clear();
         return;
     }
-    migration.destination = *this->findUpstream(candidates[*chosen].upstream);
-    migration.claim = claim;
-    migration.handoverFailed = false;
-    this->loads.add(migration.destination.id, claim);
-    const bool stopSource = migration.sourceEnded || migration.stopImmediately;
-    migration.stage = stopSource ? MigrationStage::Stopping : MigrationStage::Copying;
+    migration.destination
+        = chosen ? *this->findUpstream(candidates[*chosen].upstream) : migration.earlierCopyHolder;
+    migration.claim = chosen ? claim : decision::ResourceClaim {};
+    this->loads.add(migration.destination.id, migration.claim);
+    const bool stopNow = migration.sourceEnded || migration.stopImmediately || hasCopy;
     this->journal(active, journal::EventId::MoveBegun,
                   {{"from", active.upstream.id},
                    {"to", migration.destination.id},
                    {"reason", migration.reason},
                    {"events", std::to_string(active.eventCount)},
-                   {"final", stopSource ? "yes" : "no"}});
-    this->emit(RequestMigration {{active.id, active.attempt},
-                                 active.upstream.address,
-                                 migration.destination.address,
-                                 active.request->callerRequestId,
-                                 stopSource});
-}
-
-void Router::handOver(ActiveRequest &active)
-{
-    // The first copy lacks only the tokens generated since, which the destination recomputes
-    // quickly. A final copy would be queued behind all other copies on both links, and the stream
-    // would pause.
-    Migration &migration = *active.migration;
-    migration.stage = MigrationStage::HandingOver;
-    this->startParallelTakeover(active, migration.destination,
-                                active.upstream.address + "/" + migration.handle, true);
-}
-
-void Router::requestFinalCopy(ActiveRequest &active)
-{
-    Migration &migration = *active.migration;
-    migration.stage = MigrationStage::Stopping;
+                   {"final", stopNow ? "yes" : "no"}});
+    if (stopNow) {
+        this->stopSource(active);
+        return;
+    }
+    migration.stage = MigrationStage::Copying;
     this->emit(RequestMigration {{active.id, active.attempt},
                                  active.upstream.address,
                                  migration.destination.address,
                                  active.request->callerRequestId,
-                                 true});
+                                 false});
 }
 
 void Router::on(const MigrationResponseArrived &event)
 {
-    ActiveRequest *current = this->findByCurrentAttempt(event.attempt);
-    if (current == nullptr || !current->migration) {
+    ActiveRequest *current = this->findRequest(event.attempt.request);
+    const bool awaited = current != nullptr && current->migration
+        && current->migration->sourceAttempt == event.attempt.number;
+    if (event.final) {
+        this->noteRunStopAnswer(event, awaited);
+    }
+    if (!awaited) {
         return;
     }
     ActiveRequest &active = *current;
     this->journal(
         active, journal::EventId::MoveAnswered,
-        {{"from", active.upstream.id},
+        {{"from", active.migration->source.id},
          {"to", active.migration->destination.id},
          {"final", event.final ? "yes" : "no"},
          {"status", name(event.response.status)},
@@ -260,8 +244,10 @@
          {"sinceMs", std::to_string((this->now - active.migration->startedAt).count() / 1'000)}});
     if (!event.final && active.migration->stage == MigrationStage::Copying) {
         this->onFirstCopyResponse(active, event.response);
-    } else if (event.final && active.migration->stage == MigrationStage::Stopping) {
-        this->onFinalCopyResponse(active, event.response);
+    } else if (event.final
+               && (active.migration->stage == MigrationStage::Stopping
+                   || active.migration->stage == MigrationStage::TakingOver)) {
+        this->onStopResponse(active, event.response);
     }
     this->placeQueued();
 }
@@ -271,6 +257,8 @@
     Migration &migration = *active.migration;
     if (response.status == MigrationStatus::Copied) {
         migration.handle = response.handle;
+        migration.earlierCopy = migration.source.address + "/" + response.handle;
+        migration.earlierCopyHolder = migration.destination;
         migration.stage = MigrationStage::Copied;
         this->advanceMigration(active);
         return;
@@ -297,57 +285,6 @@
     this->advanceMigration(active);
 }
 
-void Router::onFinalCopyResponse(ActiveRequest &active, const MigrationResponse &response)
-{
-    Migration &migration = *active.migration;
-    if (response.status == MigrationStatus::Copied) {
-        migration.handle = response.handle;
-        migration.stage = MigrationStage::Stopped;
-        migration.stoppedAt = this->now;
-        this->advanceMigration(active);
-        return;
-    }
-    if (response.status == MigrationStatus::NoCapacity && !response.handle.empty()) {
-        // The generation has stopped and its KV cache is still at the source, so it continues
-        // there.
-        const UpstreamRecord source = active.upstream;
-        this->cancelAttempts(active);
-        this->takeOver(active, source, source.address, response.handle);
-        return;
-    }
-    if (response.status == MigrationStatus::InProgress) {
-        migration.retryAt = this->now + inProgressRetryDelay;
-        migration.stage = MigrationStage::ChoosingDestination;
-        this->loads.subtract(migration.destination.id, migration.claim);
-        migration.claim = {};
-        return;
-    }
-    if (!migration.sourceEnded) {
-        // The generation still streams, or has just completed.
-        migration.failures = std::min(migration.failures + 1, maxFailures);
-        this->loads.subtract(migration.destination.id, migration.claim);
-        migration.claim = {};
-        migration.stage = MigrationStage::ChoosingDestination;
-        migration.retryAt = this->now + failedRetryDelay * migration.failures;
-        return;
-    }
-    // The end of a stopped stream without chunks looks like that of a complete one.
-    const bool completed = migration.sourceCompleted
-        && (!active.head.endsWithConnection || response.status == MigrationStatus::NotRunning);
-    if (completed) {
-        this->discardMigration(active, true);
-        this->emit(EndStream {active.id});
-        this->finishRequest(active);
-        return;
-    }
-    if (!migration.handle.empty()) {
-        const Migration copied = migration;
-        this->takeOver(active, copied.destination, active.upstream.address, copied.handle);
-        return;
-    }
-    this->abortStream(active, "the engine failed to copy the generation");
-}
-
 bool Router::recoverGeneration(ActiveRequest &active, const std::string &reason)
 {
     if (!this->canMigrate(active) || this->findUpstream(active.upstream.id) == nullptr
@@ -370,9 +307,12 @@
     if (!active.migration) {
         return;
     }
-    this->loads.subtract(active.migration->destination.id, active.migration->claim);
-    if (releaseCopy && !active.migration->handle.empty()) {
-        this->emit(ReleaseCopy {active.upstream.address, active.migration->handle});
+    const Migration &migration = *active.migration;
+    this->loads.subtract(migration.destination.id, migration.claim);
+    const bool inUse = migration.stage == MigrationStage::TakingOver
+        && migration.earlierCopy == migration.source.address + "/" + migration.handle;
+    if (releaseCopy && !migration.handle.empty() && !inUse) {
+        this->emit(ReleaseCopy {migration.source.address, migration.handle});
     }
     active.migration.reset();
 }
--- a/src/routing/router_takeovers.cpp
+++ b/src/routing/router_takeovers.cpp
@@ -89,32 +89,15 @@
     }
 }
 
-void Router::takeOverFromBackup(ActiveRequest &active)
-{
-    const UpstreamRecord backup = *active.backup;
-    const std::string source = backup.address + "/" + active.request->callerRequestId;
-    this->counters.migrationsStarted += 1;
-    this->journal(active, journal::EventId::MoveBegun,
-                  {{"from", active.upstream.id},
-                   {"to", backup.id},
-                   {"reason", "backup"},
-                   {"events", std::to_string(active.eventCount)}});
-    if (active.running) {
-        this->startParallelTakeover(active, backup, source, false);
-        return;
-    }
-    active.takeoverAddress.clear();
-    this->startAttempt(active, backup, this->currentClaim(active), Takeover {source});
-}
-
 void Router::startParallelTakeover(ActiveRequest &active, const UpstreamRecord &destination,
-                                   const std::string &source, bool fromMigration)
+                                   const std::string &source)
 {
+    this->counters.takeoversBeside += 1;
     active.lastAttempt += 1;
     active.attemptCount += 1;
     active.possibleDeliveries += 1;
     ParallelTakeover parallel {active.lastAttempt, destination, this->currentClaim(active),
-                               fromMigration, this->now};
+                               this->now};
     this->loads.add(destination.id, parallel.claim);
     this->rateLimits.recordSend(destination.id, this->now);
     this->retryBudget.recordResend(active.serviceName, this->now);
@@ -135,7 +118,7 @@
         this->emit(CancelAttempt {{active.id, active.attempt}});
     }
     this->releaseUpstream(active);
-    this->discardMigration(active, !parallel.fromMigration);
+    this->discardMigration(active, true);
     active.backup.reset();
     active.attempt = parallel.number;
     active.relayedAttempt = parallel.number;
@@ -148,7 +131,7 @@
     active.headReceived = true;
     active.isTakeover = true;
     active.resuming = true;
-    active.takeoverAddress.clear();
+    active.takeoverSource.reset();
     this->counters.migrationsCompleted += 1;
     this->emit(RelayStream {{active.id, active.attempt}});
 }
@@ -162,28 +145,22 @@
                    {"end", name(end)},
                    {"beside", "yes"},
                    {"detail", detail}});
-    const bool fromMigration = active.parallel->fromMigration;
+    const ParallelTakeover failed = *active.parallel;
     this->releaseParallelTakeover(active);
     active.nextParallelTakeover = this->now + parallelTakeoverRetryDelay;
-    if (active.running && fromMigration && active.migration) {
-        active.migration->stage = MigrationStage::Copied;
-        active.migration->handoverFailed = true;
-        return;
+    const bool mayRun = end == AttemptEnd::Lost || end == AttemptEnd::TimedOut;
+    if (mayRun && active.service->engine->supportsMigration) {
+        this->stopRun(active, failed.number, failed.upstream, active.upstream.address);
     }
     const bool unreachable = end == AttemptEnd::NotSent || end == AttemptEnd::TimedOut;
     if (active.running && unreachable && !this->sourceUnavailable(active)) {
-        return; // The connection may recover, or the current attempt may send events again.
-    }
-    if (active.running) {
-        this->loads.subtract(active.backup->id, active.backupClaim);
-        active.backup.reset();
+        // The connection may recover, or the current attempt may send events again.
+        active.migration->stage = MigrationStage::Stopping;
+        active.migration->retryAt = active.nextParallelTakeover;
         return;
     }
-    active.backup.reset();
-    if (!this->recoverGeneration(active, "backup copy missing")) {
-        this->abortStream(active,
-                          "the generation could not be resumed on another engine: " + detail);
-    }
+    this->releaseBackup(active);
+    this->onEarlierCopyRefused(active);
 }
 
 void Router::releaseParallelTakeover(ActiveRequest &active)
@@ -194,40 +171,33 @@
     }
 }
 
-void Router::takeOver(ActiveRequest &active, const UpstreamRecord &destination,
-                      const std::string &address, const std::string &handle)
+void Router::releaseBackup(ActiveRequest &active)
 {
-    if (!this->acceptsTakeover(destination)) {
-        this->abortStream(
-            active,
-            "the destination's zone is evacuated, or the engine has been draining for too long");
-        return;
-    }
-    const decision::ResourceClaim claim = this->currentClaim(active);
-    if (active.migration) {
-        this->loads.subtract(active.migration->destination.id, active.migration->claim);
-        active.migration.reset();
+    if (active.backup && active.running) {
+        this->loads.subtract(active.backup->id, active.backupClaim);
     }
-    active.takeoverAddress = address;
-    this->startAttempt(active, destination, claim, Takeover {address + "/" + handle});
+    active.backup.reset();
 }
 
 void Router::handleTakeoverFailure(ActiveRequest &active, AttemptEnd end, const std::string &detail)
 {
-    const bool atDestination = active.upstream.address != active.takeoverAddress;
-    const auto source = std::find_if(
-        this->state->upstreams.begin(), this->state->upstreams.end(),
-        [&](const auto &entry) { return entry.second.address == active.takeoverAddress; });
     const bool notRun = end == AttemptEnd::NotSent || end == AttemptEnd::ConnectionRefused
         || statesNotRun(active, end);
-    if (notRun && atDestination && source != this->state->upstreams.end()
-        && this->acceptsTakeover(source->second)) {
-        const UpstreamRecord origin = source->second;
+    if (active.migration && notRun) {
+        this->onEarlierCopyRefused(active);
+        return;
+    }
+    this->discardMigration(active, true);
+    if (notRun && this->sourceCanContinue(active)) {
+        const UpstreamRecord source = *active.takeoverSource;
         const Takeover takeover = active.takeover;
-        this->startAttempt(active, origin, this->currentClaim(active), takeover);
+        this->startAttempt(active, source, this->currentClaim(active), takeover);
         return;
     }
     if (this->canRetry(active)) {
+        if (end != AttemptEnd::Complete) {
+            this->noteUnconfirmedEnd(active);
+        }
         active.mayHaveRunOn.push_back(active.upstream.id);
         this->enqueue(active);
         return;
@@ -235,4 +205,14 @@
     this->abortStream(active, "the generation could not be resumed on another engine: " + detail);
 }
 
+bool Router::sourceCanContinue(const ActiveRequest &active) const
+{
+    if (!active.takeoverSource || active.upstream.id == active.takeoverSource->id) {
+        return false;
+    }
+    const UpstreamRecord *current = this->findUpstream(active.takeoverSource->id);
+    return current != nullptr && current->incarnation == active.takeoverSource->incarnation
+        && this->acceptsTakeover(*current);
+}
+
 } // namespace azurespindle::routing
--- a/tests/routing/router_harness.h
+++ b/tests/routing/router_harness.h
@@ -3,6 +3,7 @@
 
 #include "routing/router.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -71,6 +72,20 @@
         }
         return number;
     }
+    /// Returns the number of recorded effects that satisfy a condition and precede the last effect
+    /// of a type.
+    template<typename Effect>
+    std::size_t
+    countBeforeLast(const std::function<bool(const routing::RouterEffect &)> &condition) const
+    {
+        std::size_t number = 0;
+        std::size_t beforeLast = 0;
+        for (const routing::RouterEffect &each : this->effects) {
+            beforeLast = std::holds_alternative<Effect>(each) ? number : beforeLast;
+            number += condition(each) ? 1 : 0;
+        }
+        return beforeLast;
+    }
     /// Returns the recorded effects of a type, in order.
     template<typename Effect> std::vector<Effect> allEffects() const
     {
