--- a/src/serving/request_forwarder.cpp
+++ b/src/serving/request_forwarder.cpp
@@ -34,7 +34,8 @@
 
 std::string errorBody(const routing::LocalReply &reply)
 {
-    return nlohmann::json {{"error", reply.reason}}.dump();
+    return nlohmann::json {{"error", reply.reason}}.dump(-1, ' ', false,
+                                                         nlohmann::json::error_handler_t::replace);
 }
 
 } // namespace
--- a/tests/platform/engine_client_test.cpp
+++ b/tests/platform/engine_client_test.cpp
@@ -5,6 +5,7 @@
 #include "support/suite.h"
 
 #include <future>
+#include <map>
 #include <thread>
 
 namespace azurespindle::platform {
@@ -39,6 +40,8 @@
     CPPUNIT_TEST(migrationResponsesAreParsed);
     CPPUNIT_TEST(reportsAreParsed);
     CPPUNIT_TEST(aMigrationRequestNamesTheRunningRequest);
+    CPPUNIT_TEST(aMigrationRequestNamesAnIdOfAnyBytes);
+    CPPUNIT_TEST(aRefusedConnectionTellsThatTheEngineIsGone);
     CPPUNIT_TEST(anEndlessMigrationResponseIsGivenUp);
     CPPUNIT_TEST(anEndlessReportIsGivenUp);
     CPPUNIT_TEST(anEndlessResponseToAReleaseIsGivenUp);
@@ -94,6 +97,34 @@
         client.stop();
     }
 
+    /// Guards against a process that ends because a caller's id has bytes that are not UTF-8.
+    void aMigrationRequestNamesAnIdOfAnyBytes()
+    {
+        const std::map<std::string, std::string> bodies {
+            {"b\xFCro", "{\"final\":true,\"id\":\"b\xC3\xBCro\",\"to\":\"10.0.0.2:80\"}"},
+            {"b\xC3\xBCro", "{\"final\":true,\"id\":\"b\xC3\xBCro\",\"to\":\"10.0.0.2:80\"}"},
+            {"\x80\"", "{\"final\":true,\"id\":\"\xC2\x80\\\"\",\"to\":\"10.0.0.2:80\"}"}};
+        for (const auto &[id, body] : bodies) {
+            std::promise<std::string> received;
+            const RawServer engine([&](const std::string &request) {
+                received.set_value(request.substr(request.find("\r\n\r\n") + 4));
+                return RawAnswer {"HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n"};
+            });
+            http::Client client;
+            requestMigration(client, {{1, 1}, engine.address(), "10.0.0.2:80", id, true},
+                             [](const routing::MigrationResponse &) {});
+            CPPUNIT_ASSERT_EQUAL(body, received.get_future().get());
+            client.stop();
+        }
+    }
+
+    void aRefusedConnectionTellsThatTheEngineIsGone()
+    {
+        CPPUNIT_ASSERT(
+            parseMigrationResponse({http::TransferEnd::ConnectionRefused, 0, ""}, "").status
+            == MigrationStatus::EngineGone);
+    }
+
     void anEndlessMigrationResponseIsGivenUp()
     {
         const RawServer engine([](const std::string &) { return endless; });
