--- a/tests/platform/engine_client_test.cpp
+++ b/tests/platform/engine_client_test.cpp
@@ -42,6 +42,7 @@
     CPPUNIT_TEST(aMigrationRequestNamesTheRunningRequest);
     CPPUNIT_TEST(aMigrationRequestNamesAnIdOfAnyBytes);
     CPPUNIT_TEST(aRefusedConnectionTellsThatTheEngineIsGone);
+    CPPUNIT_TEST(absurdNumbersInReportsAreIgnored);
     CPPUNIT_TEST(anEndlessMigrationResponseIsGivenUp);
     CPPUNIT_TEST(anEndlessReportIsGivenUp);
     CPPUNIT_TEST(anEndlessResponseToAReleaseIsGivenUp);
@@ -125,6 +126,17 @@
             == MigrationStatus::EngineGone);
     }
 
+    /// Guards against durations that overflow when they are added to a time.
+    void absurdNumbersInReportsAreIgnored()
+    {
+        for (const char *number : {"1e300", "-1e300", "-1", "1e18", "9223372036854775808"}) {
+            const std::string body
+                = R"({"state":"draining","leaves_ms":)" + std::string(number) + "}";
+            CPPUNIT_ASSERT_MESSAGE(body, (routing::EngineReport {true, {}}) == parseReport(body));
+        }
+        CPPUNIT_ASSERT((routing::EngineReport {}) == parseReport(R"({"leaves_ms":1e999})"));
+    }
+
     void anEndlessMigrationResponseIsGivenUp()
     {
         const RawServer engine([](const std::string &) { return endless; });
--- a/tests/platform/item_decoder_test.cpp
+++ b/tests/platform/item_decoder_test.cpp
@@ -44,6 +44,7 @@
     CPPUNIT_TEST_SUITE(ItemDecoderTest);
     CPPUNIT_TEST(anUpstreamIsDecodedFromItsRegistration);
     CPPUNIT_TEST(invalidUpstreamEntriesAreErrors);
+    CPPUNIT_TEST(deeplyNestedEntriesAreRead);
     CPPUNIT_TEST(allFieldsOfAConfigurationAreDecoded);
     CPPUNIT_TEST(anInvalidConfigurationIsAnError);
     CPPUNIT_TEST(evacuationsAndUnrelatedKeysAreDecoded);
@@ -79,12 +80,38 @@
             replaced(validUpstream, "\"cold_left_ms\":250", "\"cold_left_ms\":null"),
             replaced(validUpstream, "\"zone\":\"z\"", "\"zone\":[]"),
             validUpstream.substr(0, 40),
+            // From another writer: numbers that no counter or clock holds.
+            replaced(validUpstream, "\"cold_left_ms\":250", "\"cold_left_ms\":1e300"),
+            replaced(validUpstream, "\"cold_left_ms\":250", "\"cold_left_ms\":-1e300"),
+            replaced(validUpstream, "\"cold_left_ms\":250", "\"cold_left_ms\":1e999"),
+            replaced(validUpstream, "\"slots\":24", "\"slots\":4294967320"),
+            replaced(validUpstream, "\"slots\":24", "\"slots\":99999999999999999999999"),
+            replaced(validUpstream, "1781089075381", "99999999999999999999999"),
+            std::string(200'000, '['),
+            std::string(200'000, '[') + std::string(200'000, ']'),
         };
         for (const std::string &value : invalid) {
             CPPUNIT_ASSERT_MESSAGE(value, std::holds_alternative<Error>(decodeUpstream(value)));
         }
     }
 
+    /// Guards against a process that ends on the entry of another writer: whatever the depth, it is
+    /// read or refused.
+    void deeplyNestedEntriesAreRead()
+    {
+        constexpr std::size_t depth = 200'000;
+        std::string nested;
+        for (std::size_t level = 0; level < depth; ++level) {
+            nested += "{\"a\":[";
+        }
+        for (std::size_t level = 0; level < depth; ++level) {
+            nested += "]}";
+        }
+        const auto decoded = decodeUpstream(replaced(validUpstream, "\"cold_left_ms\"",
+                                                     "\"more\":" + nested + ",\"cold_left_ms\""));
+        CPPUNIT_ASSERT(std::holds_alternative<routing::UpstreamRecord>(decoded));
+    }
+
     void allFieldsOfAConfigurationAreDecoded()
     {
         const auto decoded = decodeItem({"op/config", configuration, 7, false});
