Play engines that leave before real processes, and judge one engine at a time

Change: the soak's plan handovers; its engines draw those traits by seed, leave one to three at a time, up to 9 s after their notice, beside crashes, silence, configurations, SIGHUP and SIGTERM. It checks that an engine stops working on a generation within 0.4 s after another one has accepted it.

--- a/tests/platform/fake_platform.cpp
+++ b/tests/platform/fake_platform.cpp
@@ -231,36 +231,91 @@
     this->crashed = true;
     {
         const std::lock_guard lock(this->mutex);
-        for (auto &[requestId, run] : this->runningRequests) {
-            run.exchange->abort();
+        while (!this->runningRequests.empty()) {
+            const auto run = this->runningRequests.begin();
+            run->second.exchange->abort();
+            this->endRun(run->first);
         }
-        this->runningRequests.clear();
     }
     std::this_thread::sleep_for(milliseconds(20));
     this->server->stop();
 }
 
+std::vector<EngineWork> FakeEngine::works() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->workSpans;
+}
+
+void FakeEngine::endRun(const std::string &requestId)
+{
+    const auto run = this->runningRequests.find(requestId);
+    if (run != this->runningRequests.end()) {
+        this->workSpans[run->second.work].ended = monotonicNow();
+        this->runningRequests.erase(run);
+    }
+}
+
+void FakeEngine::sendHead(const std::string &requestId, Run &run) const
+{
+    run.headSent = true;
+    run.exchange->beginStream(200,
+                              {{"content-type", "text/event-stream"},
+                               {"azurespindle-attempt-id", requestId},
+                               {"azurespindle-server-seal", "seal-of-" + this->id}});
+}
+
+void FakeEngine::finishCopies()
+{
+    const Instant now = monotonicNow();
+    for (const PendingCopy &copy : this->pendingCopies) {
+        if (copy.doneAt > now) {
+            continue;
+        }
+        {
+            const std::lock_guard copiesLock(copiesMutex);
+            copies[copy.location] = {copy.generated, copy.total};
+        }
+        const std::string handle = copy.location.substr(copy.location.rfind('/') + 1);
+        copy.exchange->respond(200, jsonHeaders,
+                               json {{"kv_handle", handle}, {"created", copy.generated}}.dump());
+    }
+    std::erase_if(this->pendingCopies,
+                  [now](const PendingCopy &copy) { return copy.doneAt <= now; });
+}
+
 void FakeEngine::tick()
 {
     const std::lock_guard lock(this->mutex);
-    if (this->crashed || this->stalled || this->mute) {
+    if (this->crashed) {
         return;
     }
-    for (auto each = this->runningRequests.begin(); each != this->runningRequests.end();) {
-        Run &run = each->second;
+    this->finishCopies();
+    if (this->stalled || this->mute) {
+        return;
+    }
+    std::vector<std::string> finished;
+    for (auto &[requestId, run] : this->runningRequests) {
+        if (run.startsAt > monotonicNow()) {
+            continue;
+        }
+        if (!run.headSent) {
+            this->sendHead(requestId, run);
+        }
         run.generated += 1;
-        run.exchange->send(eventText(run.generated, each->first));
+        run.exchange->send(eventText(run.generated, requestId));
         if (!run.backup.empty()) {
             const std::lock_guard copiesLock(copiesMutex);
-            copies[run.backup + "/" + each->first] = {run.generated - 1, run.total};
+            copies[run.backup + "/" + requestId] = {run.generated - 1, run.total};
         }
-        if (run.generated < run.total) {
-            ++each;
-            continue;
+        if (run.generated >= run.total) {
+            finished.push_back(requestId);
         }
-        run.exchange->finish();
-        this->finishTimes[each->first] = monotonicNow();
-        each = this->runningRequests.erase(each);
+    }
+    for (const std::string &requestId : finished) {
+        this->runningRequests.at(requestId).exchange->finish();
+        this->finishTimes[requestId] = monotonicNow();
+        this->endRun(requestId);
     }
 }
 
@@ -312,20 +367,30 @@
     const std::string last = headerField(request, "last-event-id");
     run.generated = last.empty() ? 0 : std::stoull(last);
     this->startCount += 1;
-    if (!this->mute) {
-        exchange->beginStream(200,
-                              {{"content-type", "text/event-stream"},
-                               {"azurespindle-attempt-id", requestId},
-                               {"azurespindle-server-seal", "seal-of-" + this->id}});
-    }
+    run.startsAt = monotonicNow() + this->traits.startDelay;
     {
         const std::lock_guard lock(this->mutex);
+        this->endRun(requestId);
+        if (!this->mute && this->traits.startDelay.count() == 0) {
+            this->sendHead(requestId, run);
+        }
+        run.work = this->workSpans.size();
+        this->workSpans.push_back({requestId, monotonicNow(), {}});
         this->runCounts[requestId] += source.empty() && last.empty() ? 1 : 0;
         this->runningRequests[requestId] = run;
     }
-    exchange->onDisconnected([this, requestId] {
+    if (this->traits.ignoresClosedConnections) {
+        return;
+    }
+    const std::weak_ptr<http::Exchange> weak = exchange;
+    exchange->onDisconnected([this, requestId, weak] {
         const std::lock_guard lock(this->mutex);
-        this->runningRequests.erase(requestId);
+        const auto running = this->runningRequests.find(requestId);
+        const bool isThisRun
+            = running != this->runningRequests.end() && running->second.exchange == weak.lock();
+        if (isThisRun) {
+            this->endRun(requestId);
+        }
     });
 }
 
@@ -339,17 +404,21 @@
         exchange->respond(404, jsonHeaders, "{}");
         return;
     }
-    const std::string handle = "copy-of-" + requestId;
-    {
-        const std::lock_guard copiesLock(copiesMutex);
-        copies[this->address() + "/" + handle] = {run->second.generated, run->second.total};
+    const bool inProgress
+        = std::any_of(this->pendingCopies.begin(), this->pendingCopies.end(),
+                      [&](const PendingCopy &copy) { return copy.requestId == requestId; });
+    if (inProgress) {
+        exchange->respond(409, jsonHeaders, "{}");
+        return;
     }
-    const json answer {{"kv_handle", handle}, {"created", run->second.generated}};
-    exchange->respond(200, jsonHeaders, answer.dump());
+    this->pendingCopies.push_back({requestId, this->address() + "/copy-of-" + requestId,
+                                   run->second.generated, run->second.total,
+                                   monotonicNow() + this->traits.copyTime, exchange});
     if (migration.at("final").get<bool>()) {
         run->second.exchange->abort();
-        this->runningRequests.erase(run);
+        this->endRun(requestId);
     }
+    this->finishCopies();
 }
 
 // Service without a model ----------------------------------------------------------------------
--- a/tests/platform/fake_platform.h
+++ b/tests/platform/fake_platform.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -64,6 +65,22 @@
     http::Server server;
 };
 
+/// How an engine differs from one that begins, copies and notices everything at once.
+struct EngineTraits
+{
+    bool ignoresClosedConnections = false; ///< It works on when the connection of a run closes.
+    milliseconds startDelay {0};           ///< From a request's arrival to its response head.
+    milliseconds copyTime {0};             ///< From a request for a copy to its answer.
+};
+
+/// A span of time in which an engine worked on a request.
+struct EngineWork
+{
+    std::string requestId;
+    Instant began;
+    std::optional<Instant> ended;
+};
+
 /// Fake of a model engine, which streams numbered events and migrates running generations to other
 /// engines.
 ///
@@ -88,6 +105,8 @@
     /// registration().
     void setAdvertisedAddress(const std::string &address) { this->advertisedAddress = address; }
     void setZone(const std::string &zone) { this->zone = zone; }
+    /// To be called before it is registered.
+    void setTraits(const EngineTraits &given) { this->traits = given; }
 
     // Queries
 
@@ -103,6 +122,8 @@
     std::size_t runs(const std::string &requestId) const;
     /// Returns true if the request with this id had been run here to its last event at \a time.
     bool finishedBy(const std::string &requestId, Instant time) const;
+    /// Returns all that it has worked on.
+    std::vector<EngineWork> works() const;
     /// Returns the time at which a request was last accepted.
     Instant lastArrival() const { return Instant(microseconds(this->lastArrivalUs.load())); }
 
@@ -113,9 +134,25 @@
         std::uint64_t total = 0;
         std::string backup;
         http::ExchangePtr exchange;
+        Instant startsAt;
+        bool headSent = false;
+        std::size_t work = 0; ///< Index of its span of work.
+    };
+    /// A copy that is being made.
+    struct PendingCopy
+    {
+        std::string requestId;
+        std::string location; ///< Engine address and handle.
+        std::uint64_t generated = 0;
+        std::uint64_t total = 0;
+        Instant doneAt;
+        http::ExchangePtr exchange;
     };
 
     void answer(const http::ServerRequest &request, const http::ExchangePtr &exchange);
+    void sendHead(const std::string &requestId, Run &run) const;
+    void endRun(const std::string &requestId);
+    void finishCopies();
     void startRun(const http::ServerRequest &request, const http::ExchangePtr &exchange);
     void migrate(const http::ServerRequest &request, const http::ExchangePtr &exchange);
     void tick();
@@ -131,7 +168,10 @@
     std::atomic<bool> crashed {false};
     std::atomic<std::size_t> startCount {0};
     std::atomic<std::size_t> takeoverCount {0};
-    mutable std::mutex mutex; ///< Guards the three fields below.
+    EngineTraits traits;
+    mutable std::mutex mutex; ///< Guards the five fields below.
+    std::vector<EngineWork> workSpans;
+    std::vector<PendingCopy> pendingCopies;
     std::map<std::string, Run> runningRequests;
     std::map<std::string, std::size_t> runCounts;
     std::map<std::string, Instant> finishTimes; ///< Keyed by request.
--- a/tests/soak/fault_script.cpp
+++ b/tests/soak/fault_script.cpp
@@ -73,7 +73,7 @@
     });
 }
 
-void FaultScript::stopProcess()
+void FaultScript::stopProcess(bool mayCut)
 {
     const auto process = this->pickRunning();
     if (!process) {
@@ -84,9 +84,14 @@
     this->fleet.signalProcess(*process, SIGTERM);
     this->ended.insert(*process);
     // Ended here and started anew once it has had its time, so that other faults go on meanwhile.
-    this->later(stopPatience, [this, process] {
+    const Instant stoppedAt = monotonicNow();
+    this->later(stopPatience, [this, process, stoppedAt, mayCut] {
         this->fleet.calm().disturb(*process, atOnce);
-        this->fleet.endProcess(*process, 0, atOnce);
+        if (mayCut) {
+            this->fleet.reapStopped(*process, stoppedAt);
+        } else {
+            this->fleet.endProcess(*process, 0, atOnce);
+        }
         this->fleet.startProcess(*process);
         this->ended.erase(*process);
     });
--- a/tests/soak/fault_script.h
+++ b/tests/soak/fault_script.h
@@ -16,16 +16,20 @@
 
 protected:
     void beginOne() override;
+    void stopProcess() { this->stopProcess(false); }
+    /// \param mayCut true if requests may outlast the stop, and are cut at its end.
+    void stopProcess(bool mayCut);
+    void reloadProcess();
+    void harmEngine();
+
+    std::set<std::size_t> busyEngines; ///< Engines that are harmed or leave.
 
 private:
     void killProcess();
     void pauseProcess();
-    void stopProcess();
-    void reloadProcess();
     void harmLink();
     void resetLink();
     void harmStore();
-    void harmEngine();
     void releaseEngine();
     void harmPlain();
     void evacuateZone();
@@ -35,7 +39,6 @@
 
     std::set<std::size_t> ended;  ///< Processes that do not run now.
     std::set<std::size_t> paused; ///< Processes that a signal holds.
-    std::set<std::size_t> busyEngines;
     bool storeHarmed = false;
     bool evacuated = false;
 };
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -3,7 +3,9 @@
 
 #include "answered.h"
 #include "fault_script.h"
+#include "handover_script.h"
 #include "journal/journal.h"
+#include "overlaps.h"
 #include "soak_caller.h"
 #include "stop_script.h"
 #include "version_prober.h"
@@ -123,11 +125,14 @@
 {
     const std::size_t groups = std::min(fleet.settings().processes, mostCallerGroups);
     const bool planned = fleet.settings().plan == Plan::Stops;
+    const bool handovers = fleet.settings().plan == Plan::Handovers;
     const std::vector<CallerStyle> styles = planned
         ? std::vector {CallerStyle::Holder, CallerStyle::Kept, CallerStyle::Kept,
                        CallerStyle::Fresh,  CallerStyle::Slow, CallerStyle::Fresh}
-        : std::vector {CallerStyle::Steady};
-    const std::size_t count = planned ? groups * styles.size() : steadyCallers;
+        : handovers ? std::vector {CallerStyle::Steady, CallerStyle::Steady, CallerStyle::Steady,
+                                   CallerStyle::Steady, CallerStyle::Holder, CallerStyle::Holder}
+                    : std::vector {CallerStyle::Steady};
+    const std::size_t count = planned || handovers ? groups * styles.size() : steadyCallers;
     std::vector<std::unique_ptr<SoakCaller>> callers;
     for (std::size_t each = 0; each < count; ++each) {
         callers.push_back(std::make_unique<SoakCaller>(fleet, findings, stops,
@@ -139,8 +144,10 @@
 /// \throw std::invalid_argument if there is no such plan.
 Plan parsePlan(const std::string &name)
 {
-    static const std::map<std::string, Plan> plans {
-        {"random", Plan::Random}, {"stops", Plan::Stops}, {"versions", Plan::Versions}};
+    static const std::map<std::string, Plan> plans {{"random", Plan::Random},
+                                                    {"stops", Plan::Stops},
+                                                    {"versions", Plan::Versions},
+                                                    {"handovers", Plan::Handovers}};
     const auto found = plans.find(name);
     if (found == plans.end()) {
         throw std::invalid_argument("there is no plan " + name);
@@ -156,6 +163,9 @@
     if (fleet.settings().plan == Plan::Versions) {
         return std::make_unique<VersionScript>(fleet, prober);
     }
+    if (fleet.settings().plan == Plan::Handovers) {
+        return std::make_unique<HandoverScript>(fleet, prober);
+    }
     return std::make_unique<FaultScript>(fleet, prober);
 }
 
@@ -186,6 +196,9 @@
     std::size_t served = 0;
     for (const Seen &seen : answers) {
         checkRuns(fleet, seen, findings);
+        if (fleet.settings().plan == Plan::Handovers) {
+            checkOverlaps(fleet, seen, findings);
+        }
         if (planned) {
             checkAnswered(fleet, stops, seen, findings);
         }
@@ -234,7 +247,7 @@
         "seed", "draws the faults", cxxopts::value<std::uint64_t>()->default_value("1"))(
         "seconds", "time with faults", cxxopts::value<int>()->default_value("20"))(
         "processes", "routing processes", cxxopts::value<std::size_t>()->default_value("4"))(
-        "plan", "random, stops or versions",
+        "plan", "random, stops, versions or handovers",
         cxxopts::value<std::string>()->default_value("random"))(
         "port", "first of 8 ports a process and 281 more",
         cxxopts::value<std::uint16_t>()->default_value("23000"))(
@@ -251,6 +264,8 @@
         options.plains = options.plan == soak::Plan::Stops ? 1 + options.seed % 3 : options.plains;
         options.processes = given["processes"].as<std::size_t>();
         options.engines = std::max(options.engines, options.processes);
+        options.engines
+            = options.plan == soak::Plan::Handovers ? 2 * options.engines : options.engines;
         options.duration = seconds(given["seconds"].as<int>());
         options.firstPort = given["port"].as<std::uint16_t>();
         options.binary = given["binary"].as<std::string>();
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -39,6 +39,10 @@
 /// A leaving engine gets nothing after this time, from processes that are calm.
 constexpr milliseconds drainBound {2'000};
 constexpr milliseconds endPoll {10};
+/// One engine in so many does not notice closed connections.
+constexpr std::uint64_t deafEngineShare = 3;
+constexpr std::uint64_t mostStartDelayMs = 1'000;
+constexpr std::uint64_t mostCopyTimeMs = 600;
 
 std::string loopback(std::uint16_t port)
 {
@@ -53,7 +57,8 @@
 } // namespace
 
 SoakFleet::SoakFleet(SoakOptions given, Findings &findings)
-    : options(std::move(given)), findings(findings), calmness(this->options.processes)
+    : options(std::move(given)), findings(findings), calmness(this->options.processes),
+      traitsRandom(this->options.seed)
 {
     this->storeStandin = std::make_unique<tests::FakeStore>(this->storePort());
     this->publishConfiguration();
@@ -253,6 +258,15 @@
     }
 }
 
+tests::EngineTraits SoakFleet::drawTraits()
+{
+    tests::EngineTraits traits;
+    traits.ignoresClosedConnections = this->traitsRandom() % deafEngineShare == 0;
+    traits.startDelay = milliseconds(this->traitsRandom() % mostStartDelayMs);
+    traits.copyTime = milliseconds(this->traitsRandom() % mostCopyTimeMs);
+    return traits;
+}
+
 void SoakFleet::addEngine(std::size_t index)
 {
     const std::uint16_t port = this->nextUpstreamPort();
@@ -264,6 +278,9 @@
     engine.standin = std::make_unique<tests::FakeEngine>(engine.id, port);
     engine.standin->setAdvertisedAddress(loopback(linkPort));
     engine.standin->setZone(engine.zone);
+    if (this->options.plan == Plan::Handovers) {
+        engine.standin->setTraits(this->drawTraits());
+    }
     engine.link = std::make_unique<LinkProxy>(this->links, linkPort, port);
     this->storeStandin->put("servers/" + engine.id, engine.standin->registration());
     this->engines[index] = std::move(engine);
@@ -273,7 +290,7 @@
 {
     Engine &engine = this->engines[index];
     this->storeStandin->remove("servers/" + engine.id);
-    this->goneEngines.push_back(std::move(engine.standin));
+    this->goneEngines.push_back(std::move(engine));
     this->addEngine(index);
 }
 
@@ -284,12 +301,12 @@
     this->replaceEngine(index);
 }
 
-void SoakFleet::announceLeaving(std::size_t index, milliseconds notice)
+void SoakFleet::announceLeaving(std::size_t index, milliseconds notice, bool tellsTime)
 {
     Engine &engine = this->engines[index];
     engine.leaving = true;
     engine.noticed = monotonicNow();
-    engine.standin->setTimeToShutdown(notice);
+    engine.standin->setTimeToShutdown(tellsTime ? notice : milliseconds(0));
     this->storeStandin->put("servers/" + engine.id, engine.standin->registration(true));
 }
 
@@ -337,7 +354,8 @@
                        [&](const Plain &plain) { return has(plain.standin); })
         || std::any_of(this->engines.begin(), this->engines.end(),
                        [&](const Engine &engine) { return has(engine.standin); })
-        || std::any_of(this->goneEngines.begin(), this->goneEngines.end(), has);
+        || std::any_of(this->goneEngines.begin(), this->goneEngines.end(),
+                       [&](const Engine &engine) { return has(engine.standin); });
 }
 
 std::size_t SoakFleet::runs(const std::string &callerId) const
@@ -349,10 +367,26 @@
     for (const Engine &engine : this->engines) {
         runs += engine.standin->runs(callerId);
     }
-    for (const auto &gone : this->goneEngines) {
-        runs += gone->runs(callerId);
+    for (const Engine &gone : this->goneEngines) {
+        runs += gone.standin->runs(callerId);
     }
     return runs;
 }
 
+std::map<std::string, std::vector<tests::EngineWork>>
+SoakFleet::worksOn(const std::string &callerId) const
+{
+    std::map<std::string, std::vector<tests::EngineWork>> found;
+    const auto collect = [&](const Engine &engine) {
+        for (const tests::EngineWork &work : engine.standin->works()) {
+            if (work.requestId == callerId) {
+                found[engine.id].push_back(work);
+            }
+        }
+    };
+    std::for_each(this->engines.begin(), this->engines.end(), collect);
+    std::for_each(this->goneEngines.begin(), this->goneEngines.end(), collect);
+    return found;
+}
+
 } // namespace azurespindle::soak
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -7,7 +7,9 @@
 #include "platform/fake_platform.h"
 
 #include <cstdint>
+#include <map>
 #include <memory>
+#include <random>
 #include <string>
 #include <sys/types.h>
 #include <vector>
@@ -16,9 +18,10 @@
 
 /// What a soak plays.
 enum class Plan {
-    Random,   ///< Faults of all kinds.
-    Stops,    ///< Planned work, and callers that meet it.
-    Versions, ///< Large configurations in series and named limits, among faults of all kinds.
+    Random,    ///< Faults of all kinds.
+    Stops,     ///< Planned work, and callers that meet it.
+    Versions,  ///< Large configurations in series and named limits, among faults of all kinds.
+    Handovers, ///< Engines that leave in series, some slow to begin or deaf to closed connections.
 };
 
 struct SoakOptions
@@ -68,7 +71,8 @@
     /// Cuts all runs of an engine; another one takes its place.
     void crashEngine(std::size_t engine);
     /// Says that an engine leaves and is gone after \a notice.
-    void announceLeaving(std::size_t engine, milliseconds notice);
+    /// \param tellsTime false if it does not report when it is gone.
+    void announceLeaving(std::size_t engine, milliseconds notice, bool tellsTime = true);
     /// Ends an engine whose notice is over; another one takes its place.
     void finishLeaving(std::size_t engine);
     /// Checks that the engines of a zone got nothing later than \a bound after its evacuation.
@@ -94,6 +98,9 @@
     /// Returns how often a call ran, or a generation was begun from its first event, on all
     /// upstreams ever.
     std::size_t runs(const std::string &callerId) const;
+    /// Returns the work of all engines ever on a request, by engine.
+    std::map<std::string, std::vector<tests::EngineWork>>
+    worksOn(const std::string &callerId) const;
     /// Returns true if a plain upstream hung on a request.
     bool hungOn(const std::string &callerId) const;
     /// Returns true if an upstream had run a request to its end at \a time.
@@ -130,6 +137,7 @@
     std::uint16_t nextUpstreamPort();
     std::uint16_t storePort() const;
     void addEngine(std::size_t index);
+    tests::EngineTraits drawTraits();
     void replaceEngine(std::size_t index);
     void checkLeaving(const Engine &engine);
 
@@ -141,10 +149,11 @@
     std::vector<Process> processes;
     std::vector<Engine> engines;
     std::vector<Plain> plains;
-    std::vector<std::unique_ptr<tests::FakeEngine>> goneEngines; ///< They know what ran there.
+    std::vector<Engine> goneEngines; ///< They know what ran there.
     std::uint64_t version = 0;
     std::uint16_t upstreamPorts = 0; ///< Used so far.
     std::size_t engineNumber = 0;
+    std::mt19937_64 traitsRandom; ///< Draws how engines behave.
 };
 
 } // namespace azurespindle::soak
