--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -258,6 +258,8 @@
     /// Sends a local reply, or aborts the stream if a part of it was forwarded.
     void sendReply(ActiveRequest &active, LocalReply reply);
     void abortStream(ActiveRequest &active, const std::string &reason);
+    /// Ends the caller's stream as complete.
+    void completeStream(ActiveRequest &active);
     /// Ends a request because the process has to end: with a reply, unless its stream was
     /// forwarded.
     void endForStop(ActiveRequest &active);
@@ -362,8 +364,6 @@
     void onEarlierCopyRefused(ActiveRequest &active);
     /// Gives up a takeover that brings nothing, if the source can continue instead.
     void checkTakeoverTime(ActiveRequest &active);
-    /// Ends the caller's stream as complete.
-    void completeStream(ActiveRequest &active);
     /// Starts a takeover of the copy \a handle, which the engine \a source holds since it stopped
     /// the generation.
     void takeOver(ActiveRequest &active, const UpstreamRecord &destination,
--- a/src/routing/router_attempts.cpp
+++ b/src/routing/router_attempts.cpp
@@ -438,23 +438,6 @@
     }
 }
 
-void Router::completeStream(ActiveRequest &active)
-{
-    this->crashes.clearSuspect(active.fingerprint);
-    this->cancelAttempts(active);
-    this->discardMigration(active, true);
-    const bool isFullOutput
-        = !active.request->lastEventId && active.service != nullptr && active.service->engine;
-    if (isFullOutput) {
-        this->forecasts.touch(active.route->name)
-            .observe("", "",
-                     static_cast<Tokens>(active.eventCount)
-                         * active.service->engine->tokensPerEvent);
-    }
-    this->emit(EndStream {active.id});
-    this->finishRequest(active);
-}
-
 void Router::checkDeadline(ActiveRequest &active)
 {
     if (this->now < active.deadline) {
--- a/src/routing/router_completion.cpp
+++ b/src/routing/router_completion.cpp
@@ -39,6 +39,23 @@
     this->closeRequest(active.id);
 }
 
+void Router::completeStream(ActiveRequest &active)
+{
+    this->crashes.clearSuspect(active.fingerprint);
+    this->cancelAttempts(active);
+    this->discardMigration(active, true);
+    const bool isFullOutput
+        = !active.request->lastEventId && active.service != nullptr && active.service->engine;
+    if (isFullOutput) {
+        this->forecasts.touch(active.route->name)
+            .observe("", "",
+                     static_cast<Tokens>(active.eventCount)
+                         * active.service->engine->tokensPerEvent);
+    }
+    this->emit(EndStream {active.id});
+    this->finishRequest(active);
+}
+
 void Router::abortStream(ActiveRequest &active, const std::string &reason)
 {
     if (!callerHasData(active)) {
