Bound the memory of responses without a loop under the lock

Cause: boundBufferedBytes() gave up the longest response, with the forwarder's lock held, until the sum of the capacities fitted. giveUp() emptied the body with `= {}`, which keeps the capacity, and relied on the router to remove the attempt. A lookup that may be repeated and has no other upstream stays, so the same attempt was given up for ever: nothing was answered, and memory grew.

Change: decision::ResponseMemory grants memory before bytes are read (the whole length if the head states it). Without a grant the transfer pauses; the router is told, so that it does not take the pause for silence. Nothing is given up unless large responses of unknown length wait for each other. What counts is what is allocated, including what callers have not read (http::Server:: unsentBytes()). Bodies are freed, not emptied, and cancelled attempts take no more bytes. A connection that closed with unsent bytes kept them in a cycle of references; it is cut. While memory is short, callers that read nothing are disconnected after 2 s. The metrics no longer wait for the lock for ever.

--- a/src/http/internal/connection.cpp
+++ b/src/http/internal/connection.cpp
@@ -54,6 +54,9 @@
     if (exchange != nullptr) {
         exchange->handleDisconnect();
     }
+    // The parts refer to their exchange, and through it to this connection, which would never be
+    // freed.
+    connection->writer.clear();
 }
 
 } // namespace azurespindle::http::internal
--- a/src/http/internal/connection_exchange.cpp
+++ b/src/http/internal/connection_exchange.cpp
@@ -25,7 +25,7 @@
                                        std::shared_ptr<Peer> peer, bool closeAfterResponse)
     : state(std::move(state)), transport(std::move(transport)), peer(std::move(peer)),
       unsentLimit(this->state->limits().unsentBytes), closeAfterResponse(closeAfterResponse),
-      lastWriteProgress(monotonicNow())
+      pendingCounted(this->state->unsentBytes), lastWriteProgress(monotonicNow())
 {
     this->state->openExchanges += 1;
 }
@@ -100,7 +100,7 @@
     this->append({}, true);
 }
 
-void ConnectionExchange::append(const std::string &bytes, bool last)
+void ConnectionExchange::append(std::string bytes, bool last)
 {
     const std::lock_guard lock(this->mutex);
     if (this->disconnected || this->complete) {
@@ -109,7 +109,12 @@
     if (this->pending.empty() && this->bytesInTransport == 0) {
         this->lastWriteProgress = monotonicNow();
     }
-    this->pending += bytes;
+    if (this->pending.empty()) {
+        this->pending = std::move(bytes);
+    } else {
+        this->pending += bytes;
+    }
+    this->pendingCounted.set(this->pending.capacity());
     this->complete = last;
     if (this->pending.size() + this->bytesInTransport >= this->unsentLimit) {
         this->wasCongested = true;
@@ -130,6 +135,7 @@
 {
     const auto owner = this->transport.lock();
     std::string bytes;
+    CountedBytes counted(this->state->unsentBytes);
     bool last = false;
     bool abortConnection = false;
     {
@@ -139,6 +145,8 @@
             return;
         }
         bytes = std::exchange(this->pending, {});
+        counted.set(bytes.capacity());
+        this->pendingCounted.set(0);
         this->bytesInTransport += bytes.size();
         last = this->complete;
         abortConnection = this->aborted;
@@ -158,12 +166,13 @@
         connection->lastActivity = monotonicNow();
         connection->closing = connection->closing || this->closeAfterResponse;
     }
-    connection->writer.push(std::move(bytes), [self, last](std::size_t sent, bool partSent) {
+    const auto onSent = [self, last](std::size_t sent, bool partSent) {
         self->onBytesSent(sent);
         if (last && partSent) {
             self->onResponseSent();
         }
-    });
+    };
+    connection->writer.push(std::move(bytes), onSent, std::move(counted));
     owner->continueWriting(this->peer);
     if (last && !connection->closing) {
         connection->onResponseComplete();
@@ -237,7 +246,7 @@
     {
         const std::lock_guard lock(this->mutex);
         this->disconnected = true;
-        this->pending.clear();
+        this->discardPending();
         this->drainedCallback = nullptr;
         callback = std::exchange(this->disconnectedCallback, nullptr);
         this->markEnded();
@@ -247,11 +256,17 @@
     }
 }
 
+void ConnectionExchange::discardPending()
+{
+    this->pending = std::string();
+    this->pendingCounted.set(0);
+}
+
 void ConnectionExchange::discardUnsent()
 {
     const std::lock_guard lock(this->mutex);
     this->disconnected = true;
-    this->pending.clear();
+    this->discardPending();
     this->bytesInTransport = 0;
     this->markEnded();
 }
--- a/src/http/internal/connection_exchange.h
+++ b/src/http/internal/connection_exchange.h
@@ -1,6 +1,7 @@
 #ifndef AZURESPINDLE_HTTP_INTERNAL_CONNECTION_EXCHANGE_H
 #define AZURESPINDLE_HTTP_INTERNAL_CONNECTION_EXCHANGE_H
 
+#include "http/internal/counted_bytes.h"
 #include "http/internal/posting_transport.h"
 #include "http/server.h"
 
@@ -44,8 +45,10 @@
     microseconds stallDuration(Instant now) const;
 
 private:
-    void append(const std::string &bytes, bool last);
+    void append(std::string bytes, bool last);
     void flush();
+    /// Frees the bytes that were not handed to the connection. Requires the lock.
+    void discardPending();
     void onBytesSent(std::size_t bytes);
     /// Ends the exchange once its last byte is sent.
     void onResponseSent();
@@ -60,6 +63,7 @@
 
     mutable std::mutex mutex; ///< Guards all members declared after it.
     std::string pending;
+    CountedBytes pendingCounted;
     bool flushPosted = false;
     bool complete = false;
     bool aborted = false;
--- a/src/http/internal/connection_writer.cpp
+++ b/src/http/internal/connection_writer.cpp
@@ -8,9 +8,9 @@
 
 namespace azurespindle::http::internal {
 
-void ConnectionWriter::push(std::string bytes, SentHandler onSent)
+void ConnectionWriter::push(std::string bytes, SentHandler onSent, CountedBytes counted)
 {
-    this->parts.push_back({std::move(bytes), 0, std::move(onSent)});
+    this->parts.push_back({std::move(bytes), 0, std::move(onSent), std::move(counted)});
 }
 
 WriteProgress ConnectionWriter::write(int socket)
--- a/src/http/internal/connection_writer.h
+++ b/src/http/internal/connection_writer.h
@@ -1,6 +1,8 @@
 #ifndef AZURESPINDLE_HTTP_INTERNAL_CONNECTION_WRITER_H
 #define AZURESPINDLE_HTTP_INTERNAL_CONNECTION_WRITER_H
 
+#include "http/internal/counted_bytes.h"
+
 #include <cstddef>
 #include <deque>
 #include <functional>
@@ -33,7 +35,10 @@
     // Commands
 
     /// Appends a part to what is to be sent.
-    void push(std::string bytes, SentHandler onSent);
+    /// \param counted counts the part's memory, until its last byte is written.
+    void push(std::string bytes, SentHandler onSent, CountedBytes counted = {});
+    /// Discards what is not written yet.
+    void clear() { this->parts.clear(); }
     /// Writes what the socket takes, up to maxBytesPerWrite.
     WriteProgress write(int socket);
 
@@ -47,6 +52,7 @@
         std::string bytes;
         std::size_t written = 0;
         SentHandler onSent;
+        CountedBytes counted;
     };
 
     std::deque<Part> parts;
--- a/src/http/internal/posting_transport.cpp
+++ b/src/http/internal/posting_transport.cpp
@@ -3,6 +3,7 @@
 #include "http/internal/connection.h"
 #include "http/internal/connection_exchange.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace azurespindle::http::internal {
@@ -15,6 +16,8 @@
 constexpr milliseconds drainIdleTimeout {300};
 /// Time in which the first request of a new connection is awaited when the server stops.
 constexpr milliseconds firstRequestGrace {50};
+/// Longest time a caller may read nothing while memory is short.
+constexpr milliseconds writeTimeoutWhileShort {2'000};
 
 } // namespace
 
@@ -124,10 +127,12 @@
     this->removePeer(peer);
 }
 
-void PostingTransport::enforceTimeouts(bool draining)
+void PostingTransport::enforceTimeouts(bool draining, bool memoryShort)
 {
     const Instant now = monotonicNow();
     const settings::CallerLimits limits = this->state->limits();
+    const milliseconds writeTimeout
+        = memoryShort ? std::min(limits.writeTimeout, writeTimeoutWhileShort) : limits.writeTimeout;
     std::vector<std::shared_ptr<Peer>> expired;
     for (const auto &[fd, peer] : this->peers) {
         const std::shared_ptr<Connection> connection = connectionOf(peer);
@@ -136,8 +141,7 @@
         }
         const microseconds age = now - connection->lastActivity;
         if (connection->exchange != nullptr) {
-            const bool writeTimedOut
-                = connection->exchange->stallDuration(now) > limits.writeTimeout;
+            const bool writeTimedOut = connection->exchange->stallDuration(now) > writeTimeout;
             if (writeTimedOut) {
                 expired.push_back(peer);
             }
@@ -145,7 +149,7 @@
         }
         if (hasUnsentResponse(*connection)) {
             const auto completed = connection->completed.lock();
-            if (completed != nullptr && completed->stallDuration(now) > limits.writeTimeout) {
+            if (completed != nullptr && completed->stallDuration(now) > writeTimeout) {
                 expired.push_back(peer);
             }
             continue;
--- a/src/http/internal/posting_transport.h
+++ b/src/http/internal/posting_transport.h
@@ -37,9 +37,10 @@
     void continueWriting(const std::shared_ptr<Pistache::Tcp::Peer> &peer);
     /// Closes a connection. Call on the owning thread only.
     void disconnect(const std::shared_ptr<Pistache::Tcp::Peer> &peer);
-    /// Closes connections that exceeded a timeout and, if \a draining, idle ones. Call on the
-    /// owning thread only.
-    void enforceTimeouts(bool draining);
+    /// Closes connections that exceeded a timeout and, if \a draining, idle ones. If
+    /// \a memoryShort, a caller that reads nothing is closed earlier. Call on the owning thread
+    /// only.
+    void enforceTimeouts(bool draining, bool memoryShort);
     /// Closes the connections that wait for nothing. Call on the owning thread only.
     /// \return the number of connections that still have a request or response under way.
     std::size_t closeFinished();
--- a/src/http/internal/server_state.cpp
+++ b/src/http/internal/server_state.cpp
@@ -69,14 +69,14 @@
     return sum;
 }
 
-void ServerState::enforceTimeouts()
+void ServerState::enforceTimeouts(bool memoryShort)
 {
     const bool isDraining = this->draining;
     for (const auto &transport : this->transports()) {
         const std::weak_ptr<PostingTransport> weak = transport;
-        transport->post([weak, isDraining] {
+        transport->post([weak, isDraining, memoryShort] {
             if (const auto alive = weak.lock()) {
-                alive->enforceTimeouts(isDraining);
+                alive->enforceTimeouts(isDraining, memoryShort);
             }
         });
     }
--- a/src/http/internal/server_state.h
+++ b/src/http/internal/server_state.h
@@ -21,7 +21,8 @@
 
     void addTransport(const std::weak_ptr<PostingTransport> &transport);
     void drain();
-    void enforceTimeouts();
+    /// \param memoryShort true to disconnect callers that hold unsent bytes and read nothing early.
+    void enforceTimeouts(bool memoryShort = false);
     /// Lets every further request be answered with 503 instead of being passed to the handler.
     void refuseRequests() { this->refusing = true; }
     /// Closes the connections that wait for nothing, once every request that has arrived was read.
@@ -34,6 +35,9 @@
     const Handler handler;
     std::atomic<std::size_t> openExchanges {0};
     std::atomic<std::size_t> openConnections {0};
+    /// Memory of the responses that are not written to their sockets yet, in bytes.
+    const std::shared_ptr<std::atomic<std::size_t>> unsentBytes
+        = std::make_shared<std::atomic<std::size_t>>(0);
     std::atomic<bool> draining {false};
     std::atomic<bool> refusing {false};
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -112,9 +112,9 @@
     this->implementation->shared->drain();
 }
 
-void Server::enforceTimeouts()
+void Server::enforceTimeouts(bool memoryShort)
 {
-    this->implementation->shared->enforceTimeouts();
+    this->implementation->shared->enforceTimeouts(memoryShort);
 }
 
 void Server::setLimits(const settings::CallerLimits &limits)
@@ -137,4 +137,9 @@
     return this->implementation->shared->openConnections.load();
 }
 
+std::size_t Server::unsentBytes() const
+{
+    return this->implementation->shared->unsentBytes->load();
+}
+
 } // namespace azurespindle::http
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -115,7 +115,9 @@
     /// Closes idle connections and sends `Connection: close` with every further response.
     void drain();
     /// Closes connections that exceeded a timeout. Call this about once a second.
-    void enforceTimeouts();
+    /// \param memoryShort true to close those earlier whose callers hold unsent bytes and read
+    /// nothing.
+    void enforceTimeouts(bool memoryShort = false);
     /// Replaces the limits. Timeouts and the connection limit apply at once, the unsent bytes limit
     /// to further responses, and the header and body limits to new connections.
     void setLimits(const settings::CallerLimits &limits);
@@ -127,6 +129,8 @@
     /// Returns the number of requests whose response has not been sent completely.
     std::size_t openExchanges() const;
     std::size_t openConnections() const;
+    /// Returns the memory, in bytes, of responses that are not written to their sockets yet.
+    std::size_t unsentBytes() const;
 
 private:
     class Implementation;
--- a/src/routing/internal/active_request.h
+++ b/src/routing/internal/active_request.h
@@ -120,7 +120,8 @@
     Instant lastActivityAt; ///< Time at which the current attempt started or last sent data.
     ResponseHead head;
     bool headReceived = false;
-    bool isTakeover = false; ///< True if the current attempt continues from a copy.
+    bool readingPaused = false; ///< This process does not read the response at present.
+    bool isTakeover = false;    ///< True if the current attempt continues from a copy.
     Takeover takeover;
     /// The engine that stopped the generation and can continue it if the current attempt fails.
     std::optional<UpstreamRecord> takeoverSource;
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -147,6 +147,7 @@
     void on(const CallerLeft &event);
     void on(const HeadArrived &event);
     void on(const EventsArrived &event);
+    void on(const ReadingPaused &event);
     void on(const AttemptEnded &event);
     void on(const MigrationResponseArrived &event);
     void on(const EngineReportArrived &event);
--- a/src/routing/router_attempts.cpp
+++ b/src/routing/router_attempts.cpp
@@ -69,6 +69,7 @@
     active.lastActivityAt = this->now;
     active.head = {};
     active.headReceived = false;
+    active.readingPaused = false;
     active.isTakeover = takeover.has_value();
     active.resuming = active.relaying;
     active.takeover = takeover.value_or(Takeover {});
@@ -224,6 +225,14 @@
     }
 }
 
+void Router::on(const ReadingPaused &event)
+{
+    if (ActiveRequest *current = this->findByCurrentAttempt(event.attempt)) {
+        current->readingPaused = event.paused;
+        current->lastActivityAt = this->now;
+    }
+}
+
 void Router::updateClaim(ActiveRequest &active)
 {
     active.claimUpdatedAtEvent = active.eventCount;
@@ -452,7 +461,7 @@
 
 void Router::checkInactivity(ActiveRequest &active)
 {
-    if (!active.running) {
+    if (!active.running || active.readingPaused) {
         return;
     }
     const microseconds silence = this->now - active.lastActivityAt;
--- a/src/routing/router_events.h
+++ b/src/routing/router_events.h
@@ -103,6 +103,13 @@
     std::uint64_t lastEventId = 0;
 };
 
+/// This process stopped reading the response of an attempt for lack of memory, or reads it again.
+struct ReadingPaused
+{
+    AttemptId attempt;
+    bool paused = false;
+};
+
 /// The HTTP transfer of an attempt ended.
 struct AttemptEnded
 {
@@ -230,8 +237,8 @@
 { };
 
 using RouterEvent
-    = std::variant<RequestArrived, CallerLeft, HeadArrived, EventsArrived, AttemptEnded,
-                   MigrationResponseArrived, EngineReportArrived, FleetStateChanged,
+    = std::variant<RequestArrived, CallerLeft, HeadArrived, EventsArrived, ReadingPaused,
+                   AttemptEnded, MigrationResponseArrived, EngineReportArrived, FleetStateChanged,
                    StoreAvailabilityChanged, PeerReportArrived, ZoneReportArrived,
                    FleetReportArrived, PlacementsAnnounced, PeerCrashReported, ProcessesChanged,
                    TimePassed, StopRequested, StopTimedOut>;
--- a/src/serving/request_forwarder.cpp
+++ b/src/serving/request_forwarder.cpp
@@ -2,6 +2,10 @@
 
 #include <nlohmann/json.hpp>
 
+#include <strings.h>
+
+#include <algorithm>
+#include <charconv>
 #include <utility>
 
 namespace azurespindle::serving {
@@ -12,8 +16,6 @@
 constexpr milliseconds stoppingRetryAfter {20};
 /// Bytes with which the head of a response begins. No line of an event does.
 constexpr const char *responseHeadStart = "HTTP/1.";
-/// Responses up to this size are so many at most that their sum is not checked.
-constexpr std::size_t smallResponseBytes = 16'384;
 
 routing::AttemptEnd toAttemptEnd(const http::TransferResult &result)
 {
@@ -32,6 +34,22 @@
     return routing::AttemptEnd::Lost;
 }
 
+/// Returns the length of the body that a response's head states, in bytes; 0 if it states none, or
+/// one that cannot be read.
+std::size_t statedLength(const http::HeaderFields &fields)
+{
+    for (const auto &[name, value] : fields) {
+        if (strcasecmp(name.c_str(), "Content-Length") != 0) {
+            continue;
+        }
+        std::size_t length = 0;
+        const char *end = value.data() + value.size();
+        const auto [parsed, error] = std::from_chars(value.data(), end, length);
+        return error == std::errc() && parsed == end ? length : 0;
+    }
+    return 0;
+}
+
 std::string errorBody(const routing::LocalReply &reply)
 {
     return nlohmann::json {{"error", reply.reason}}.dump(-1, ' ', false,
@@ -85,7 +103,12 @@
 
 void RequestForwarder::handle(const routing::RouterEvent &event)
 {
-    this->runLocked([&] { this->dispatch(event); });
+    this->runLocked([&] {
+        this->dispatch(event);
+        if (std::holds_alternative<routing::TimePassed>(event)) {
+            this->continueStreams();
+        }
+    });
 }
 
 void RequestForwarder::runLocked(const std::function<void()> &action)
@@ -95,6 +118,7 @@
     {
         const std::lock_guard lock(this->mutex);
         action();
+        this->continueWaiting();
         crashes.swap(this->unreportedCrashes);
         notifyPlacement = std::exchange(this->placementUnreported, false);
     }
@@ -137,6 +161,7 @@
         if (Transfer *transfer = this->findTransfer(attempt)) {
             const Session &session = this->sessions.at(attempt.request);
             transfer->head = this->adapter.readHead(*session.request, status, fields);
+            transfer->statedBytes = statedLength(fields);
             // The head is copied, because the router may replace the current transfer by this one,
             // which moves the original.
             const routing::ResponseHead head = transfer->head;
@@ -163,6 +188,10 @@
         if (session.exchange->congested()) {
             return false;
         }
+        if (this->delaysForCaller(session)) {
+            this->pausedStreams.push_back(transfer->id);
+            return false;
+        }
         this->forwardEvents(attempt, session, bytes);
         const Transfer *relayed = this->findTransfer(attempt);
         if (relayed != nullptr
@@ -171,53 +200,25 @@
         }
         return true;
     }
-    if (transfer->body.size() + bytes.size() > maxBufferedResponseBytes) {
+    const std::size_t needed
+        = std::max(transfer->body.size() + bytes.size(), transfer->statedBytes);
+    if (needed > maxBufferedResponseBytes) {
         this->giveUp(attempt, "too large");
         return true;
     }
-    transfer->body += bytes;
-    if (transfer->body.size() > smallResponseBytes) {
-        this->boundBufferedBytes();
-    }
-    return true;
+    return this->bufferBody(attempt, *transfer, bytes);
 }
 
 void RequestForwarder::giveUp(const routing::AttemptId &attempt, const std::string &detail)
 {
     Transfer &transfer = *this->findTransfer(attempt);
     transfer.givenUp = true;
-    transfer.body = {};
+    this->freeBody(attempt.request, transfer);
     transfer.splitter = {};
     this->client.cancel(transfer.id);
     this->dispatch(routing::AttemptEnded {attempt, routing::AttemptEnd::Lost, detail});
 }
 
-void RequestForwarder::boundBufferedBytes()
-{
-    while (true) {
-        std::size_t total = 0;
-        std::size_t longest = 0;
-        routing::AttemptId longestAttempt;
-        const auto add = [&](routing::RequestId request, const Transfer &transfer) {
-            total += transfer.body.capacity();
-            if (transfer.body.capacity() > longest) {
-                longest = transfer.body.capacity();
-                longestAttempt = {request, transfer.attempt};
-            }
-        };
-        for (const auto &[request, session] : this->sessions) {
-            add(request, session.currentTransfer);
-            if (session.parallelTransfer) {
-                add(request, *session.parallelTransfer);
-            }
-        }
-        if (total <= maxTotalBufferedBytes) {
-            return;
-        }
-        this->giveUp(longestAttempt, "too large beside others");
-    }
-}
-
 void RequestForwarder::forwardEvents(const routing::AttemptId &attempt, Session &session,
                                      std::string_view bytes)
 {
@@ -268,7 +269,7 @@
             return;
         }
         if (result.end != http::TransferEnd::Complete) {
-            transfer->body = {};
+            this->freeBody(attempt.request, *transfer);
         }
         const bool insideEvent = result.end == http::TransferEnd::Complete && transfer->relaying
             && transfer->splitter.pendingBytes() > 0;
@@ -300,8 +301,12 @@
     transfer.id = this->client.start(this->adapter.writeAttempt(*session.request, effect.plan),
                                      std::move(callbacks));
     if (effect.parallel) {
+        if (session.parallelTransfer) {
+            this->freeBody(attempt.request, *session.parallelTransfer);
+        }
         session.parallelTransfer = std::move(transfer);
     } else {
+        this->freeBody(attempt.request, session.currentTransfer);
         session.currentTransfer = std::move(transfer);
     }
 }
@@ -310,6 +315,8 @@
 {
     if (Transfer *transfer = this->findTransfer(effect.attempt)) {
         transfer->relaying = false;
+        transfer->givenUp = true;
+        this->freeBody(effect.attempt.request, *transfer);
         this->client.cancel(transfer->id);
     }
 }
@@ -318,6 +325,7 @@
 {
     Session &session = this->sessions.at(effect.attempt.request);
     if (session.parallelTransfer && session.parallelTransfer->attempt == effect.attempt.number) {
+        this->freeBody(effect.attempt.request, session.currentTransfer);
         session.currentTransfer = std::move(*session.parallelTransfer);
         session.parallelTransfer.reset();
     }
@@ -393,7 +401,12 @@
 
 void RequestForwarder::execute(const routing::RequestClosed &effect)
 {
-    this->sessions.erase(effect.request);
+    const auto found = this->sessions.find(effect.request);
+    this->freeBody(effect.request, found->second.currentTransfer);
+    if (found->second.parallelTransfer) {
+        this->freeBody(effect.request, *found->second.parallelTransfer);
+    }
+    this->sessions.erase(found);
 }
 
 void RequestForwarder::execute(const routing::WriteJournal &effect)
--- a/src/serving/request_forwarder.h
+++ b/src/serving/request_forwarder.h
@@ -1,6 +1,7 @@
 #ifndef AZURESPINDLE_SERVING_REQUEST_FORWARDER_H
 #define AZURESPINDLE_SERVING_REQUEST_FORWARDER_H
 
+#include "decision/response_memory.h"
 #include "http/client.h"
 #include "http/server.h"
 #include "journal/journal.h"
@@ -30,6 +31,16 @@
     /// A request was sent to an engine, or the migration of one was requested, so this process's
     /// claims on engines have changed.
     std::function<void()> onPlacement;
+    /// Returns the memory, in bytes, of responses that were handed to callers' connections and are
+    /// not sent yet. If it is not set, none counts. Called with the lock held.
+    std::function<std::size_t()> unsentBytes = nullptr;
+};
+
+/// State of a RequestForwarder for monitoring.
+struct ForwarderStatus
+{
+    routing::RouterStatus router;
+    std::size_t responseBytes = 0; ///< Memory granted to responses that are being received.
 };
 
 /// Forwards requests to upstreams and relays their responses, as routing::Router decides.
@@ -41,7 +52,7 @@
 public:
     /// Largest body, in bytes, of a response that is not streamed; it is buffered in full.
     static constexpr std::size_t maxBufferedResponseBytes = 4'194'304;
-    /// Memory, in bytes, of all such responses together.
+    /// Memory, in bytes, of all such responses together, including those not sent to callers yet.
     static constexpr std::size_t maxTotalBufferedBytes = 16'777'216;
 
     RequestForwarder(routing::RouterOptions options, const routing::PlatformAdapter &adapter,
@@ -73,6 +84,8 @@
     // Queries
 
     routing::RouterStatus status() const;
+    /// Returns the status, or nothing if the lock is not free within \a patience.
+    std::optional<ForwarderStatus> statusWithin(milliseconds patience) const;
     std::vector<decision::UpstreamClaim> claims() const;
     std::vector<decision::RequestCounts> arrivals() const;
     /// Returns the claims and arrival counts of this process and its peers together. The zone's
@@ -82,6 +95,8 @@
     members::FleetReport fleetReport() const;
     std::vector<decision::PartCrashes> blockedParts() const;
     bool hasChangedLimits() const;
+    /// Returns true if responses wait for memory.
+    bool isMemoryShort() const;
 
 private:
     /// The HTTP transfer of one attempt.
@@ -91,6 +106,8 @@
         http::TransferId id = 0;
         routing::ResponseHead head;
         std::string body; ///< Received so far; unused for a relayed stream.
+        /// Length of the body as the head states it, in bytes; 0 if it does not.
+        std::size_t statedBytes = 0;
         upstreams::EventSplitter splitter;
         bool relaying = false; ///< Its events are sent to the caller.
         bool givenUp = false;  ///< Cancelled here; further bytes are dropped.
@@ -126,8 +143,17 @@
     // The functions below require the lock.
     /// Closes the connection of an attempt whose response is no sound one, and ends the attempt.
     void giveUp(const routing::AttemptId &attempt, const std::string &detail);
-    /// Gives up the longest responses until all together keep to maxTotalBufferedBytes.
-    void boundBufferedBytes();
+    /// Adds bytes to a response that is not streamed. \return false if it has to wait for memory.
+    bool bufferBody(const routing::AttemptId &attempt, Transfer &transfer, std::string_view bytes);
+    /// Frees the memory of a transfer's body.
+    void freeBody(routing::RequestId request, Transfer &transfer);
+    /// Continues responses that waited for memory and have got it.
+    void continueWaiting();
+    /// Continues the streams that were paused for lack of memory.
+    void continueStreams();
+    /// Returns true if a stream has to wait because its caller reads slowly and memory is short.
+    bool delaysForCaller(const Session &session) const;
+    std::size_t unsentBytes() const;
     void dispatch(const routing::RouterEvent &event);
     void execute(const routing::StartAttempt &effect);
     void execute(const routing::CancelAttempt &effect);
@@ -149,10 +175,13 @@
     journal::Journal &journal;
     const RequestForwarderHooks hooks;
     std::atomic<bool> rejectingRequests {false};
-    mutable std::mutex mutex; ///< Guards the members below.
+    mutable std::timed_mutex mutex; ///< Guards the members below.
     routing::Router router;
     std::unordered_map<routing::RequestId, Session> sessions;
     routing::RequestId lastRequestId = 0;
+    decision::ResponseMemory responseMemory {
+        decision::ResponseMemoryLimits {.total = maxTotalBufferedBytes}};
+    std::vector<http::TransferId> pausedStreams;            ///< Streams that wait for memory.
     std::vector<routing::BroadcastCrash> unreportedCrashes; ///< onCrash has yet to be called.
     bool placementUnreported = false;                       ///< onPlacement has yet to be called.
 };
--- a/src/serving/request_forwarder_reports.cpp
+++ b/src/serving/request_forwarder_reports.cpp
@@ -35,6 +35,15 @@
     return this->router.status();
 }
 
+std::optional<ForwarderStatus> RequestForwarder::statusWithin(milliseconds patience) const
+{
+    const std::unique_lock lock(this->mutex, patience);
+    if (!lock.owns_lock()) {
+        return std::nullopt;
+    }
+    return ForwarderStatus {this->router.status(), this->responseMemory.grantedBytes()};
+}
+
 std::vector<decision::UpstreamClaim> RequestForwarder::claims() const
 {
     const std::lock_guard lock(this->mutex);
--- a/src/serving/routing_process.cpp
+++ b/src/serving/routing_process.cpp
@@ -26,6 +26,9 @@
 constexpr seconds joinPeriod {6};
 /// Time after the start in which this process may not know the other processes yet.
 constexpr seconds discoveryPeriod {2};
+/// Time for which the metrics wait for the state of the requests. It is left out if requests make
+/// no progress.
+constexpr milliseconds statusPatience {200};
 /// Steps in which the capacity of a VM is told to the others.
 constexpr double processorShareStep = 0.1;
 constexpr double linkMegabitsStep = 10.0;
@@ -99,6 +102,24 @@
     return limits;
 }
 
+void writeForwarderMetrics(const ForwarderStatus &forwarder, std::ostream &text)
+{
+    const routing::RouterStatus &status = forwarder.router;
+    text << "azurespindle_open_requests " << status.openRequests << "\n"
+         << "azurespindle_queued_requests " << status.queuedRequests << "\n"
+         << "azurespindle_moving_generations " << status.migratingGenerations << "\n"
+         << "azurespindle_moves_begun_total " << status.migrationsStarted << "\n"
+         << "azurespindle_moves_done_total " << status.migrationsCompleted << "\n"
+         << "azurespindle_run_stops_total " << status.runStopsAsked << "\n"
+         << "azurespindle_run_stops_unconfirmed " << status.unconfirmedStops << "\n"
+         << "azurespindle_takeovers_beside_total " << status.takeoversBeside << "\n"
+         << "azurespindle_generations_lost_total " << status.generationsLost << "\n"
+         << "azurespindle_upstreams_leaving_total " << status.upstreamsLeaving << "\n"
+         << "azurespindle_upstream_pauses_total " << status.pausesNoted << "\n"
+         << "azurespindle_response_bytes " << forwarder.responseBytes << "\n"
+         << "azurespindle_upstream_pauses_unreadable_total " << status.pausesUnreadable << "\n";
+}
+
 } // namespace
 
 RoutingProcess::RoutingProcess(settings::RoutingSettings initialSettings,
@@ -114,7 +135,8 @@
                     crash.cleared ? members::CrashStatus::Cleared : members::CrashStatus::Suspected,
                     crash.parts});
            },
-           [this] { this->reporter.reportPlacement(); }}),
+           [this] { this->reporter.reportPlacement(); },
+           [this] { return this->callerServer.unsentBytes(); }}),
       relay(this->settings.name, this->settings.zone),
       coordinator(this->memberSettings, makeSelfRecord(this->settings), this->client, this->timers,
                   this->registry, this->journal, this->coordinatorHooks()),
@@ -211,7 +233,7 @@
                            [this] { this->reporter.reportTotals(); });
     this->timers.subscribe(ViewSynchronizer::tickInterval, [this] { this->view.tick(); });
     this->timers.subscribe(idleSweepInterval, [this] {
-        this->callerServer.enforceTimeouts();
+        this->callerServer.enforceTimeouts(this->forwarder.isMemoryShort());
         this->readinessServer.enforceTimeouts();
     });
     if (const std::error_code error = this->coordinator.start()) {
@@ -288,24 +310,15 @@
 
 void RoutingProcess::respondMetrics(const http::ExchangePtr &exchange)
 {
-    const routing::RouterStatus status = this->forwarder.status();
     std::ostringstream text;
     text << this->registry.exposition();
-    text << "azurespindle_open_requests " << status.openRequests << "\n"
-         << "azurespindle_queued_requests " << status.queuedRequests << "\n"
-         << "azurespindle_moving_generations " << status.migratingGenerations << "\n"
-         << "azurespindle_moves_begun_total " << status.migrationsStarted << "\n"
-         << "azurespindle_moves_done_total " << status.migrationsCompleted << "\n"
-         << "azurespindle_run_stops_total " << status.runStopsAsked << "\n"
-         << "azurespindle_run_stops_unconfirmed " << status.unconfirmedStops << "\n"
-         << "azurespindle_takeovers_beside_total " << status.takeoversBeside << "\n"
-         << "azurespindle_generations_lost_total " << status.generationsLost << "\n"
-         << "azurespindle_upstreams_leaving_total " << status.upstreamsLeaving << "\n"
-         << "azurespindle_upstream_pauses_total " << status.pausesNoted << "\n"
-         << "azurespindle_upstream_pauses_unreadable_total " << status.pausesUnreadable << "\n"
-         << "azurespindle_view_revision " << this->view.revision() << "\n"
+    text << "azurespindle_view_revision " << this->view.revision() << "\n"
          << "azurespindle_ready " << (this->ready() ? 1 : 0) << "\n"
+         << "azurespindle_unsent_bytes " << this->callerServer.unsentBytes() << "\n"
          << "azurespindle_publisher_away " << (this->view.storeUnavailable() ? 1 : 0) << "\n";
+    if (const auto status = this->forwarder.statusWithin(statusPatience)) {
+        writeForwarderMetrics(*status, text);
+    }
     exchange->respond(statusOk, http::Headers {{"content-type", "text/plain; version=0.0.4"}},
                       text.str());
 }
