Keep the limits on headers and bodies apart

CallerLimits has headerBytes (431) and bodyBytes (413) now. callers.headerAndBodyBytes is still accepted and sets both; callers.bodyBytes is new.

--- a/src/http/internal/request_reader.cpp
+++ b/src/http/internal/request_reader.cpp
@@ -73,7 +73,7 @@
         return {statusHeaderTooLarge, "the header is too large"};
     }
     if (error == Error::body_limit) {
-        return {statusTooLarge, "the request is too large"};
+        return {statusTooLarge, "the body is too large"};
     }
     return {statusBadRequest, error.message()};
 }
@@ -88,9 +88,8 @@
 void RequestReader::reset()
 {
     this->parser.emplace();
-    this->parser->header_limit(static_cast<std::uint32_t>(
-        std::min(this->limits.headerBytes, this->limits.headerAndBodyBytes)));
-    this->parser->body_limit(this->limits.headerAndBodyBytes);
+    this->parser->header_limit(static_cast<std::uint32_t>(this->limits.headerBytes));
+    this->parser->body_limit(this->limits.bodyBytes);
     this->framingChecked = false;
 }
 
--- a/src/serving/routing_process.cpp
+++ b/src/serving/routing_process.cpp
@@ -71,8 +71,8 @@
 settings::CallerLimits toCallerLimits(const routing::RequestLimits &limits, std::size_t descriptors)
 {
     settings::CallerLimits callerLimits;
-    callerLimits.headerAndBodyBytes = limits.bodyBytes;
     callerLimits.headerBytes = limits.headerBytes;
+    callerLimits.bodyBytes = limits.bodyBytes;
     callerLimits.connections
         = static_cast<std::size_t>(callerDescriptorShare * static_cast<double>(descriptors));
     callerLimits.requestTimeout = limits.headerTimeout;
@@ -95,7 +95,8 @@
 {
     settings::CallerLimits limits;
     limits.connections = 64;
-    limits.headerAndBodyBytes = 16'384;
+    limits.headerBytes = 16'384;
+    limits.bodyBytes = 16'384;
     return limits;
 }
 
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -2,6 +2,7 @@
 
 #include "base/text_file.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <charconv>
 
@@ -10,6 +11,8 @@
 
 constexpr std::int64_t maxPort = 65'535;
 constexpr std::int64_t maxThreads = 64;
+/// Largest request body that the settings may permit, in bytes.
+constexpr std::int64_t maxBodyBytes = 67'108'864;
 
 std::string readUrl(json::ObjectReader &reader, const std::string &name)
 {
@@ -23,9 +26,14 @@
 CallerLimits readCallerLimits(json::ObjectReader &reader)
 {
     CallerLimits limits;
-    limits.headerAndBodyBytes
-        = readSize(reader, "headerAndBodyBytes", {1'024, 67'108'864}, limits.headerAndBodyBytes);
     limits.headerBytes = readSize(reader, "headerBytes", {512, 1'048'576}, limits.headerBytes);
+    if (reader.has("headerAndBodyBytes")) {
+        // One value for both, as before there were two settings.
+        limits.bodyBytes
+            = readSize(reader, "headerAndBodyBytes", {1'024, maxBodyBytes}, limits.bodyBytes);
+        limits.headerBytes = std::min(limits.headerBytes, limits.bodyBytes);
+    }
+    limits.bodyBytes = readSize(reader, "bodyBytes", {0, maxBodyBytes}, limits.bodyBytes);
     limits.connections = readSize(reader, "connections", {1, 1'000'000}, limits.connections);
     limits.unsentBytes = readSize(reader, "unsentBytes", {4'096, 67'108'864}, limits.unsentBytes);
     limits.requestTimeout = reader.duration("requestTimeoutMs", limits.requestTimeout);
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -29,13 +29,13 @@
 /// Limits on the resources that callers may use in an entry process.
 struct CallerLimits
 {
-    std::size_t headerAndBodyBytes = 1'048'576; ///< Largest request, including its header.
-    std::size_t headerBytes = 65'536;           ///< Largest request header.
-    std::size_t connections = 4'096;            ///< Most caller connections open at once.
-    std::size_t unsentBytes = 262'144;          ///< Most response bytes buffered per slow caller.
-    milliseconds requestTimeout {10'000};       ///< Longest time to receive a whole request.
-    milliseconds idleTimeout {75'000};          ///< Longest idle time of a keep-alive connection.
-    milliseconds writeTimeout {30'000};         ///< Longest time a caller may read nothing.
+    std::size_t headerBytes = 65'536;     ///< Largest request header.
+    std::size_t bodyBytes = 1'048'576;    ///< Largest request body.
+    std::size_t connections = 4'096;      ///< Most caller connections open at once.
+    std::size_t unsentBytes = 262'144;    ///< Most response bytes buffered per slow caller.
+    milliseconds requestTimeout {10'000}; ///< Longest time to receive a whole request.
+    milliseconds idleTimeout {75'000};    ///< Longest idle time of a keep-alive connection.
+    milliseconds writeTimeout {30'000};   ///< Longest time a caller may read nothing.
 
     bool operator==(const CallerLimits &other) const = default;
 };
--- a/tests/http/request_reader_test.cpp
+++ b/tests/http/request_reader_test.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(requestIsParsedFromSingleBytes);
     CPPUNIT_TEST(pipelinedRequestsAreReadInOrder);
     CPPUNIT_TEST(headerAndBodyLimitsAreEnforced);
+    CPPUNIT_TEST(aBodyLimitBelowTheHeaderRefusesNoHeader);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -133,7 +134,7 @@
     {
         settings::CallerLimits limits;
         limits.headerBytes = 200;
-        limits.headerAndBodyBytes = 1'000;
+        limits.bodyBytes = 1'000;
         const std::string head = "POST / HTTP/1.1\r\n";
         const std::string longField = "X: " + std::string(300, 'x') + "\r\n\r\n";
         CPPUNIT_ASSERT_EQUAL(std::string("431"),
@@ -142,6 +143,19 @@
         CPPUNIT_ASSERT_EQUAL(std::string("413"),
                              describe(read(head + largeBody, limits)).substr(0, 3));
     }
+
+    /// A body limit below the size of the header made every request fail with 431.
+    void aBodyLimitBelowTheHeaderRefusesNoHeader()
+    {
+        settings::CallerLimits limits;
+        limits.bodyBytes = 64;
+        const std::string head
+            = "POST / HTTP/1.1\r\nX: " + std::string(300, 'x') + "\r\nContent-Length: ";
+        CPPUNIT_ASSERT_EQUAL(std::string("a request"),
+                             describe(read(head + "64\r\n\r\n" + std::string(64, 'b'), limits)));
+        CPPUNIT_ASSERT_EQUAL(std::string("413"),
+                             describe(read(head + "65\r\n\r\n", limits)).substr(0, 3));
+    }
 };
 
 REGISTER_SUITE(RequestReaderTest, "request_reader");
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -64,7 +64,7 @@
     settings::CallerLimits limits;
     limits.requestTimeout = milliseconds(300);
     limits.writeTimeout = milliseconds(500);
-    limits.headerAndBodyBytes = 4'096;
+    limits.bodyBytes = 4'096;
     limits.connections = 8;
     limits.unsentBytes = 65'536;
     return limits;
