Bound trailers, chunk extensions and unparsed input

The parser consumes the trailers, and a chunk header with its extension, only as a whole. The parser now gets at most max_header_bytes at once, and a request whose trailers or chunk extension need more gets 431. An input that has been parsed releases its memory beyond 4 KiB.

--- a/src/http/internal/request_reader.cpp
+++ b/src/http/internal/request_reader.cpp
@@ -12,6 +12,8 @@
 constexpr int statusTooLarge = 413;
 constexpr int statusHeaderTooLarge = 431;
 constexpr unsigned hexBase = 16;
+/// Memory that an empty input may keep for the next bytes.
+constexpr std::size_t maxIdleCapacity = 4'096;
 
 std::string text(beast::string_view view)
 {
@@ -103,10 +105,18 @@
     return !this->input.empty() || this->parser->is_header_done();
 }
 
+void RequestReader::consume(std::size_t bytes)
+{
+    this->input.erase(0, bytes);
+    if (this->input.empty() && this->input.capacity() > maxIdleCapacity) {
+        std::string().swap(this->input);
+    }
+}
+
 void RequestReader::skipEmptyLines()
 {
     const std::size_t first = std::min(this->input.find_first_not_of("\r\n"), this->input.size());
-    this->input.erase(0, first);
+    this->consume(first);
 }
 
 bool RequestReader::hasFoldedHeader() const
@@ -149,12 +159,21 @@
             return Incomplete {};
         }
         beast::error_code error;
-        const boost::asio::const_buffer buffer(this->input.data(), this->input.size());
+        // The parser consumes a chunk header with its extension, and all trailers, only as a whole.
+        const std::size_t window = std::min(this->input.size(), this->limits.headerBytes);
         this->parser->eager(this->framingChecked);
-        const std::size_t used = this->parser->put(buffer, error);
-        this->input.erase(0, used);
+        const std::size_t used
+            = this->parser->put(boost::asio::const_buffer(this->input.data(), window), error);
+        this->consume(used);
         if (error == beast::http::error::need_more) {
-            return Incomplete {};
+            if (used > 0 && !this->input.empty()) {
+                continue;
+            }
+            if (window < this->limits.headerBytes) {
+                return Incomplete {};
+            }
+            return RejectedRequest {statusHeaderTooLarge,
+                                    "the trailers or a chunk extension are too large"};
         }
         if (error) {
             return rejectionFor(error);
--- a/src/http/internal/request_reader.h
+++ b/src/http/internal/request_reader.h
@@ -33,6 +33,9 @@
 /// differently: more than one Content-Length or Transfer-Encoding, Content-Length together with
 /// Transfer-Encoding, folded header lines, and a space before the colon of a header.
 ///
+/// The header, the trailers with the last chunk header, and every other chunk header with its
+/// extension may each have CallerLimits::headerBytes, the body CallerLimits::bodyBytes.
+///
 ///     reader.append(bytes, size);
 ///     ReadOutcome outcome = reader.next();
 class RequestReader
@@ -59,6 +62,8 @@
         = boost::beast::http::request_parser<boost::beast::http::string_body, std::allocator<char>>;
 
     void reset();
+    /// Removes the first \a bytes of the input.
+    void consume(std::size_t bytes);
     void skipEmptyLines();
     bool hasFoldedHeader() const;
     std::optional<RejectedRequest> checkFraming() const;
--- a/tests/http/request_reader_test.cpp
+++ b/tests/http/request_reader_test.cpp
@@ -35,6 +35,8 @@
     CPPUNIT_TEST(pipelinedRequestsAreReadInOrder);
     CPPUNIT_TEST(headerAndBodyLimitsAreEnforced);
     CPPUNIT_TEST(aBodyLimitBelowTheHeaderRefusesNoHeader);
+    CPPUNIT_TEST(trailersAndChunkExtensionsWithoutEndAreRefused);
+    CPPUNIT_TEST(trailersAndChunkExtensionsWithinTheLimitAreAccepted);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -156,6 +158,51 @@
         CPPUNIT_ASSERT_EQUAL(std::string("413"),
                              describe(read(head + "65\r\n\r\n", limits)).substr(0, 3));
     }
+
+    /// The parser holds a chunk extension or trailers until their end, which never came: two
+    /// connections took 159 MB.
+    void trailersAndChunkExtensionsWithoutEndAreRefused()
+    {
+        settings::CallerLimits limits;
+        limits.headerBytes = 1'000;
+        const std::string head = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+        const std::string field = "X-Trailer: t\r\n";
+        std::string manyFields;
+        for (int number = 0; number < 100; ++number) {
+            manyFields += field;
+        }
+        for (const std::string &tail :
+             {"0\r\n" + manyFields, "0\r\n" + manyFields + "\r\n",
+              "0\r\nX: " + std::string(1'000, 'x'), "5;x=" + std::string(1'000, 'x'),
+              "5\r\nhello\r\n5;x=" + std::string(1'000, 'x') + "\r\nhello\r\n0\r\n\r\n"}) {
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(tail.substr(0, 30), std::string("431"),
+                                         describe(read(head + tail, limits)).substr(0, 3));
+            RequestReader reader(limits);
+            std::string outcome = "incomplete";
+            for (const char byte : head + tail) {
+                reader.append(&byte, 1);
+                outcome = describe(reader.next());
+                CPPUNIT_ASSERT(reader.unreadBytes() <= limits.headerBytes);
+                if (outcome != "incomplete") {
+                    break;
+                }
+            }
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(tail.substr(0, 30), std::string("431"),
+                                         outcome.substr(0, 3));
+        }
+    }
+
+    void trailersAndChunkExtensionsWithinTheLimitAreAccepted()
+    {
+        settings::CallerLimits limits;
+        limits.headerBytes = 1'000;
+        const std::string chunk = "5;x=" + std::string(980, 'x') + "\r\nhello\r\n";
+        const std::string bytes = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk
+            + chunk + chunk + "0\r\nX-Trailer: " + std::string(970, 't') + "\r\n\r\n";
+        const ReadOutcome outcome = read(bytes, limits);
+        CPPUNIT_ASSERT_EQUAL(std::string("a request"), describe(outcome));
+        CPPUNIT_ASSERT_EQUAL(std::string("hellohellohello"), std::get<ServerRequest>(outcome).body);
+    }
 };
 
 REGISTER_SUITE(RequestReaderTest, "request_reader");
