Apply changed limits to kept connections

A connection kept the size limits with which it was accepted, so that a raised max_body_bytes still refused requests on kept connections (review case 5). The reader takes the latest limits before it parses the first byte of a request; a request that has begun keeps its own.

--- a/src/http/internal/connection_handler.cpp
+++ b/src/http/internal/connection_handler.cpp
@@ -70,6 +70,7 @@
 void ConnectionHandler::processNextRequest(Connection &connection,
                                            const std::shared_ptr<Peer> &peer)
 {
+    connection.reader.setLimits(this->state->limits());
     const ReadOutcome outcome = connection.reader.next();
     if (const auto *request = std::get_if<ServerRequest>(&outcome)) {
         this->dispatch(*request, connection, peer);
--- a/src/http/internal/request_reader.cpp
+++ b/src/http/internal/request_reader.cpp
@@ -82,7 +82,8 @@
 
 } // namespace
 
-RequestReader::RequestReader(const settings::CallerLimits &limits) : limits(limits)
+RequestReader::RequestReader(const settings::CallerLimits &limits)
+    : limits(limits), nextLimits(limits)
 {
     this->reset();
 }
@@ -90,9 +91,14 @@
 void RequestReader::reset()
 {
     this->parser.emplace();
+    this->framingChecked = false;
+}
+
+void RequestReader::beginRequest()
+{
+    this->limits = this->nextLimits;
     this->parser->header_limit(static_cast<std::uint32_t>(this->limits.headerBytes));
     this->parser->body_limit(this->limits.bodyBytes);
-    this->framingChecked = false;
 }
 
 void RequestReader::append(const char *bytes, std::size_t size)
@@ -148,6 +154,9 @@
 
 ReadOutcome RequestReader::next()
 {
+    if (!this->parser->got_some()) {
+        this->beginRequest();
+    }
     if (!this->parser->is_header_done()) {
         this->skipEmptyLines();
         if (this->hasFoldedHeader()) {
--- a/src/http/internal/request_reader.h
+++ b/src/http/internal/request_reader.h
@@ -45,6 +45,8 @@
 
     // Commands
 
+    /// Sets the limits of the requests that begin after this call.
+    void setLimits(const settings::CallerLimits &limits) { this->nextLimits = limits; }
     /// Appends received bytes to the input.
     void append(const char *bytes, std::size_t size);
     /// Parses the input and returns the next complete request, if there is one.
@@ -62,6 +64,8 @@
         = boost::beast::http::request_parser<boost::beast::http::string_body, std::allocator<char>>;
 
     void reset();
+    /// Applies the latest limits to the request whose first byte is about to be parsed.
+    void beginRequest();
     /// Removes the first \a bytes of the input.
     void consume(std::size_t bytes);
     void skipEmptyLines();
@@ -69,7 +73,8 @@
     std::optional<RejectedRequest> checkFraming() const;
     ServerRequest takeRequest();
 
-    settings::CallerLimits limits;
+    settings::CallerLimits limits;     ///< Of the request that is being read.
+    settings::CallerLimits nextLimits; ///< Of the requests after it.
     std::string input;
     std::optional<Parser> parser;
     bool framingChecked = false;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -117,7 +117,8 @@
     /// Closes connections that exceeded a timeout. Call this about once a second.
     void enforceTimeouts();
     /// Replaces the limits. Timeouts and the connection limit apply at once, the unsent bytes limit
-    /// to further responses, and the header and body limits to new connections.
+    /// to further responses, and the header and body limits to requests that begin after this call,
+    /// also on connections that are open already.
     void setLimits(const settings::CallerLimits &limits);
 
     // Queries
