Read connections in turns

A readable connection was read until nothing was left in its buffer. A caller that sends as fast as the thread reads, also after its request was refused, kept the thread from all others, and the close of its own connection waited behind it. Each connection is now read up to 64 KiB before the others have their turn. A closed or reset connection is still noticed at once.

Whether the new test fails on the code before was not run.

--- a/src/http/internal/posting_transport.cpp
+++ b/src/http/internal/posting_transport.cpp
@@ -3,6 +3,10 @@
 #include "http/internal/connection.h"
 #include "http/internal/connection_exchange.h"
 
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cerrno>
 #include <utility>
 
 namespace azurespindle::http::internal {
@@ -13,6 +17,9 @@
 /// Idle time after which a connection is closed while the server drains. It is not zero because a
 /// caller that has just connected is about to send its first request.
 constexpr milliseconds drainIdleTimeout {300};
+/// Largest number of bytes read from one connection before the others take their turn.
+constexpr std::size_t maxBytesPerRead = 65'536;
+constexpr std::size_t readBufferBytes = 16'384;
 /// Time in which the first request of a new connection is awaited when the server stops.
 constexpr milliseconds firstRequestGrace {50};
 
@@ -40,14 +47,19 @@
 
 void PostingTransport::onReady(const Pistache::Aio::FdSet &fds)
 {
-    Pistache::Tcp::Transport::onReady(Pistache::Aio::FdSet(this->takeWritable(fds)));
+    Pistache::Tcp::Transport::onReady(Pistache::Aio::FdSet(this->takePeerEvents(fds)));
+    this->runPosted();
+}
+
+void PostingTransport::runPosted()
+{
     while (auto closure = this->postedClosures.popSafe()) {
         (*closure)();
     }
 }
 
 std::vector<Pistache::Polling::Event>
-PostingTransport::takeWritable(const Pistache::Aio::FdSet &fds)
+PostingTransport::takePeerEvents(const Pistache::Aio::FdSet &fds)
 {
     std::vector<Pistache::Polling::Event> others;
     others.reserve(fds.size());
@@ -59,28 +71,65 @@
         if (entry.isHangup()) {
             event.flags.setFlag(Pistache::Polling::NotifyOn::Hangup);
         }
+        const auto found = this->peers.find(static_cast<Pistache::Fd>(entry.getTag().value()));
+        if (found == this->peers.end()) {
+            others.push_back(event);
+            continue;
+        }
+        const std::shared_ptr<Peer> peer = found->second;
         if (entry.isWritable()) {
-            const auto found = this->peers.find(static_cast<Pistache::Fd>(entry.getTag().value()));
-            if (found != this->peers.end()) {
-                const std::shared_ptr<Peer> peer = found->second;
-                this->continueWriting(peer);
-            }
+            this->continueWriting(peer);
         }
-        others.push_back(event);
+        if (entry.isReadable() || entry.isHangup()) {
+            this->continueReading(peer);
+        }
+        // What the input led to, such as closing a refused connection, is done before more is read.
+        this->runPosted();
     }
     return others;
 }
 
+void PostingTransport::continueReading(const std::shared_ptr<Peer> &peer)
+{
+    std::size_t left = maxBytesPerRead;
+    while (left > 0 && this->owns(peer)) {
+        char bytes[readBufferBytes];
+        const ssize_t count
+            = ::recv(peer->fd(), bytes, std::min(left, sizeof(bytes)), MSG_DONTWAIT);
+        if (count < 0 && errno == EINTR) {
+            continue;
+        }
+        if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+            return;
+        }
+        if (count <= 0) {
+            this->disconnect(peer);
+            return;
+        }
+        left -= static_cast<std::size_t>(count);
+        this->handlerPrototype->onInput(bytes, static_cast<std::size_t>(count), peer);
+    }
+    if (this->owns(peer)) {
+        // The interest is set anew, which tells at once that bytes are left.
+        this->setInterest(peer, connectionOf(peer)->awaitsWritable);
+    }
+}
+
+void PostingTransport::setInterest(const std::shared_ptr<Peer> &peer, bool writable)
+{
+    using Pistache::Polling::NotifyOn;
+    this->reactor()->modifyFd(this->key(), peer->fd(),
+                              writable ? NotifyOn::Read | NotifyOn::Write : NotifyOn::Read,
+                              Pistache::Polling::Mode::Edge);
+}
+
 void PostingTransport::awaitWritable(const std::shared_ptr<Peer> &peer, bool awaits)
 {
     const std::shared_ptr<Connection> connection = connectionOf(peer);
     if (std::exchange(connection->awaitsWritable, awaits) == awaits) {
         return;
     }
-    using Pistache::Polling::NotifyOn;
-    this->reactor()->modifyFd(this->key(), peer->fd(),
-                              awaits ? NotifyOn::Read | NotifyOn::Write : NotifyOn::Read,
-                              Pistache::Polling::Mode::Edge);
+    this->setInterest(peer, awaits);
 }
 
 void PostingTransport::continueWriting(const std::shared_ptr<Peer> &peer)
--- a/src/http/internal/posting_transport.h
+++ b/src/http/internal/posting_transport.h
@@ -45,8 +45,14 @@
     std::size_t closeFinished();
 
 private:
-    /// Handles the sockets that are writable again. \return the other events, for Pistache.
-    std::vector<Pistache::Polling::Event> takeWritable(const Pistache::Aio::FdSet &fds);
+    /// Handles the events of connections. \return the other events, for Pistache.
+    std::vector<Pistache::Polling::Event> takePeerEvents(const Pistache::Aio::FdSet &fds);
+    /// Passes on what a connection has received, up to a limit; the rest follows after the other
+    /// connections have had their turn, so that a caller that sends fast does not keep the thread.
+    void continueReading(const std::shared_ptr<Pistache::Tcp::Peer> &peer);
+    void runPosted();
+    /// Sets what the poller tells of a connection, which is told at once if it is so already.
+    void setInterest(const std::shared_ptr<Pistache::Tcp::Peer> &peer, bool writable);
     /// Sets whether the poller tells when a socket is writable.
     void awaitWritable(const std::shared_ptr<Pistache::Tcp::Peer> &peer, bool awaits);
 
--- a/tests/http/caller_limits_test.cpp
+++ b/tests/http/caller_limits_test.cpp
@@ -35,6 +35,7 @@
 {
     CPPUNIT_TEST_SUITE(CallerLimitsTest);
     CPPUNIT_TEST(changedLimitsApplyToOpenConnections);
+    CPPUNIT_TEST(callersThatSendWithoutEndHoldUpNobodyElse);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -60,6 +61,44 @@
         server.setLimits(limits);
         CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 413"), answerTo(200));
     }
+
+    /// The thread read one connection until nothing had arrived, which never was so while its
+    /// caller sent faster than it read, also after the request had been refused.
+    void callersThatSendWithoutEndHoldUpNobodyElse()
+    {
+        Server server(anyPort, settings::CallerLimits {}, 1,
+                      [](const ServerRequest &, const ExchangePtr &exchange) {
+                          exchange->respond(200, {}, "small");
+                      });
+        CPPUNIT_ASSERT(!server.start());
+        std::atomic<bool> ending {false};
+        std::vector<std::thread> senders;
+        senders.reserve(3);
+        for (int number = 0; number < 3; ++number) {
+            senders.emplace_back([&] {
+                const std::string bytes(262'144, 'x');
+                while (!ending) {
+                    const tests::RawConnection sender(server.port());
+                    sender.send("POST / HTTP/1.1\r\ncontent-length: 1000000000\r\n\r\n");
+                    for (int part = 0; part < 200 && !ending; ++part) {
+                        sender.send(bytes);
+                    }
+                }
+            });
+        }
+        std::size_t answered = 0;
+        for (int number = 0; number < 20; ++number) {
+            const tests::RawConnection caller(server.port());
+            caller.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+            answered += caller.readUntil("small", receiveTimeout).empty() ? 0 : 1;
+        }
+        ending = true;
+        for (std::thread &sender : senders) {
+            sender.join();
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(20), answered);
+        server.stop();
+    }
 };
 
 REGISTER_SUITE(CallerLimitsTest, "caller_limits");
