Bound the memory of all that callers send

Each connection had bounds and the process had none: 96 unfinished bodies of 1 MiB took 108 MB (abusive_callers). InputBudget charges what connections and open requests have allocated: unparsed input, header nodes, partial bodies, and two copies of each request until its exchange is destroyed. When 3/8 of the VM's memory (new setting memoryMegabytes, absent: 2,048) are reached, unfinished requests are refused with 503, those first that hold the most for the longest time without progress; the choice is a pure function. A body is refused with 408 if no byte arrives for header_timeout_ms, or less than 1 KiB in idle_timeout_ms; a late header gets 408 as well, and a header that arrives line by line no longer counts as idle. Bodies grow with what has arrived. Refusals have a counter by reason and the events 216 to 219. The program maps large blocks, so that freeing them returns the memory.

The crowd and the bounds of abusive_callers are unchanged; its process is given 64 MB, and it is examined 1.5 s after the last byte, as reading in turns leaves input to be read.

--- a/src/http/internal/connection.cpp
+++ b/src/http/internal/connection.cpp
@@ -47,6 +47,7 @@
         return;
     }
     state.openConnections -= 1;
+    state.inputBudget.removeConnection(connection->budgetNumber);
     if (const auto completed = connection->completed.lock()) {
         completed->discardUnsent();
     }
--- a/src/http/internal/connection.h
+++ b/src/http/internal/connection.h
@@ -25,6 +25,12 @@
     bool awaitsWritable = false; ///< The poller tells when the socket takes bytes again.
     bool disconnected = false;   ///< The connection is closed and its exchange has been notified.
     bool closing = false;        ///< Close after the current response; ignore further input.
+    std::uint64_t budgetNumber = 0; ///< Number of this connection in the InputBudget.
+    Instant lastBodyByte;           ///< Time of the end of the header, or of the latest body bytes.
+    Instant lastProgress;           ///< Time at which the request last made progress.
+    bool inBody = false;            ///< The header of the request that is being read is complete.
+    std::size_t bodyBytes = 0;      ///< Size of the body so far.
+    std::size_t bodyBytesAtProgress = 0; ///< Size of the body at lastProgress.
     Instant lastActivity; ///< Time of connecting, of a request's first byte or of a response's end.
     std::shared_ptr<ConnectionExchange> exchange; ///< The response in progress, or nullptr.
     /// The last complete response, whose bytes may still be unsent.
--- a/src/http/internal/connection_exchange.cpp
+++ b/src/http/internal/connection_exchange.cpp
@@ -33,6 +33,7 @@
 ConnectionExchange::~ConnectionExchange()
 {
     this->markEnded();
+    this->state->inputBudget.releaseRequest(this->requestBytes);
 }
 
 void ConnectionExchange::markEnded()
--- a/src/http/internal/connection_exchange.h
+++ b/src/http/internal/connection_exchange.h
@@ -33,6 +33,9 @@
     std::size_t unsentBytes() const override;
     bool congested() const override;
 
+    /// Keeps the memory of an admitted request charged as long as this object exists. To be called
+    /// once, before the request is handled.
+    void holdRequest(std::size_t bytes) { this->requestBytes = bytes; }
     /// Discards unsent bytes and calls the onDisconnected callback. Call on the owning thread only.
     void handleDisconnect();
     /// Discards the unsent bytes of a complete response. Call on the owning thread only.
@@ -56,6 +59,7 @@
     const std::weak_ptr<PostingTransport> transport;
     std::shared_ptr<Pistache::Tcp::Peer> peer;
     const std::size_t unsentLimit;
+    std::size_t requestBytes = 0; ///< Charged to ServerState::inputBudget.
     std::atomic<bool> closeAfterResponse;
 
     mutable std::mutex mutex; ///< Guards all members declared after it.
--- a/src/http/internal/connection_handler.h
+++ b/src/http/internal/connection_handler.h
@@ -30,8 +30,7 @@
                             const std::shared_ptr<Pistache::Tcp::Peer> &peer);
     void dispatch(const ServerRequest &request, Connection &connection,
                   const std::shared_ptr<Pistache::Tcp::Peer> &peer);
-    void refuse(Connection &connection, const std::shared_ptr<Pistache::Tcp::Peer> &peer,
-                int status, const std::string &detail);
+    void refuse(const std::shared_ptr<Pistache::Tcp::Peer> &peer, const RejectedRequest &rejection);
 
     std::shared_ptr<ServerState> state;
 };
--- a/src/http/internal/posting_transport.cpp
+++ b/src/http/internal/posting_transport.cpp
@@ -2,6 +2,7 @@
 
 #include "http/internal/connection.h"
 #include "http/internal/connection_exchange.h"
+#include "http/internal/refusal.h"
 
 #include <sys/socket.h>
 
@@ -20,9 +21,31 @@
 /// Largest number of bytes read from one connection before the others take their turn.
 constexpr std::size_t maxBytesPerRead = 65'536;
 constexpr std::size_t readBufferBytes = 16'384;
+constexpr int statusTimeout = 408;
 /// Time in which the first request of a new connection is awaited when the server stops.
 constexpr milliseconds firstRequestGrace {50};
 
+/// Returns the refusal of a request that is not received in time, or nothing. A body is late if no
+/// byte arrives for the request timeout, or if it makes no progress for the longer idle timeout.
+std::optional<RejectedRequest> timeoutOf(const Connection &connection,
+                                         const settings::CallerLimits &limits, Instant now)
+{
+    if (!connection.reader.inBody()) {
+        if (now - connection.lastActivity <= limits.requestTimeout) {
+            return std::nullopt;
+        }
+        return RejectedRequest {statusTimeout, "the header did not arrive in time",
+                                RefusalReason::HeaderTimedOut};
+    }
+    const milliseconds progressTimeout = std::max(limits.requestTimeout, limits.idleTimeout);
+    if (now - connection.lastBodyByte <= limits.requestTimeout
+        && now - connection.lastProgress <= progressTimeout) {
+        return std::nullopt;
+    }
+    return RejectedRequest {statusTimeout, "the body makes no progress",
+                            RefusalReason::BodyTimedOut};
+}
+
 } // namespace
 
 std::shared_ptr<PostingTransport>
@@ -158,6 +181,18 @@
     this->postedClosures.push(std::move(closure));
 }
 
+void PostingTransport::postRefusal(const std::weak_ptr<Peer> &peer)
+{
+    const std::weak_ptr<PostingTransport> weak = this->weak_from_this();
+    this->post([weak, peer] {
+        const auto self = weak.lock();
+        const auto alive = peer.lock();
+        if (self != nullptr && alive != nullptr && self->owns(alive)) {
+            refuseConnection(self->state, self, alive, memoryShortRejection());
+        }
+    });
+}
+
 bool PostingTransport::owns(const std::shared_ptr<Peer> &peer) const
 {
     const auto found = this->peers.find(peer->fd());
@@ -178,6 +213,7 @@
     const Instant now = monotonicNow();
     const settings::CallerLimits limits = this->state->limits();
     std::vector<std::shared_ptr<Peer>> expired;
+    std::vector<std::pair<std::shared_ptr<Peer>, RejectedRequest>> late;
     for (const auto &[fd, peer] : this->peers) {
         const std::shared_ptr<Connection> connection = connectionOf(peer);
         if (connection == nullptr) {
@@ -199,15 +235,21 @@
             }
             continue;
         }
-        const milliseconds timeout
-            = connection->reader.hasPendingInput() ? limits.requestTimeout : limits.idleTimeout;
-        const bool idle = !connection->reader.hasPendingInput() && age > drainIdleTimeout;
-        const bool isDue = age > timeout || (draining && idle);
+        if (connection->reader.hasPendingInput()) {
+            if (const auto rejection = timeoutOf(*connection, limits, now)) {
+                late.emplace_back(peer, *rejection);
+            }
+            continue;
+        }
+        const bool isDue = age > limits.idleTimeout || (draining && age > drainIdleTimeout);
         // A request may have arrived that this thread has not read yet.
-        if (isDue && (connection->reader.hasPendingInput() || !hasUnreadBytes(*peer))) {
+        if (isDue && !hasUnreadBytes(*peer)) {
             expired.push_back(peer);
         }
     }
+    for (const auto &[peer, rejection] : late) {
+        refuseConnection(this->state, this->shared_from_this(), peer, rejection);
+    }
     for (const std::shared_ptr<Peer> &peer : expired) {
         this->disconnect(peer);
     }
--- a/src/http/internal/posting_transport.h
+++ b/src/http/internal/posting_transport.h
@@ -29,6 +29,9 @@
 
     /// Queues \a closure to run on the owning thread. May be called from any thread.
     void post(std::function<void()> closure);
+    /// Refuses what a connection is sending, because memory is short. May be called from any
+    /// thread.
+    void postRefusal(const std::weak_ptr<Pistache::Tcp::Peer> &peer);
     /// Returns true if \a peer is an open connection of this transport. Call on the owning thread
     /// only.
     bool owns(const std::shared_ptr<Pistache::Tcp::Peer> &peer) const;
--- a/src/http/internal/request_reader.cpp
+++ b/src/http/internal/request_reader.cpp
@@ -1,6 +1,7 @@
 #include "http/internal/request_reader.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace azurespindle::http::internal {
@@ -72,12 +73,12 @@
 {
     using Error = beast::http::error;
     if (error == Error::header_limit) {
-        return {statusHeaderTooLarge, "the header is too large"};
+        return {statusHeaderTooLarge, "the header is too large", RefusalReason::HeaderTooLarge};
     }
     if (error == Error::body_limit) {
-        return {statusTooLarge, "the body is too large"};
+        return {statusTooLarge, "the body is too large", RefusalReason::BodyTooLarge};
     }
-    return {statusBadRequest, error.message()};
+    return {statusBadRequest, error.message(), RefusalReason::Malformed};
 }
 
 } // namespace
@@ -90,7 +91,8 @@
 
 void RequestReader::reset()
 {
-    this->parser.emplace();
+    this->parser.emplace(std::piecewise_construct, std::make_tuple(),
+                         std::make_tuple(CountingAllocator<char>(this->fieldBytes)));
     this->framingChecked = false;
 }
 
@@ -108,7 +110,21 @@
 
 bool RequestReader::hasPendingInput() const
 {
-    return !this->input.empty() || this->parser->is_header_done();
+    return !this->input.empty() || this->parser->got_some();
+}
+
+void RequestReader::clear()
+{
+    std::string().swap(this->input);
+    this->reset();
+}
+
+std::size_t RequestReader::heldBytes() const
+{
+    const auto allocated = [](const std::string &text) {
+        return text.capacity() > std::string().capacity() ? text.capacity() : 0;
+    };
+    return allocated(this->input) + allocated(this->parser->get().body()) + this->fieldBytes;
 }
 
 void RequestReader::consume(std::size_t bytes)
@@ -138,7 +154,8 @@
     const auto &head = this->parser->get();
     if (head.count(Field::content_length) > 1 || head.count(Field::transfer_encoding) > 1
         || head.count(Field::host) > 1) {
-        return RejectedRequest {statusBadRequest, "a header that may stand once stands twice"};
+        return RejectedRequest {statusBadRequest, "a header that may stand once stands twice",
+                                RefusalReason::Malformed};
     }
     const auto encoding = head.find(Field::transfer_encoding);
     if (encoding == head.end()) {
@@ -147,7 +164,8 @@
     const bool chunkedOnly = lowerCase(text(encoding->value())) == "chunked";
     const bool both = head.count(Field::content_length) > 0;
     if (!chunkedOnly || both || head.version() < 11) {
-        return RejectedRequest {statusBadRequest, "the length of the body is ambiguous"};
+        return RejectedRequest {statusBadRequest, "the length of the body is ambiguous",
+                                RefusalReason::Malformed};
     }
     return std::nullopt;
 }
@@ -160,7 +178,8 @@
     if (!this->parser->is_header_done()) {
         this->skipEmptyLines();
         if (this->hasFoldedHeader()) {
-            return RejectedRequest {statusBadRequest, "a header line is folded"};
+            return RejectedRequest {statusBadRequest, "a header line is folded",
+                                    RefusalReason::Malformed};
         }
     }
     while (!this->parser->is_done()) {
@@ -182,7 +201,8 @@
                 return Incomplete {};
             }
             return RejectedRequest {statusHeaderTooLarge,
-                                    "the trailers or a chunk extension are too large"};
+                                    "the trailers or a chunk extension are too large",
+                                    RefusalReason::TrailersTooLarge};
         }
         if (error) {
             return rejectionFor(error);
--- a/src/http/internal/request_reader.h
+++ b/src/http/internal/request_reader.h
@@ -1,11 +1,12 @@
 #ifndef AZURESPINDLE_HTTP_INTERNAL_REQUEST_READER_H
 #define AZURESPINDLE_HTTP_INTERNAL_REQUEST_READER_H
 
+#include "http/internal/counting_allocator.h"
+#include "http/internal/received_body.h"
 #include "http/server.h"
 #include "settings/settings.h"
 
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <optional>
 #include <string>
@@ -23,6 +24,7 @@
 {
     int status = 400;
     std::string detail; ///< Reason, as shown to the caller.
+    RefusalReason reason = RefusalReason::Malformed;
 };
 
 using ReadOutcome = std::variant<Incomplete, ServerRequest, RejectedRequest>;
@@ -42,6 +44,8 @@
 {
 public:
     explicit RequestReader(const settings::CallerLimits &limits);
+    RequestReader(const RequestReader &) = delete;
+    RequestReader &operator=(const RequestReader &) = delete;
 
     // Commands
 
@@ -51,6 +55,8 @@
     void append(const char *bytes, std::size_t size);
     /// Parses the input and returns the next complete request, if there is one.
     ReadOutcome next();
+    /// Discards the input and the request that is being read, and releases their memory.
+    void clear();
 
     // Queries
 
@@ -58,10 +64,15 @@
     bool hasPendingInput() const;
     /// Returns the number of appended bytes that have not been parsed yet.
     std::size_t unreadBytes() const { return this->input.size(); }
+    /// Returns true if the header of a request is complete and its body is not.
+    bool inBody() const { return this->parser->is_header_done(); }
+    /// Returns the size of the body received so far, in bytes.
+    std::size_t bodyBytes() const { return this->parser->get().body().size(); }
+    /// Returns the memory allocated for the input and the request that is being read, in bytes.
+    std::size_t heldBytes() const;
 
 private:
-    using Parser
-        = boost::beast::http::request_parser<boost::beast::http::string_body, std::allocator<char>>;
+    using Parser = boost::beast::http::request_parser<ReceivedBody, CountingAllocator<char>>;
 
     void reset();
     /// Applies the latest limits to the request whose first byte is about to be parsed.
@@ -76,6 +87,7 @@
     settings::CallerLimits limits;     ///< Of the request that is being read.
     settings::CallerLimits nextLimits; ///< Of the requests after it.
     std::string input;
+    std::size_t fieldBytes = 0; ///< Allocated by the parser for header fields and trailers.
     std::optional<Parser> parser;
     bool framingChecked = false;
 };
--- a/src/http/internal/server_state.cpp
+++ b/src/http/internal/server_state.cpp
@@ -7,12 +7,14 @@
 
 namespace azurespindle::http::internal {
 
-ServerState::ServerState(settings::CallerLimits limits, Handler handler)
-    : handler(std::move(handler)), currentLimits(limits)
+ServerState::ServerState(settings::CallerLimits limits, Handler handler, RefusalHandler onRefusal)
+    : handler(std::move(handler)), onRefusal(std::move(onRefusal)), inputBudget(limits.inputBytes),
+      currentLimits(limits)
 { }
 
 void ServerState::setLimits(const settings::CallerLimits &limits)
 {
+    this->inputBudget.setLimit(limits.inputBytes);
     const std::lock_guard lock(this->mutex);
     this->currentLimits = limits;
 }
--- a/src/http/internal/server_state.h
+++ b/src/http/internal/server_state.h
@@ -1,6 +1,7 @@
 #ifndef AZURESPINDLE_HTTP_INTERNAL_SERVER_STATE_H
 #define AZURESPINDLE_HTTP_INTERNAL_SERVER_STATE_H
 
+#include "http/internal/input_budget.h"
 #include "http/server.h"
 
 #include <atomic>
@@ -17,7 +18,7 @@
 class ServerState
 {
 public:
-    ServerState(settings::CallerLimits limits, Handler handler);
+    ServerState(settings::CallerLimits limits, Handler handler, RefusalHandler onRefusal);
 
     void addTransport(const std::weak_ptr<PostingTransport> &transport);
     void drain();
@@ -32,6 +33,8 @@
     settings::CallerLimits limits() const;
 
     const Handler handler;
+    const RefusalHandler onRefusal;
+    InputBudget inputBudget;
     std::atomic<std::size_t> openExchanges {0};
     std::atomic<std::size_t> openConnections {0};
     std::atomic<bool> draining {false};
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -5,6 +5,7 @@
 
 #include <pistache/listener.h>
 
+#include <array>
 #include <thread>
 
 namespace azurespindle::http {
@@ -36,14 +37,23 @@
     return Pistache::Http::codeString(static_cast<Pistache::Http::Code>(status));
 }
 
+const char *refusalReasonName(RefusalReason reason)
+{
+    static constexpr std::array<const char *, refusalReasonCount> names {
+        "malformed",        "header-too-large", "trailers-too-large", "body-too-large",
+        "header-timed-out", "body-timed-out",   "memory-short",       "too-many-connections"};
+    return names.at(static_cast<std::size_t>(reason));
+}
+
 /// Owns the listener, which creates one transport for each worker thread.
 class Server::Implementation
 {
 public:
     Implementation(settings::Address address, settings::CallerLimits limits, std::size_t threads,
-                   Handler handler)
+                   Handler handler, RefusalHandler onRefusal)
         : address(std::move(address)), threads(threads),
-          shared(std::make_shared<internal::ServerState>(limits, std::move(handler)))
+          shared(std::make_shared<internal::ServerState>(limits, std::move(handler),
+                                                         std::move(onRefusal)))
     { }
 
     settings::Address address;
@@ -53,9 +63,9 @@
 };
 
 Server::Server(settings::Address address, settings::CallerLimits limits, std::size_t threads,
-               Handler handler)
-    : implementation(
-        std::make_unique<Implementation>(std::move(address), limits, threads, std::move(handler)))
+               Handler handler, RefusalHandler onRefusal)
+    : implementation(std::make_unique<Implementation>(std::move(address), limits, threads,
+                                                      std::move(handler), std::move(onRefusal)))
 { }
 
 Server::~Server()
@@ -137,4 +147,9 @@
     return this->implementation->shared->openConnections.load();
 }
 
+std::size_t Server::inputBytes() const
+{
+    return this->implementation->shared->inputBudget.usedBytes();
+}
+
 } // namespace azurespindle::http
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -38,6 +38,33 @@
     std::string queryField(const std::string &name) const;
 };
 
+/// Why the server itself refused a request, or a connection.
+enum class RefusalReason {
+    Malformed,
+    HeaderTooLarge,
+    TrailersTooLarge, ///< The trailers or a chunk extension exceed CallerLimits::headerBytes.
+    BodyTooLarge,
+    HeaderTimedOut,
+    BodyTimedOut,
+    MemoryShort, ///< All callers together hold CallerLimits::inputBytes.
+    TooManyConnections,
+};
+constexpr std::size_t refusalReasonCount = 8;
+
+/// Returns the name of a reason, such as "header-too-large".
+const char *refusalReasonName(RefusalReason reason);
+
+/// A request that the server refused without calling the handler. It has not run.
+struct CallerRefusal
+{
+    RefusalReason reason = RefusalReason::Malformed;
+    int status = 0;            ///< 0 if the connection was closed without a response.
+    std::size_t heldBytes = 0; ///< Memory that its connection held, in bytes.
+};
+
+/// Called on the thread of the connection for each refusal; it must not block.
+using RefusalHandler = std::function<void(const CallerRefusal &refusal)>;
+
 /// The response to one request. All functions are thread-safe.
 ///
 /// Pistache queues writes by file descriptor, and the operating system reuses a descriptor as soon
@@ -95,8 +122,9 @@
 class Server
 {
 public:
+    /// \param onRefusal called for each request that the server refuses; may be empty.
     Server(settings::Address address, settings::CallerLimits limits, std::size_t threads,
-           Handler handler);
+           Handler handler, RefusalHandler onRefusal = {});
     ~Server();
     Server(const Server &) = delete;
     Server &operator=(const Server &) = delete;
@@ -114,7 +142,8 @@
     void refuseRequests();
     /// Closes idle connections and sends `Connection: close` with every further response.
     void drain();
-    /// Closes connections that exceeded a timeout. Call this about once a second.
+    /// Refuses requests that exceeded a timeout and closes idle connections. Call this about once a
+    /// second.
     void enforceTimeouts();
     /// Replaces the limits. Timeouts and the connection limit apply at once, the unsent bytes limit
     /// to further responses, and the header and body limits to requests that begin after this call,
@@ -128,6 +157,8 @@
     /// Returns the number of requests whose response has not been sent completely.
     std::size_t openExchanges() const;
     std::size_t openConnections() const;
+    /// Returns the memory that callers occupy with what they have sent, in bytes.
+    std::size_t inputBytes() const;
 
 private:
     class Implementation;
--- a/src/journal/event_id.cpp
+++ b/src/journal/event_id.cpp
@@ -44,6 +44,17 @@
          "An engine was asked to stop a run that continues elsewhere, and has not confirmed that "
          "it "
          "did; it is asked again."},
+        {E::RequestLimitReached, "request-limit-reached", S::Warning,
+         "A request exceeded the limit on its header, trailers or body and was refused; `reason` "
+         "says which."},
+        {E::RequestTimedOut, "request-timed-out", S::Warning,
+         "The header of a request did not arrive in time, or its body made no progress; it was "
+         "refused."},
+        {E::InputMemoryShort, "input-memory-short", S::Warning,
+         "All callers together reached the memory for what they send, and one was refused; "
+         "`heldBytes` is what it held."},
+        {E::ConnectionLimitReached, "connection-limit-reached", S::Warning,
+         "A connection beyond the largest number was refused."},
         {E::UpstreamAdded, "upstream-added", S::Info, "An upstream is known now."},
         {E::UpstreamRemoved, "upstream-removed", S::Info, "An upstream is no longer listed."},
         {E::UpstreamCondition, "upstream-condition", S::Info,
--- a/src/journal/event_id.h
+++ b/src/journal/event_id.h
@@ -31,6 +31,10 @@
     GenerationLost = 212,
     RequestCut = 213,
     RunStopUnconfirmed = 214,
+    RequestLimitReached = 216,
+    RequestTimedOut = 217,
+    InputMemoryShort = 218,
+    ConnectionLimitReached = 219,
 
     UpstreamAdded = 300,
     UpstreamRemoved = 301,
--- a/src/serving/routing_process.cpp
+++ b/src/serving/routing_process.cpp
@@ -32,6 +32,12 @@
 /// Share of the file descriptors for callers' connections, each of which may need a connection to
 /// an upstream as well.
 constexpr double callerDescriptorShare = 0.45;
+constexpr double bytesPerMegabyte = 1'048'576.0;
+/// Share of the VM's memory for callers' input. An idle process uses 16 MB and buffered responses
+/// up to 16 MB more, which leaves at least 23 MB of the smallest VM (88 MB) to everything else.
+constexpr double inputMemoryShare = 0.375;
+/// Memory for the input of the readiness and metrics servers, each.
+constexpr std::size_t operatorInputBytes = 2'097'152;
 
 std::uint64_t wallClockMilliseconds()
 {
@@ -68,13 +74,16 @@
             capacityOf(settings)};
 }
 
-settings::CallerLimits toCallerLimits(const routing::RequestLimits &limits, std::size_t descriptors)
+settings::CallerLimits toCallerLimits(const routing::RequestLimits &limits,
+                                      const settings::RoutingSettings &settings)
 {
     settings::CallerLimits callerLimits;
     callerLimits.headerBytes = limits.headerBytes;
     callerLimits.bodyBytes = limits.bodyBytes;
-    callerLimits.connections
-        = static_cast<std::size_t>(callerDescriptorShare * static_cast<double>(descriptors));
+    callerLimits.connections = static_cast<std::size_t>(
+        callerDescriptorShare * static_cast<double>(settings.descriptors));
+    callerLimits.inputBytes
+        = static_cast<std::size_t>(inputMemoryShare * settings.memoryMegabytes * bytesPerMegabyte);
     callerLimits.requestTimeout = limits.headerTimeout;
     callerLimits.idleTimeout = limits.idleTimeout;
     return callerLimits;
@@ -97,6 +106,7 @@
     limits.connections = 64;
     limits.headerBytes = 16'384;
     limits.bodyBytes = 16'384;
+    limits.inputBytes = operatorInputBytes;
     return limits;
 }
 
@@ -106,6 +116,7 @@
                                const PlatformAdapterFactory &makeAdapter)
     : settings(std::move(initialSettings)), memberSettings(toMemberSettings(this->settings)),
       startTime(monotonicNow()), adapter(makeAdapter(this->settings, this->client, this->registry)),
+      callerRefusals(this->journal),
       forwarder(
           toRouterOptions(this->settings), this->adapter, this->client, this->registry,
           this->journal,
@@ -128,11 +139,13 @@
             [this](const members::ViewChanges &changes) { this->sendToZone(changes); }}),
       reporter(this->settings.name, this->settings.zone, this->forwarder, this->view, this->relay,
                this->reporterHooks()),
-      callerServer(this->settings.callerAddress,
-                   toCallerLimits(routing::RequestLimits {}, this->settings.descriptors), 1,
-                   [this](const http::ServerRequest &request, const http::ExchangePtr &exchange) {
-                       this->forwarder.handleRequest(request, exchange);
-                   }),
+      callerServer(
+          this->settings.callerAddress, toCallerLimits(routing::RequestLimits {}, this->settings),
+          1,
+          [this](const http::ServerRequest &request, const http::ExchangePtr &exchange) {
+              this->forwarder.handleRequest(request, exchange);
+          },
+          [this](const http::CallerRefusal &refusal) { this->callerRefusals.record(refusal); }),
       readinessServer(
           this->settings.readyAddress, operatorServerLimits(), 1,
           [this](const http::ServerRequest &request, const http::ExchangePtr &exchange) {
@@ -256,7 +269,7 @@
         const routing::RequestLimits &limits = state->routeTable->configuration().limits;
         if (limits != this->currentLimits) {
             this->currentLimits = limits;
-            this->callerServer.setLimits(toCallerLimits(limits, this->settings.descriptors));
+            this->callerServer.setLimits(toCallerLimits(limits, this->settings));
         }
     }
     this->forwarder.handle(routing::FleetStateChanged {state});
@@ -292,7 +305,9 @@
     const routing::RouterStatus status = this->forwarder.status();
     std::ostringstream text;
     text << this->registry.exposition();
-    text << "azurespindle_open_requests " << status.openRequests << "\n"
+    text << this->callerRefusals.exposition();
+    text << "azurespindle_caller_input_bytes " << this->callerServer.inputBytes() << "\n"
+         << "azurespindle_open_requests " << status.openRequests << "\n"
          << "azurespindle_queued_requests " << status.queuedRequests << "\n"
          << "azurespindle_moving_generations " << status.migratingGenerations << "\n"
          << "azurespindle_moves_begun_total " << status.migrationsStarted << "\n"
--- a/src/serving/routing_process.h
+++ b/src/serving/routing_process.h
@@ -7,6 +7,7 @@
 #include "members/coordinator.h"
 #include "metrics/registry.h"
 #include "routing/platform_adapter.h"
+#include "serving/caller_refusals.h"
 #include "serving/fleet_reporter.h"
 #include "serving/request_forwarder.h"
 #include "serving/view_synchronizer.h"
@@ -89,6 +90,7 @@
     std::size_t knownProcesses = 0;
     routing::RequestLimits
         currentLimits; ///< Limits last applied; accessed only while a fleet state is applied.
+    CallerRefusals callerRefusals;
     RequestForwarder forwarder;
     ZoneRelay relay;
     members::Coordinator coordinator;
--- a/src/settings/routing_settings.cpp
+++ b/src/settings/routing_settings.cpp
@@ -60,6 +60,8 @@
     settings.processorShare
         = reader.number("processorShare", {0.001, 1e3}, settings.processorShare);
     settings.linkMegabits = reader.number("linkMegabits", {0.001, 1e6}, settings.linkMegabits);
+    settings.memoryMegabytes
+        = reader.number("memoryMegabytes", {16.0, 16'777'216.0}, settings.memoryMegabytes);
     reader.object("bounds",
                   [&](json::ObjectReader &bounds) { settings.bounds = readBounds(bounds); });
     reader.finish();
--- a/src/settings/routing_settings.h
+++ b/src/settings/routing_settings.h
@@ -37,9 +37,10 @@
     std::vector<Address> seeds; ///< Members that are contacted first when joining.
     std::map<std::string, std::string> regionOfZone; ///< Region by zone, for all zones.
     LogFormat logFormat = LogFormat::Json;
-    std::size_t descriptors = 4'096; ///< File descriptors that the process may open.
-    double processorShare = 1.0;     ///< Share of a core that the VM provides.
-    double linkMegabits = 1'000.0;   ///< Bandwidth of the VM's link, in Mbit/s.
+    std::size_t descriptors = 4'096;  ///< File descriptors that the process may open.
+    double processorShare = 1.0;      ///< Share of a core that the VM provides.
+    double linkMegabits = 1'000.0;    ///< Bandwidth of the VM's link, in Mbit/s.
+    double memoryMegabytes = 2'048.0; ///< Memory of the VM, in MiB.
     FleetBounds bounds;
 
     bool operator==(const RoutingSettings &other) const = default;
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -13,6 +13,8 @@
 constexpr std::int64_t maxThreads = 64;
 /// Largest request body that the settings may permit, in bytes.
 constexpr std::int64_t maxBodyBytes = 67'108'864;
+/// Largest memory for callers' input that the settings may permit, in bytes.
+constexpr std::int64_t maxInputBytes = 1'099'511'627'776;
 
 std::string readUrl(json::ObjectReader &reader, const std::string &name)
 {
@@ -34,6 +36,7 @@
         limits.headerBytes = std::min(limits.headerBytes, limits.bodyBytes);
     }
     limits.bodyBytes = readSize(reader, "bodyBytes", {0, maxBodyBytes}, limits.bodyBytes);
+    limits.inputBytes = readSize(reader, "inputBytes", {65'536, maxInputBytes}, limits.inputBytes);
     limits.connections = readSize(reader, "connections", {1, 1'000'000}, limits.connections);
     limits.unsentBytes = readSize(reader, "unsentBytes", {4'096, 67'108'864}, limits.unsentBytes);
     limits.requestTimeout = reader.duration("requestTimeoutMs", limits.requestTimeout);
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -31,11 +31,13 @@
 {
     std::size_t headerBytes = 65'536;     ///< Largest request header.
     std::size_t bodyBytes = 1'048'576;    ///< Largest request body.
+    std::size_t inputBytes = 805'306'368; ///< Most memory for what all callers send.
     std::size_t connections = 4'096;      ///< Most caller connections open at once.
     std::size_t unsentBytes = 262'144;    ///< Most response bytes buffered per slow caller.
-    milliseconds requestTimeout {10'000}; ///< Longest time to receive a whole request.
-    milliseconds idleTimeout {75'000};    ///< Longest idle time of a keep-alive connection.
-    milliseconds writeTimeout {30'000};   ///< Longest time a caller may read nothing.
+    /// Longest time to receive a header, and longest time without a byte of the body.
+    milliseconds requestTimeout {10'000};
+    milliseconds idleTimeout {75'000};  ///< Longest idle time of a keep-alive connection.
+    milliseconds writeTimeout {30'000}; ///< Longest time a caller may read nothing.
 
     bool operator==(const CallerLimits &other) const = default;
 };
--- a/tests/crowd/abusive_callers_test.cpp
+++ b/tests/crowd/abusive_callers_test.cpp
@@ -23,6 +23,9 @@
 /// Long enough for a machine under load: only an answer that never comes fails.
 constexpr milliseconds answerPatience {20'000};
 
+/// Time for the process to read what the system has buffered, before it is examined.
+constexpr milliseconds settleTime {1'500};
+
 constexpr std::size_t megabyte = 1'048'576;
 
 const std::string requestLine = "POST /look/at HTTP/1.1\r\nHost: shop.example\r\n"
@@ -126,6 +129,7 @@
         for (std::thread &thread : threads) {
             thread.join();
         }
+        std::this_thread::sleep_for(settleTime);
         const std::size_t descriptors = entry.openDescriptors();
         const bool answered = entry.answersOrdinaryRequest(answerPatience);
         const std::size_t resident = entry.peakResidentBytes();
--- a/tests/crowd/entry_under_load.cpp
+++ b/tests/crowd/entry_under_load.cpp
@@ -94,7 +94,8 @@
                          {"metricsAddress", loopback(this->port(metricsOffset))},
                          {"publisherAddress", loopback(this->port(storeOffset))},
                          {"seeds", {loopback(this->port(memberOffset))}},
-                         {"descriptors", descriptors}};
+                         {"descriptors", descriptors},
+                         {"memoryMegabytes", memoryMegabytes}};
     std::ofstream(this->settingsFile) << settings.dump(2);
 }
 
--- a/tests/crowd/entry_under_load.h
+++ b/tests/crowd/entry_under_load.h
@@ -18,6 +18,8 @@
     static constexpr std::size_t headerBytes = 4'096;
     /// Largest body of a request, in bytes.
     static constexpr std::size_t bodyBytes = 1'048'576;
+    /// Memory of the VM, in MiB.
+    static constexpr std::size_t memoryMegabytes = 64;
     /// File descriptors that the process is permitted.
     static constexpr std::size_t descriptors = 512;
 
--- a/tests/settings/routing_settings_test.cpp
+++ b/tests/settings/routing_settings_test.cpp
@@ -109,6 +109,7 @@
             {"{{limits.max_fds|json}}", "4100"},
             {"{{limits.cpu_quota|json}}", "0.25"},
             {"{{limits.link_mbps|json}}", "200.0"},
+            {"{{limits.memory_mb|json}}", "88"},
             {"{{bounds.retry_budget_ratio|json}}", "0.2"},
             {"{{bounds.budget_slack|json}}", "58"},
             {"{{bounds.retry_window_s|json}}", "10"},
