--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -7,8 +7,8 @@
 namespace {
 
 /// Blocks from this size on, in bytes, are mapped on their own, so that freeing them returns the
-/// memory to the system. The C library raises its threshold with the largest block freed, and bodies
-/// of requests would stay resident.
+/// memory to the system. The C library raises its threshold with the largest block freed, and
+/// bodies of requests would stay resident.
 constexpr int mappedBlockBytes = 131'072;
 
 } // namespace
