--- a/src/http/internal/request_reader.cpp
+++ b/src/http/internal/request_reader.cpp
@@ -143,6 +143,9 @@
 
 bool RequestReader::hasFoldedHeader() const
 {
+    if (this->input.starts_with("\r\n")) {
+        return false; // The parser has consumed all fields; this is the end of the header.
+    }
     const std::size_t end = std::min(this->input.find("\r\n\r\n"), this->input.size());
     const std::size_t fold = std::min(this->input.find("\n "), this->input.find("\n\t"));
     return fold < end;
@@ -174,9 +177,9 @@
 {
     if (!this->parser->got_some()) {
         this->beginRequest();
+        this->skipEmptyLines();
     }
     if (!this->parser->is_header_done()) {
-        this->skipEmptyLines();
         if (this->hasFoldedHeader()) {
             return RejectedRequest {statusBadRequest, "a header line is folded",
                                     RefusalReason::Malformed};
--- a/tests/http/request_reader_test.cpp
+++ b/tests/http/request_reader_test.cpp
@@ -32,6 +32,7 @@
     CPPUNIT_TEST(targetFieldsAndBodyArePreserved);
     CPPUNIT_TEST(chunkedBodyWithExtensionsAndTrailerIsDecoded);
     CPPUNIT_TEST(requestIsParsedFromSingleBytes);
+    CPPUNIT_TEST(aHeaderWhoseEndArrivesInPartsIsNotTakenForFolded);
     CPPUNIT_TEST(pipelinedRequestsAreReadInOrder);
     CPPUNIT_TEST(headerAndBodyLimitsAreEnforced);
     CPPUNIT_TEST(aBodyLimitBelowTheHeaderRefusesNoHeader);
@@ -114,6 +115,25 @@
         CPPUNIT_ASSERT(!reader.hasPendingInput());
     }
 
+    /// Found by the fuzzer: if the empty line after the header arrived in two parts, a line of the
+    /// body that begins with a space was taken for a folded header line. If the request line
+    /// arrived alone, the empty line after it was skipped, and the request never ended.
+    void aHeaderWhoseEndArrivesInPartsIsNotTakenForFolded()
+    {
+        for (const std::string &bytes :
+             {std::string("POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\na\n b"),
+              std::string("GET / HTTP/1.1\r\n\r\n")}) {
+            for (std::size_t split = 0; split < bytes.size(); ++split) {
+                RequestReader reader(settings::CallerLimits {});
+                reader.append(bytes.data(), split);
+                reader.next();
+                reader.append(bytes.data() + split, bytes.size() - split);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(split), std::string("a request"),
+                                             describe(reader.next()));
+            }
+        }
+    }
+
     void pipelinedRequestsAreReadInOrder()
     {
         const std::string bytes = "POST /1 HTTP/1.1\r\nContent-Length: 2\r\n\r\nab"
