--- a/src/http/internal/request_reader.cpp
+++ b/src/http/internal/request_reader.cpp
@@ -1,6 +1,7 @@
 #include "http/internal/request_reader.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace azurespindle::http::internal {
@@ -12,6 +13,8 @@
 constexpr int statusTooLarge = 413;
 constexpr int statusHeaderTooLarge = 431;
 constexpr unsigned hexBase = 16;
+/// Memory that an empty input may keep for the next bytes.
+constexpr std::size_t maxIdleCapacity = 4'096;
 
 std::string text(beast::string_view view)
 {
@@ -70,30 +73,36 @@
 {
     using Error = beast::http::error;
     if (error == Error::header_limit) {
-        return {statusHeaderTooLarge, "the header is too large"};
+        return {statusHeaderTooLarge, "the header is too large", RefusalReason::HeaderTooLarge};
     }
     if (error == Error::body_limit) {
-        return {statusTooLarge, "the request is too large"};
+        return {statusTooLarge, "the body is too large", RefusalReason::BodyTooLarge};
     }
-    return {statusBadRequest, error.message()};
+    return {statusBadRequest, error.message(), RefusalReason::Malformed};
 }
 
 } // namespace
 
-RequestReader::RequestReader(const settings::CallerLimits &limits) : limits(limits)
+RequestReader::RequestReader(const settings::CallerLimits &limits)
+    : limits(limits), nextLimits(limits)
 {
     this->reset();
 }
 
 void RequestReader::reset()
 {
-    this->parser.emplace();
-    this->parser->header_limit(static_cast<std::uint32_t>(
-        std::min(this->limits.headerBytes, this->limits.headerAndBodyBytes)));
-    this->parser->body_limit(this->limits.headerAndBodyBytes);
+    this->parser.emplace(std::piecewise_construct, std::make_tuple(),
+                         std::make_tuple(CountingAllocator<char>(this->fieldBytes)));
     this->framingChecked = false;
 }
 
+void RequestReader::beginRequest()
+{
+    this->limits = this->nextLimits;
+    this->parser->header_limit(static_cast<std::uint32_t>(this->limits.headerBytes));
+    this->parser->body_limit(this->limits.bodyBytes);
+}
+
 void RequestReader::append(const char *bytes, std::size_t size)
 {
     this->input.append(bytes, size);
@@ -101,17 +110,42 @@
 
 bool RequestReader::hasPendingInput() const
 {
-    return !this->input.empty() || this->parser->is_header_done();
+    return !this->input.empty() || this->parser->got_some();
+}
+
+void RequestReader::clear()
+{
+    std::string().swap(this->input);
+    this->reset();
+}
+
+std::size_t RequestReader::heldBytes() const
+{
+    const auto allocated = [](const std::string &text) {
+        return text.capacity() > std::string().capacity() ? text.capacity() : 0;
+    };
+    return allocated(this->input) + allocated(this->parser->get().body()) + this->fieldBytes;
+}
+
+void RequestReader::consume(std::size_t bytes)
+{
+    this->input.erase(0, bytes);
+    if (this->input.empty() && this->input.capacity() > maxIdleCapacity) {
+        std::string().swap(this->input);
+    }
 }
 
 void RequestReader::skipEmptyLines()
 {
     const std::size_t first = std::min(this->input.find_first_not_of("\r\n"), this->input.size());
-    this->input.erase(0, first);
+    this->consume(first);
 }
 
 bool RequestReader::hasFoldedHeader() const
 {
+    if (this->input.starts_with("\r\n")) {
+        return false; // The parser has consumed all fields; this is the end of the header.
+    }
     const std::size_t end = std::min(this->input.find("\r\n\r\n"), this->input.size());
     const std::size_t fold = std::min(this->input.find("\n "), this->input.find("\n\t"));
     return fold < end;
@@ -123,7 +157,8 @@
     const auto &head = this->parser->get();
     if (head.count(Field::content_length) > 1 || head.count(Field::transfer_encoding) > 1
         || head.count(Field::host) > 1) {
-        return RejectedRequest {statusBadRequest, "a header that may stand once stands twice"};
+        return RejectedRequest {statusBadRequest, "a header that may stand once stands twice",
+                                RefusalReason::Malformed};
     }
     const auto encoding = head.find(Field::transfer_encoding);
     if (encoding == head.end()) {
@@ -132,17 +167,22 @@
     const bool chunkedOnly = lowerCase(text(encoding->value())) == "chunked";
     const bool both = head.count(Field::content_length) > 0;
     if (!chunkedOnly || both || head.version() < 11) {
-        return RejectedRequest {statusBadRequest, "the length of the body is ambiguous"};
+        return RejectedRequest {statusBadRequest, "the length of the body is ambiguous",
+                                RefusalReason::Malformed};
     }
     return std::nullopt;
 }
 
 ReadOutcome RequestReader::next()
 {
-    if (!this->parser->is_header_done()) {
+    if (!this->parser->got_some()) {
+        this->beginRequest();
         this->skipEmptyLines();
+    }
+    if (!this->parser->is_header_done()) {
         if (this->hasFoldedHeader()) {
-            return RejectedRequest {statusBadRequest, "a header line is folded"};
+            return RejectedRequest {statusBadRequest, "a header line is folded",
+                                    RefusalReason::Malformed};
         }
     }
     while (!this->parser->is_done()) {
@@ -150,12 +190,22 @@
             return Incomplete {};
         }
         beast::error_code error;
-        const boost::asio::const_buffer buffer(this->input.data(), this->input.size());
+        // The parser consumes a chunk header with its extension, and all trailers, only as a whole.
+        const std::size_t window = std::min(this->input.size(), this->limits.headerBytes);
         this->parser->eager(this->framingChecked);
-        const std::size_t used = this->parser->put(buffer, error);
-        this->input.erase(0, used);
+        const std::size_t used
+            = this->parser->put(boost::asio::const_buffer(this->input.data(), window), error);
+        this->consume(used);
         if (error == beast::http::error::need_more) {
-            return Incomplete {};
+            if (used > 0 && !this->input.empty()) {
+                continue;
+            }
+            if (window < this->limits.headerBytes) {
+                return Incomplete {};
+            }
+            return RejectedRequest {statusHeaderTooLarge,
+                                    "the trailers or a chunk extension are too large",
+                                    RefusalReason::TrailersTooLarge};
         }
         if (error) {
             return rejectionFor(error);
