--- a/src/decision/response_memory.h
+++ b/src/decision/response_memory.h
@@ -3,12 +3,12 @@
 
 #include "decision/types.h"
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace azurespindle::decision {
@@ -18,7 +18,11 @@
 {
     RequestId request = 0;
     AttemptNumber attempt = 0;
-    auto operator<=>(const ResponseKey &other) const = default;
+    bool operator==(const ResponseKey &other) const = default;
+    bool operator<(const ResponseKey &other) const
+    {
+        return std::pair(this->request, this->attempt) < std::pair(other.request, other.attempt);
+    }
 };
 
 /// Bounds of the memory for responses, in bytes.
@@ -77,7 +81,11 @@
         bool holdsNone = false; ///< It holds no memory of large responses.
         std::uint64_t sequence = 0;
         ResponseKey key;
-        auto operator<=>(const Place &other) const = default;
+        bool operator<(const Place &other) const
+        {
+            return std::pair(this->holdsNone, this->sequence)
+                < std::pair(other.holdsNone, other.sequence);
+        }
     };
 
     Place placeOf(const ResponseKey &key, const Holding &holding) const;
--- a/src/http/internal/counted_bytes.h
+++ b/src/http/internal/counted_bytes.h
@@ -16,7 +16,7 @@
     explicit CountedBytes(std::shared_ptr<std::atomic<std::size_t>> sum) : sum(std::move(sum)) { }
     ~CountedBytes() { this->set(0); }
     CountedBytes(CountedBytes &&other) noexcept
-        : sum(other.sum), bytes(std::exchange(other.bytes, 0))
+        : sum(std::move(other.sum)), bytes(std::exchange(other.bytes, 0))
     { }
     CountedBytes(const CountedBytes &) = delete;
     CountedBytes &operator=(const CountedBytes &) = delete;
