Report a process whose requests make no progress as not ready

Cause: readiness asked whether routes and upstreams are known.

Change: ProgressMonitor probes the thread of the callers' server and that of the HTTP client, each through the forwarder's lock, and the timers' thread. A stage that neither answers nor completes any work for 2 s is stalled: the readiness endpoint answers 503, event 415 names the stage, a metric says so. The first progress ends it. A slow stage with work before the probe is not stalled, and of the time between two ticks at most 300 ms count, so that a suspended or starved process does not flap. The monitor has a timer thread of its own, which waits for no stage; the other timers wait for the forwarder's lock.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -44,6 +44,7 @@
     bool headComplete = false; ///< The blank line after the last status line was received.
     bool statusReported = false;
     bool cancelled = false;
+    std::atomic<std::uint64_t> *progress = nullptr; ///< Of the client; not set for fetch().
     Instant startedAt = monotonicNow();
     Instant lastReceivedAt; ///< Time at which the latest bytes of the body arrived.
 
@@ -122,6 +123,9 @@
         return CURL_WRITEFUNC_PAUSE;
     }
     transfer.bodyBytes += view.size();
+    if (transfer.progress != nullptr) {
+        *transfer.progress += 1;
+    }
     transfer.lastReceivedAt = monotonicNow();
     return size * count;
 }
@@ -286,6 +290,7 @@
     void add(std::unique_ptr<Transfer> transfer)
     {
         prepare(*transfer);
+        transfer->progress = &this->progress;
         curl_multi_add_handle(this->multi, transfer->handle);
         if (transfer->progressDeadline() != Instant::max()) {
             this->supervised.insert(transfer->id);
@@ -315,6 +320,7 @@
     }
 
     std::atomic<TransferId> lastId {0};
+    std::atomic<std::uint64_t> progress {0}; ///< Pieces of work that the thread completed.
 
 private:
     void run()
@@ -377,6 +383,7 @@
         }
         for (const auto &command : taken) {
             command();
+            this->progress += 1;
         }
     }
 
@@ -401,6 +408,7 @@
         this->transfers.erase(found);
         this->supervised.erase(id);
         curl_multi_remove_handle(this->multi, transfer->handle);
+        this->progress += 1;
         const TransferResult result = resultOf(*transfer, code);
         if (result.end == TransferEnd::Complete) {
             reportStatus(*transfer);
@@ -453,6 +461,16 @@
     impl->post([impl, id] { impl->resume(id); });
 }
 
+void Client::post(std::function<void()> command)
+{
+    this->implementation->post(std::move(command));
+}
+
+std::uint64_t Client::progress() const
+{
+    return this->implementation->progress.load();
+}
+
 void Client::stop()
 {
     this->implementation->stop();
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -4,6 +4,7 @@
 #include "base/time_types.h"
 #include "http/server.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -93,10 +94,17 @@
     void cancel(TransferId id);
     /// Resumes a transfer that was paused because its onData returned false.
     void resume(TransferId id);
+    /// Runs \a command on the client's thread. Commands are dropped once the client stops.
+    void post(std::function<void()> command);
     /// Cancels all transfers without calling onDone, and ends the client's thread. No callback runs
     /// after this returns, and requests started later are never sent.
     void stop();
 
+    // Queries
+
+    /// Returns a number that changes with every piece of work that the client's thread completes.
+    std::uint64_t progress() const;
+
 private:
     class Implementation;
     std::unique_ptr<Implementation> implementation;
--- a/src/http/internal/connection_handler.cpp
+++ b/src/http/internal/connection_handler.cpp
@@ -50,6 +50,7 @@
 void ConnectionHandler::onInput(const char *buffer, std::size_t length,
                                 const std::shared_ptr<Peer> &peer)
 {
+    this->state->progress += 1;
     const std::shared_ptr<Connection> connection = connectionOf(peer);
     if (connection == nullptr || connection->closing) {
         return;
--- a/src/http/internal/posting_transport.cpp
+++ b/src/http/internal/posting_transport.cpp
@@ -44,8 +44,10 @@
 void PostingTransport::onReady(const Pistache::Aio::FdSet &fds)
 {
     Pistache::Tcp::Transport::onReady(Pistache::Aio::FdSet(this->takeWritable(fds)));
+    this->state->progress += 1;
     while (auto closure = this->postedClosures.popSafe()) {
         (*closure)();
+        this->state->progress += 1;
     }
 }
 
--- a/src/http/internal/server_state.cpp
+++ b/src/http/internal/server_state.cpp
@@ -69,6 +69,19 @@
     return sum;
 }
 
+void ServerState::probe(const std::function<void()> &done)
+{
+    const auto alive = this->transports();
+    const auto left = std::make_shared<std::atomic<std::size_t>>(alive.size());
+    for (const auto &transport : alive) {
+        transport->post([left, done] {
+            if ((*left -= 1) == 0) {
+                done();
+            }
+        });
+    }
+}
+
 void ServerState::enforceTimeouts(bool memoryShort)
 {
     const bool isDraining = this->draining;
--- a/src/http/internal/server_state.h
+++ b/src/http/internal/server_state.h
@@ -4,6 +4,8 @@
 #include "http/server.h"
 
 #include <atomic>
+#include <cstdint>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -23,6 +25,8 @@
     void drain();
     /// \param memoryShort true to disconnect callers that hold unsent bytes and read nothing early.
     void enforceTimeouts(bool memoryShort = false);
+    /// Runs \a done on the last worker thread that comes to it.
+    void probe(const std::function<void()> &done);
     /// Lets every further request be answered with 503 instead of being passed to the handler.
     void refuseRequests() { this->refusing = true; }
     /// Closes the connections that wait for nothing, once every request that has arrived was read.
@@ -38,6 +42,7 @@
     /// Memory of the responses that are not written to their sockets yet, in bytes.
     const std::shared_ptr<std::atomic<std::size_t>> unsentBytes
         = std::make_shared<std::atomic<std::size_t>>(0);
+    std::atomic<std::uint64_t> progress {0}; ///< Pieces of work that worker threads completed.
     std::atomic<bool> draining {false};
     std::atomic<bool> refusing {false};
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -137,6 +137,16 @@
     return this->implementation->shared->openConnections.load();
 }
 
+void Server::probe(const std::function<void()> &done)
+{
+    this->implementation->shared->probe(done);
+}
+
+std::uint64_t Server::progress() const
+{
+    return this->implementation->shared->progress.load();
+}
+
 std::size_t Server::unsentBytes() const
 {
     return this->implementation->shared->unsentBytes->load();
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -118,6 +118,8 @@
     /// \param memoryShort true to close those earlier whose callers hold unsent bytes and read
     /// nothing.
     void enforceTimeouts(bool memoryShort = false);
+    /// Runs \a done on the worker thread, or on the last of several to come to it. Returns at once.
+    void probe(const std::function<void()> &done);
     /// Replaces the limits. Timeouts and the connection limit apply at once, the unsent bytes limit
     /// to further responses, and the header and body limits to new connections.
     void setLimits(const settings::CallerLimits &limits);
@@ -129,6 +131,8 @@
     /// Returns the number of requests whose response has not been sent completely.
     std::size_t openExchanges() const;
     std::size_t openConnections() const;
+    /// Returns a number that changes with every piece of work that a worker thread completes.
+    std::uint64_t progress() const;
     /// Returns the memory, in bytes, of responses that are not written to their sockets yet.
     std::size_t unsentBytes() const;
 
--- a/src/journal/event_id.cpp
+++ b/src/journal/event_id.cpp
@@ -102,6 +102,10 @@
          "This process lags behind a member, which it asked for the missing changes."},
         {E::ViewUpdateSent, "view-update-sent", S::Info,
          "A large update of the published state was sent to one member or to the zone."},
+        {E::RequestPathStalled, "request-path-stalled", S::Error,
+         "Requests make no progress for `stalledMs`, as the thread or lock of `stage` is held up: "
+         "`callers`, `upstreams` or `timers`. The process reports that it is not ready until they "
+         "do."},
         {E::MemberJoined, "member-joined", S::Info, "Another entry process is a member now."},
         {E::MemberSuspected, "member-suspected", S::Warning,
          "A member is silent; it is removed unless it speaks up."},
--- a/src/journal/event_id.h
+++ b/src/journal/event_id.h
@@ -64,6 +64,7 @@
     ViewUpdateReceived = 412,
     ViewUpdateRequested = 413,
     ViewUpdateSent = 414,
+    RequestPathStalled = 415,
 
     MemberJoined = 500,
     MemberSuspected = 501,
--- a/src/serving/request_forwarder.h
+++ b/src/serving/request_forwarder.h
@@ -78,6 +78,8 @@
     std::vector<decision::NamedLimit> takeOwnLimits(bool all);
     std::vector<decision::NamedLimit> takeZoneLimits(bool all);
     std::vector<decision::NamedLimit> takeFleetLimits(bool all);
+    /// Waits for the lock that requests need, and frees it again.
+    void passLock() { const std::lock_guard lock(this->mutex); }
     /// Answers every later request with 503, because the process is about to stop.
     void rejectNewRequests() { this->rejectingRequests = true; }
 
--- a/src/serving/routing_process.cpp
+++ b/src/serving/routing_process.cpp
@@ -158,7 +158,8 @@
           this->settings.readyAddress, operatorServerLimits(), 1,
           [this](const http::ServerRequest &request, const http::ExchangePtr &exchange) {
               this->respondReadiness(request, exchange);
-          })
+          }),
+      progress(this->requestPath(), this->progressHooks())
 {
     if (this->settings.metricsAddress) {
         this->metricsServer = std::make_unique<http::Server>(
@@ -224,8 +225,10 @@
 
 std::error_code RoutingProcess::start()
 {
-    this->timers.subscribe(routing::Router::tickInterval,
-                           [this] { this->forwarder.handle(routing::TimePassed {}); });
+    this->timers.subscribe(routing::Router::tickInterval, [this] {
+        this->forwarder.handle(routing::TimePassed {});
+        this->timerRounds += 1;
+    });
     this->timers.subscribe(FleetReporter::tickInterval, [this] { this->tick(); });
     this->timers.subscribe(FleetReporter::changeInterval,
                            [this] { this->reporter.reportChanges(); });
@@ -251,6 +254,9 @@
         }
     }
     this->timers.start();
+    this->progressTimers.subscribe(ProgressMonitor::tickInterval,
+                                   [this] { this->progress.tick(monotonicNow()); });
+    this->progressTimers.start();
     this->view.start();
     this->journal.record({journal::EventId::ProcessStarted,
                           {{"member", this->settings.name},
@@ -287,7 +293,43 @@
 bool RoutingProcess::ready() const
 {
     const std::shared_ptr<const routing::FleetState> state = this->view.state();
-    return !this->stopping && state->routeTable != nullptr && !state->upstreams.empty();
+    return !this->stopping && !this->progress.stalled() && state->routeTable != nullptr
+        && !state->upstreams.empty();
+}
+
+std::vector<MonitoredStage> RoutingProcess::requestPath()
+{
+    return {
+        {"callers",
+         [this](const std::function<void()> &done) {
+             this->callerServer.probe([this, done] {
+                 this->forwarder.passLock();
+                 done();
+             });
+         },
+         [this] { return this->callerServer.progress(); }},
+        {"upstreams",
+         [this](const std::function<void()> &done) {
+             this->client.post([this, done] {
+                 this->forwarder.passLock();
+                 done();
+             });
+         },
+         [this] { return this->client.progress(); }},
+        {"timers",
+         [this](const std::function<void()> &done) { this->timers.after(milliseconds(0), done); },
+         [this] { return this->timerRounds.load(); }}};
+}
+
+ProgressMonitorHooks RoutingProcess::progressHooks()
+{
+    return {[this](const std::string &stage, milliseconds duration) {
+                this->journal.record(
+                    {journal::EventId::RequestPathStalled,
+                     {{"stage", stage}, {"stalledMs", std::to_string(duration.count())}}});
+                this->journalReadinessChange();
+            },
+            [this] { this->journalReadinessChange(); }};
 }
 
 void RoutingProcess::journalReadinessChange()
@@ -314,6 +356,8 @@
     text << this->registry.exposition();
     text << "azurespindle_view_revision " << this->view.revision() << "\n"
          << "azurespindle_ready " << (this->ready() ? 1 : 0) << "\n"
+         << "azurespindle_request_path_stalled " << (this->progress.stalled() ? 1 : 0) << "\n"
+         << "azurespindle_request_path_stalls_total " << this->progress.stallCount() << "\n"
          << "azurespindle_unsent_bytes " << this->callerServer.unsentBytes() << "\n"
          << "azurespindle_publisher_away " << (this->view.storeUnavailable() ? 1 : 0) << "\n";
     if (const auto status = this->forwarder.statusWithin(statusPatience)) {
@@ -407,6 +451,7 @@
 void RoutingProcess::stop()
 {
     // Components that call back are stopped before those that they call.
+    this->progressTimers.stop();
     this->view.stop();
     this->timers.stop();
     this->client.stop();
--- a/src/serving/routing_process.h
+++ b/src/serving/routing_process.h
@@ -8,6 +8,7 @@
 #include "metrics/registry.h"
 #include "routing/platform_adapter.h"
 #include "serving/fleet_reporter.h"
+#include "serving/progress_monitor.h"
 #include "serving/request_forwarder.h"
 #include "serving/view_synchronizer.h"
 #include "serving/zone_relay.h"
@@ -18,6 +19,8 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <string>
+#include <vector>
 
 namespace azurespindle::serving {
 
@@ -53,8 +56,8 @@
 
     // Queries
 
-    /// Returns true if the process can serve callers: it is not stopping, and routes and upstreams
-    /// are known.
+    /// Returns true if the process can serve callers: it is not stopping, routes and upstreams are
+    /// known, and requests make progress.
     bool ready() const;
 
 private:
@@ -67,6 +70,8 @@
     /// Takes over the members that the coordinator knows, if they have changed.
     void updateMembers(Instant now);
     void journalReadinessChange();
+    std::vector<MonitoredStage> requestPath();
+    ProgressMonitorHooks progressHooks();
     /// Sends a message to every other member of this process's zone.
     void sendToZone(const members::Message &message);
     members::CoordinatorHooks coordinatorHooks();
@@ -97,6 +102,10 @@
     http::Server callerServer;
     http::Server readinessServer;
     std::unique_ptr<http::Server> metricsServer;
+    std::atomic<std::uint64_t> timerRounds {0}; ///< Times that `timers` has served the router.
+    ProgressMonitor progress;
+    /// Runs the progress monitor, apart from `timers`, which waits for the forwarder's lock.
+    timer::TimerService progressTimers;
 };
 
 } // namespace azurespindle::serving
