--- a/src/http/internal/posting_transport.cpp
+++ b/src/http/internal/posting_transport.cpp
@@ -73,6 +73,7 @@
 void PostingTransport::onReady(const Pistache::Aio::FdSet &fds)
 {
     Pistache::Tcp::Transport::onReady(Pistache::Aio::FdSet(this->takePeerEvents(fds)));
+    this->state->progress += 1;
     this->runPosted();
 }
 
@@ -80,6 +81,7 @@
 {
     while (auto closure = this->postedClosures.popSafe()) {
         (*closure)();
+        this->state->progress += 1;
     }
 }
 
