Check that the smallest VM serves the largest request

A server with the memory budget of a VM of 88 MB serves a single request of 4,194,304 bytes, declared and chunked.

--- a/tests/http/caller_limits_test.cpp
+++ b/tests/http/caller_limits_test.cpp
@@ -38,6 +38,7 @@
     CPPUNIT_TEST(lateHeadersAndStalledBodiesAreRefusedWith408);
     CPPUNIT_TEST(aSlowBodyThatMakesProgressIsServed);
     CPPUNIT_TEST(stalledBodiesAreRefusedWhenMemoryIsShort);
+    CPPUNIT_TEST(theSmallestVmServesTheLargestRequest);
     CPPUNIT_TEST(openRequestsBeyondTheMemoryAreRefused);
     CPPUNIT_TEST(callersThatSendWithoutEndHoldUpNobodyElse);
     CPPUNIT_TEST_SUITE_END();
@@ -147,6 +148,26 @@
         CPPUNIT_ASSERT(server.inputBytes() <= 4'096);
     }
 
+    /// With the budget of a VM of 88 MB, a single request of 4 MB is served in either framing.
+    void theSmallestVmServesTheLargestRequest()
+    {
+        settings::CallerLimits limits;
+        limits.bodyBytes = 4'194'304;
+        limits.inputBytes = 34'603'008;
+        Server server(anyPort, limits, 1, answerOk);
+        CPPUNIT_ASSERT(!server.start());
+        const std::string body(limits.bodyBytes, 'b');
+        for (const std::string &request :
+             {"POST / HTTP/1.1\r\ncontent-length: 4194304\r\n\r\n" + body,
+              "POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n400000\r\n" + body
+                  + "\r\n0\r\n\r\n"}) {
+            const tests::RawConnection caller(server.port());
+            caller.send(request);
+            const std::string answer = caller.readUntil("ok", receiveTimeout);
+            CPPUNIT_ASSERT_MESSAGE(answer, answer.rfind("HTTP/1.1 200", 0) == 0);
+        }
+    }
+
     void openRequestsBeyondTheMemoryAreRefused()
     {
         settings::CallerLimits limits;
