Learn the speed of upstreams relative to their service

Cause: every engine is assumed to be equally fast. With engines at 0.6, 1.0 and 1.6 of the usual speed, most late streams ran on the slow ones. Change: decision::UpstreamSpeeds estimates speeds from durations of work, corrected for the load by decision::UsualPace, and from sums that other processes report. Candidates have a speed (1.0 by default), by which chooseEngine() divides prefill and slowdown; it adds a cost for pauses beyond the objective on slow engines. choosePlainUpstream() compares expected times to a response. Not used by the router yet.

--- a/src/decision/engine_choice.cpp
+++ b/src/decision/engine_choice.cpp
@@ -27,6 +27,31 @@
     return static_cast<double>(mixed >> topBits) * scale;
 }
 
+/// Returns the part of a stream's pause at an engine of a relative speed that is beyond the
+/// objective, in ms, if each step reads a chunk of a prompt in a slow period.
+double pauseExcess(const UpstreamCandidate &candidate, const RequestDemand &demand, double speed,
+                   const EngineCostWeights &weights)
+{
+    const double stepMs = weights.stepMs + weights.promptChunkMs
+        + weights.attemptStepMs * (candidate.claimed.attempts + 1);
+    const double pauseMs = stepMs * demand.tokensPerEvent * weights.slowPeriodFactor / speed;
+    return std::max(0.0, pauseMs - static_cast<double>(demand.eventGapObjective.count()));
+}
+
+/// Returns the cost of the pauses that a slow engine adds to those at the usual speed: in the
+/// request's own stream, and, because of its prompt, in the streams that run there.
+double pauseCost(const UpstreamCandidate &candidate, const RequestDemand &demand, Tokens toRead,
+                 const EngineCostWeights &weights)
+{
+    if (demand.eventGapObjective.count() == 0 || candidate.speed >= 1.0) {
+        return 0.0;
+    }
+    const double added = pauseExcess(candidate, demand, candidate.speed, weights)
+        - pauseExcess(candidate, demand, 1.0, weights);
+    const double streams = 1.0 + (toRead > 0 ? candidate.claimed.attempts : 0);
+    return weights.pauseExcess * streams * added;
+}
+
 double engineCost(const UpstreamCandidate &candidate, const RequestDemand &demand,
                   const EngineCostWeights &weights)
 {
@@ -36,6 +61,8 @@
     double cost
         = static_cast<double>(candidate.claimed.prefill + toRead) / weights.promptTokensPerMs;
     cost += weights.attemptMs * candidate.claimed.attempts;
+    cost /= candidate.speed;
+    cost += pauseCost(candidate, demand, toRead, weights);
     cost += weights.memoryMs * memoryUsed * memoryUsed;
     const double zoneMs = demand.migrating ? weights.otherZoneMigrationMs : weights.otherZoneMs;
     cost += candidate.sameZone ? 0.0 : zoneMs;
@@ -93,8 +120,9 @@
 {
     return cheapest(candidates.size(), turn, [&](std::size_t index) -> std::optional<double> {
         const UpstreamCandidate &candidate = candidates[index];
-        double cost = static_cast<double>(candidate.claimed.attempts)
-            / static_cast<double>(std::max<std::uint32_t>(candidate.slots, 1));
+        const auto slots = static_cast<double>(std::max<std::uint32_t>(candidate.slots, 1));
+        double cost = static_cast<double>(candidate.claimed.attempts) / slots;
+        cost += (candidate.claimed.attempts + 1) / slots * (1.0 / candidate.speed - 1.0);
         cost += candidate.sameZone ? 0.0 : plainOtherZoneCost;
         cost += candidate.recentlyFailing ? plainRecentFailureCost : 0.0;
         return cost;
--- /dev/null
+++ b/src/decision/upstream_speeds.cpp
@@ -0,0 +1,411 @@
+#include "decision/upstream_speeds.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+#include <xxhash.h>
+
+namespace azurespindle::decision {
+namespace {
+
+/// Largest natural logarithm of a speed.
+const double maxLogSpeed = std::log(UpstreamSpeeds::maxSpeed);
+constexpr double weightUnit = 0.1;
+constexpr double logDurationUnit = 0.01;
+/// Largest weight that is accepted: the observations of 4,000 processes.
+constexpr std::uint32_t maxWeight = 2'000'000;
+/// Largest mean logarithm that is accepted, in hundredths: of 20 minutes in microseconds.
+constexpr std::uint32_t maxLogDuration = 2'100;
+/// Largest difference from the present estimate, as a natural logarithm, that an observation counts
+/// with.
+constexpr double maxStep = 0.5;
+/// Number of observations of the usual speed that each estimate begins with.
+constexpr double priorWeight = 2.0;
+/// Difference from the usual speed, as a natural logarithm, below which a speed counts as usual:
+/// a constant part, and one that is divided by the square root of the number of observations.
+constexpr double insignificantLogSpeed = 0.12;
+constexpr double expectedSpread = 0.35;
+/// Change of a mean logarithm, in hundredths, that is reported.
+constexpr std::uint32_t reportedChange = 8;
+/// Change of a weight that is reported, as a fraction of the smaller weight.
+constexpr double reportedWeightChange = 0.5;
+/// Smallest interval between two reports of the same sum.
+constexpr milliseconds minReportInterval {1'000};
+/// Weight from which a sum is reported and used.
+constexpr double minWeight = 0.5;
+/// Factor between two speeds that is a noticeable change.
+constexpr double noticeableFactor = 1.25;
+
+} // namespace
+
+SpeedKey speedKey(const std::string &upstream, std::uint64_t incarnation)
+{
+    return XXH3_64bits_withSeed(upstream.data(), upstream.size(), incarnation);
+}
+
+void UpstreamSpeeds::setUpstreams(const std::vector<SpeedUpstream> &upstreams)
+{
+    this->upstreamsOfService.clear();
+    std::unordered_map<SpeedKey, Estimate> kept;
+    std::size_t count = 0;
+    for (const SpeedUpstream &each : upstreams) {
+        if (count == maxUpstreams) {
+            break;
+        }
+        count += 1;
+        const SpeedKey key = speedKey(each.upstream, each.incarnation);
+        this->upstreamsOfService[each.service].emplace_back(key, each.upstream);
+        const auto found = this->estimates.find(key);
+        if (found != this->estimates.end()) {
+            kept.insert(*found);
+        }
+    }
+    this->estimates = std::move(kept);
+    std::erase_if(this->speeds,
+                  [&](const auto &entry) { return this->estimates.count(entry.first) == 0; });
+}
+
+// Samples ----------------------------------------------------------------------------------------
+
+void UpstreamSpeeds::recordSample(const SpeedSample &sample, Instant now)
+{
+    if (sample.duration.count() <= 0) {
+        return;
+    }
+    const SpeedKey key = speedKey(sample.upstream, sample.incarnation);
+    const double logDuration = std::log(static_cast<double>(sample.duration.count()));
+    const auto known = this->estimates.find(key);
+    UsualPace &pace = this->paces.touch(sample.service);
+    const std::optional<double> slowdown = pace.logSlowdown(sample.load, referenceLoad);
+    pace.record(sample.load,
+                logDuration + (known == this->estimates.end() ? 0.0 : known->second.logSpeed));
+    if (!slowdown) {
+        return;
+    }
+    const double observed = this->limited(logDuration - *slowdown, key, sample.service);
+    Observations &all = this->observations.touch(key);
+    decay(all, now);
+    if (all.periodSamples == 0.0 || now - all.periodStartedAt >= samplePeriod) {
+        all.periodStartedAt = now;
+        all.periodMean = 0.0;
+        all.periodSamples = 0.0;
+        all.weight += 1.0;
+    }
+    all.periodSamples += 1.0;
+    const double step = (observed - all.periodMean) / all.periodSamples;
+    all.periodMean += step;
+    all.sum += step;
+}
+
+double UpstreamSpeeds::limited(double logDuration, SpeedKey key, const std::string &service) const
+{
+    const auto usual = this->usualDurations.find(service);
+    if (usual == this->usualDurations.end()) {
+        return std::max(0.0, logDuration);
+    }
+    const auto known = this->estimates.find(key);
+    const double expected
+        = usual->second - (known == this->estimates.end() ? 0.0 : known->second.logSpeed);
+    return std::max(0.0, std::clamp(logDuration, expected - maxStep, expected + maxStep));
+}
+
+void UpstreamSpeeds::decay(Observations &observations, Instant now)
+{
+    const double factor = std::exp2(-inSeconds(now - observations.decayedAt) / inSeconds(halfLife));
+    observations.decayedAt = now;
+    observations.weight *= factor;
+    observations.sum *= factor;
+}
+
+// Reports of others ------------------------------------------------------------------------------
+
+std::size_t UpstreamSpeeds::apply(Source &source, const std::vector<SpeedSum> &sums,
+                                  std::size_t maxSums, Instant now)
+{
+    std::size_t rejected = 0;
+    source.heardAt = now;
+    for (const SpeedSum &each : sums) {
+        const bool inRange = each.weight <= maxWeight && each.logDuration <= maxLogDuration;
+        if (!inRange) {
+            rejected += 1;
+        } else if (each.weight == 0) {
+            source.sums.erase(each.key);
+        } else if (source.sums.size() < maxSums || source.sums.count(each.key) > 0) {
+            source.sums[each.key]
+                = {{each.weight * weightUnit, each.logDuration * logDurationUnit}, now};
+        }
+    }
+    return rejected;
+}
+
+std::size_t UpstreamSpeeds::updatePeer(const std::string &peer, const std::vector<SpeedSum> &sums,
+                                       Instant now)
+{
+    return apply(this->peers[peer], sums, maxUpstreamsOfPeer, now);
+}
+
+std::size_t UpstreamSpeeds::updateZone(const std::string &zone, const std::vector<SpeedSum> &sums,
+                                       Instant now)
+{
+    return apply(this->zones[zone], sums, maxUpstreams, now);
+}
+
+std::size_t UpstreamSpeeds::updateFleet(const std::vector<SpeedSum> &sums, Instant now)
+{
+    if (!this->fleet) {
+        this->fleet.emplace();
+    }
+    return apply(*this->fleet, sums, maxUpstreams, now);
+}
+
+void UpstreamSpeeds::dropOutdated(Instant now)
+{
+    const auto silent
+        = [now](const Source &source) { return now - source.heardAt > reportTimeout; };
+    const auto expired
+        = [now](const auto &entry) { return now - entry.second.receivedAt > sumLifetime; };
+    for (auto *sources : {&this->peers, &this->zones}) {
+        std::erase_if(*sources, [&](const auto &entry) { return silent(entry.second); });
+        for (auto &[name, source] : *sources) {
+            std::erase_if(source.sums, expired);
+        }
+    }
+    if (this->fleet && silent(*this->fleet)) {
+        this->fleet.reset();
+    }
+    if (this->fleet) {
+        std::erase_if(this->fleet->sums, expired);
+    }
+}
+
+// Sums and estimates -----------------------------------------------------------------------------
+
+void UpstreamSpeeds::addTo(Sums &sums, SpeedKey key, const Sum &sum)
+{
+    if (sum.weight <= 0.0 || (sums.size() >= maxUpstreams && sums.count(key) == 0)) {
+        return;
+    }
+    Sum &total = sums[key];
+    total.mean = (total.mean * total.weight + sum.mean * sum.weight) / (total.weight + sum.weight);
+    total.weight += sum.weight;
+}
+
+void UpstreamSpeeds::addTo(Sums &sums, const std::unordered_map<std::string, Source> &sources)
+{
+    for (const auto &[name, source] : sources) {
+        for (const auto &[key, received] : source.sums) {
+            addTo(sums, key, received.sum);
+        }
+    }
+}
+
+void UpstreamSpeeds::addUp(Instant now)
+{
+    Sums own;
+    this->observations.eraseIf([&](SpeedKey key, Observations &each) {
+        decay(each, now);
+        if (each.weight < minWeight) {
+            return true;
+        }
+        addTo(own, key, {each.weight, each.sum / each.weight});
+        return false;
+    });
+    Sums zone = own;
+    addTo(zone, this->peers);
+    Sums all = zone;
+    addTo(all, this->zones);
+    this->added = {{SpeedScope::Process, std::move(own)},
+                   {SpeedScope::Zone, std::move(zone)},
+                   {SpeedScope::Fleet, std::move(all)}};
+}
+
+const UpstreamSpeeds::Sums &UpstreamSpeeds::sumsOf(SpeedScope scope) const
+{
+    static const Sums none;
+    const auto found = this->added.find(scope);
+    return found == this->added.end() ? none : found->second;
+}
+
+std::vector<SpeedChange> UpstreamSpeeds::update(Instant now)
+{
+    std::vector<SpeedChange> changes;
+    if (this->updatedAt && now - *this->updatedAt < updateInterval) {
+        return changes;
+    }
+    this->updatedAt = now;
+    this->dropOutdated(now);
+    this->addUp(now);
+    for (const auto &[service, upstreams] : this->upstreamsOfService) {
+        this->estimate(service, upstreams, now, changes);
+    }
+    return changes;
+}
+
+UpstreamSpeeds::Sum UpstreamSpeeds::heardOf(SpeedKey key) const
+{
+    if (this->fleet) {
+        // The fleet's sum includes the observations of this process.
+        const auto received = this->fleet->sums.find(key);
+        if (received != this->fleet->sums.end()) {
+            return received->second.sum;
+        }
+    }
+    const Sums &heard = this->sumsOf(SpeedScope::Fleet);
+    const auto found = heard.find(key);
+    return found == heard.end() ? Sum {} : found->second;
+}
+
+std::optional<double> UpstreamSpeeds::usualLogDuration(const Upstreams &upstreams) const
+{
+    std::vector<std::pair<double, double>> known; ///< Logarithms of the durations, and trust.
+    double totalTrust = 0.0;
+    for (const auto &[key, upstream] : upstreams) {
+        const auto found = this->estimates.find(key);
+        if (found != this->estimates.end()) {
+            const Estimate &each = found->second;
+            known.emplace_back(each.logDuration, each.trust / (each.trust + priorWeight));
+            totalTrust += known.back().second;
+        }
+    }
+    if (known.empty()) {
+        return std::nullopt;
+    }
+    // The mean of the middle half, so that a few wild values have no effect.
+    std::sort(known.begin(), known.end());
+    double passed = 0.0;
+    double sum = 0.0;
+    for (const auto &[logDuration, trust] : known) {
+        const double from = std::max(passed, totalTrust / 4.0);
+        passed += trust;
+        const double to = std::min(passed, totalTrust * 3.0 / 4.0);
+        sum += std::max(0.0, to - from) * logDuration;
+    }
+    return sum / (totalTrust / 2.0);
+}
+
+void UpstreamSpeeds::estimate(const std::string &service, const Upstreams &upstreams, Instant now,
+                              std::vector<SpeedChange> &changes)
+{
+    for (const auto &[key, upstream] : upstreams) {
+        const Sum sum = this->heardOf(key);
+        if (sum.weight < minWeight) {
+            this->estimates.erase(key);
+            continue;
+        }
+        Estimate &estimate = this->estimates.try_emplace(key, Estimate {now}).first->second;
+        const double periods
+            = 1.0 + inSeconds(now - estimate.firstHeardAt) / inSeconds(samplePeriod);
+        estimate.trust = std::min(sum.weight, periods);
+        estimate.logDuration = sum.mean;
+    }
+    const std::optional<double> usual = this->usualLogDuration(upstreams);
+    if (!usual) {
+        this->usualDurations.erase(service);
+    } else {
+        this->usualDurations[service] = *usual;
+    }
+    for (const auto &[key, upstream] : upstreams) {
+        const auto found = this->estimates.find(key);
+        if (found != this->estimates.end()) {
+            Estimate &each = found->second;
+            each.logSpeed
+                = std::clamp((*usual - each.logDuration) * each.trust / (each.trust + priorWeight),
+                             -maxLogSpeed, maxLogSpeed);
+        }
+        this->apply(upstream, key, changes);
+    }
+}
+
+void UpstreamSpeeds::apply(const std::string &upstream, SpeedKey key,
+                           std::vector<SpeedChange> &changes)
+{
+    const auto found = this->estimates.find(key);
+    if (found == this->estimates.end()) {
+        this->speeds.erase(key);
+        return;
+    }
+    Estimate &estimate = found->second;
+    const double insignificant = insignificantLogSpeed + expectedSpread / std::sqrt(estimate.trust);
+    double speed = 1.0;
+    if (std::abs(estimate.logSpeed) < insignificant) {
+        this->speeds.erase(key);
+    } else {
+        speed = std::clamp(std::exp(estimate.logSpeed), minSpeed, maxSpeed);
+        this->speeds[key] = speed;
+    }
+    const double factor = std::max(speed, estimate.journaled) / std::min(speed, estimate.journaled);
+    if (factor >= noticeableFactor) {
+        changes.push_back({upstream, std::exchange(estimate.journaled, speed), speed});
+    }
+}
+
+double UpstreamSpeeds::speed(const std::string &upstream, std::uint64_t incarnation) const
+{
+    if (this->speeds.empty()) {
+        return 1.0;
+    }
+    const auto found = this->speeds.find(speedKey(upstream, incarnation));
+    return found == this->speeds.end() ? 1.0 : found->second;
+}
+
+// Reports to others ------------------------------------------------------------------------------
+
+SpeedSum UpstreamSpeeds::reported(SpeedKey key, const Sum &sum)
+{
+    const auto weight = static_cast<std::uint32_t>(
+        std::min(std::round(sum.weight / weightUnit), static_cast<double>(maxWeight)));
+    const double mean = std::clamp(sum.mean / logDurationUnit, 0.0, maxLogDuration * 1.0);
+    return {key, weight, static_cast<std::uint32_t>(std::lround(mean))};
+}
+
+bool UpstreamSpeeds::isDue(const ToldSum &told, const SpeedSum &sum, Instant now)
+{
+    const microseconds age = now - told.toldAt;
+    const std::uint32_t difference = std::max(sum.logDuration, told.sum.logDuration)
+        - std::min(sum.logDuration, told.sum.logDuration);
+    const bool changed = difference >= reportedChange
+        || sum.weight >= told.sum.weight * (1.0 + reportedWeightChange)
+        || sum.weight * (1.0 + reportedWeightChange) <= told.sum.weight;
+    return age >= repeatInterval || (changed && age >= minReportInterval);
+}
+
+std::vector<SpeedSum> UpstreamSpeeds::takeChanged(SpeedScope scope, std::size_t maxCount,
+                                                  Instant now)
+{
+    const Sums &current = this->sumsOf(scope);
+    std::map<SpeedKey, ToldSum> &toldSums = this->told[scope];
+    std::vector<SpeedSum> changed;
+    for (auto each = toldSums.begin(); each != toldSums.end() && changed.size() < maxCount;) {
+        if (current.count(each->first) > 0) {
+            ++each;
+            continue;
+        }
+        changed.push_back({each->first, 0, 0});
+        each = toldSums.erase(each);
+    }
+    SpeedKey &next = this->nextToTell[scope];
+    auto each = current.lower_bound(next);
+    for (std::size_t step = 0; step < current.size() && changed.size() < maxCount; ++step) {
+        each = each == current.end() ? current.begin() : each;
+        const SpeedSum sum = reported(each->first, each->second);
+        const auto before = toldSums.find(each->first);
+        if (before == toldSums.end() || isDue(before->second, sum, now)) {
+            changed.push_back(sum);
+            toldSums[each->first] = {sum, now};
+        }
+        ++each;
+        next = each == current.end() ? 0 : each->first;
+    }
+    return changed;
+}
+
+std::vector<SpeedSum> UpstreamSpeeds::sums(SpeedScope scope) const
+{
+    std::vector<SpeedSum> all;
+    for (const auto &[key, sum] : this->sumsOf(scope)) {
+        all.push_back(reported(key, sum));
+    }
+    return all;
+}
+
+} // namespace azurespindle::decision
