Compare upstreams by durations at the same load

Cause: a process that compares samples with what it finds usual itself, and that sees one engine only, takes that engine for usual; and observations of one slow period by many processes were trusted like those of many periods. Trust in an estimate is limited by the time from its first to its last observation. Work of different kinds (routes) is compared kind by kind.

--- a/src/decision/upstream_speeds.cpp
+++ b/src/decision/upstream_speeds.cpp
@@ -11,6 +11,8 @@
 /// Largest natural logarithm of a speed.
 const double maxLogSpeed = std::log(UpstreamSpeeds::maxSpeed);
 constexpr double weightUnit = 0.1;
+/// Logarithm that stands for the usual duration of each kind of work: about 22 ms in microseconds.
+constexpr double usualLogDurationOfKinds = 10.0;
 constexpr double logDurationUnit = 0.01;
 /// Largest weight that is accepted: the observations of 4,000 processes.
 constexpr std::uint32_t maxWeight = 2'000'000;
@@ -19,8 +21,10 @@
 /// Largest difference from the present estimate, as a natural logarithm, that an observation counts
 /// with.
 constexpr double maxStep = 0.5;
+/// The same while nothing is known of the service but what this process found usual.
+constexpr double maxFirstStep = 1.0;
 /// Number of observations of the usual speed that each estimate begins with.
-constexpr double priorWeight = 2.0;
+constexpr double priorWeight = 1.0;
 /// Difference from the usual speed, as a natural logarithm, below which a speed counts as usual:
 /// a constant part, and one that is divided by the square root of the number of observations.
 constexpr double insignificantLogSpeed = 0.12;
@@ -28,7 +32,7 @@
 /// Change of a mean logarithm, in hundredths, that is reported.
 constexpr std::uint32_t reportedChange = 8;
 /// Change of a weight that is reported, as a fraction of the smaller weight.
-constexpr double reportedWeightChange = 0.5;
+constexpr double reportedWeightChange = 0.25;
 /// Smallest interval between two reports of the same sum.
 constexpr milliseconds minReportInterval {1'000};
 /// Weight from which a sum is reported and used.
@@ -75,14 +79,23 @@
     const SpeedKey key = speedKey(sample.upstream, sample.incarnation);
     const double logDuration = std::log(static_cast<double>(sample.duration.count()));
     const auto known = this->estimates.find(key);
-    UsualPace &pace = this->paces.touch(sample.service);
-    const std::optional<double> slowdown = pace.logSlowdown(sample.load, referenceLoad);
+    UsualPace &pace = this->paces.touch(sample.service + "/" + sample.kind);
+    const std::optional<double> usualHere = pace.logDuration(sample.load);
+    const double atReference = sample.kind.empty() ? pace.logDuration(referenceLoad).value_or(0.0)
+                                                   : usualLogDurationOfKinds;
     pace.record(sample.load,
                 logDuration + (known == this->estimates.end() ? 0.0 : known->second.logSpeed));
-    if (!slowdown) {
+    if (!usualHere) {
         return;
     }
-    const double observed = this->limited(logDuration - *slowdown, key, sample.service);
+    const auto usual = this->usualDurations.find(sample.service);
+    const bool isCompared = usual != this->usualDurations.end();
+    const double relative = known == this->estimates.end() ? 0.0 : known->second.logSpeed;
+    const double expected = isCompared ? usual->second - relative : atReference;
+    const double limit = isCompared ? maxStep : maxFirstStep;
+    const double observed = std::max(
+        0.0,
+        std::clamp(logDuration - *usualHere + atReference, expected - limit, expected + limit));
     Observations &all = this->observations.touch(key);
     decay(all, now);
     if (all.periodSamples == 0.0 || now - all.periodStartedAt >= samplePeriod) {
@@ -97,18 +110,6 @@
     all.sum += step;
 }
 
-double UpstreamSpeeds::limited(double logDuration, SpeedKey key, const std::string &service) const
-{
-    const auto usual = this->usualDurations.find(service);
-    if (usual == this->usualDurations.end()) {
-        return std::max(0.0, logDuration);
-    }
-    const auto known = this->estimates.find(key);
-    const double expected
-        = usual->second - (known == this->estimates.end() ? 0.0 : known->second.logSpeed);
-    return std::max(0.0, std::clamp(logDuration, expected - maxStep, expected + maxStep));
-}
-
 void UpstreamSpeeds::decay(Observations &observations, Instant now)
 {
     const double factor = std::exp2(-inSeconds(now - observations.decayedAt) / inSeconds(halfLife));
@@ -292,9 +293,13 @@
             this->estimates.erase(key);
             continue;
         }
-        Estimate &estimate = this->estimates.try_emplace(key, Estimate {now}).first->second;
-        const double periods
-            = 1.0 + inSeconds(now - estimate.firstHeardAt) / inSeconds(samplePeriod);
+        Estimate &estimate = this->estimates.try_emplace(key, Estimate {now, now}).first->second;
+        if (sum.weight > estimate.lastWeight) {
+            estimate.lastGrowthAt = now;
+        }
+        estimate.lastWeight = sum.weight;
+        const double periods = 1.0
+            + inSeconds(estimate.lastGrowthAt - estimate.firstHeardAt) / inSeconds(samplePeriod);
         estimate.trust = std::min(sum.weight, periods);
         estimate.logDuration = sum.mean;
     }
@@ -348,6 +353,28 @@
     return found == this->speeds.end() ? 1.0 : found->second;
 }
 
+std::vector<std::pair<std::string, double>>
+UpstreamSpeeds::mostDiffering(std::size_t maxCount) const
+{
+    std::vector<std::pair<std::string, double>> found;
+    for (const auto &[service, upstreams] : this->upstreamsOfService) {
+        for (const auto &[key, upstream] : upstreams) {
+            const auto speed = this->speeds.find(key);
+            if (speed != this->speeds.end()) {
+                found.emplace_back(upstream, speed->second);
+            }
+        }
+    }
+    const auto differsMore = [](const auto &a, const auto &b) {
+        return std::abs(std::log(a.second)) > std::abs(std::log(b.second));
+    };
+    const std::size_t count = std::min(maxCount, found.size());
+    std::partial_sort(found.begin(), found.begin() + static_cast<std::ptrdiff_t>(count),
+                      found.end(), differsMore);
+    found.resize(count);
+    return found;
+}
+
 // Reports to others ------------------------------------------------------------------------------
 
 SpeedSum UpstreamSpeeds::reported(SpeedKey key, const Sum &sum)
--- a/src/decision/upstream_speeds.h
+++ b/src/decision/upstream_speeds.h
@@ -38,6 +38,9 @@
     std::uint64_t incarnation = 0;
     WorkLoad load;
     microseconds duration {0}; ///< Duration of one unit of work: an event, or a response.
+    /// Kind of work, for example the route. If it is set, the units of a service are of different
+    /// size, and the duration is compared with what is usual for this kind.
+    std::string kind {};
 };
 
 /// An upstream whose speed may be asked for.
@@ -75,7 +78,8 @@
 ///
 /// Slow periods of an upstream are common and short. Therefore a process counts at most one
 /// observation of an upstream in each samplePeriod, an observation far from the present estimate
-/// counts only in part, and trust in an estimate grows with the time over which it was made.
+/// counts only in part, and trust in an estimate is limited by the time from the first to the last
+/// observation, however many processes made them.
 class UpstreamSpeeds
 {
 public:
@@ -85,7 +89,7 @@
     static constexpr WorkLoad referenceLoad {8.0, 0.25};
     static constexpr std::size_t maxUpstreams = 4'096;
     static constexpr std::size_t maxUpstreamsOfPeer = 256;
-    static constexpr std::size_t maxServices = 64;
+    static constexpr std::size_t maxKinds = 128; ///< Kinds of work of all services.
     /// Length of the period in which a process counts one observation of an upstream.
     static constexpr milliseconds samplePeriod {600};
     /// Time after which an observation has half its weight.
@@ -127,6 +131,8 @@
     std::vector<SpeedSum> sums(SpeedScope scope) const;
     /// Returns the number of upstreams whose speed differs from 1.0.
     std::size_t differing() const { return this->speeds.size(); }
+    /// Returns the upstreams whose speed differs most from 1.0, at most \a maxCount, with it.
+    std::vector<std::pair<std::string, double>> mostDiffering(std::size_t maxCount) const;
 
 private:
     /// Decayed sum of this process's observations of one upstream.
@@ -162,6 +168,8 @@
     struct Estimate
     {
         Instant firstHeardAt;
+        Instant lastGrowthAt;     ///< Time at which further observations were last heard of.
+        double lastWeight = 0.0;  ///< Weight of the sum at the last update.
         double logDuration = 0.0; ///< Natural logarithm of the duration at the reference load.
         double logSpeed = 0.0;    ///< Natural logarithm of the speed, shrunk by lack of trust.
         double trust = 0.0;       ///< Number of observations that count.
@@ -177,8 +185,6 @@
     static void addTo(Sums &sums, const std::unordered_map<std::string, Source> &sources);
     static SpeedSum reported(SpeedKey key, const Sum &sum);
     static bool isDue(const ToldSum &told, const SpeedSum &sum, Instant now);
-    /// Returns an observation that is too far from the present estimate, at the limit.
-    double limited(double logDuration, SpeedKey key, const std::string &service) const;
     void dropOutdated(Instant now);
     void addUp(Instant now);
     Sum heardOf(SpeedKey key) const;
@@ -191,7 +197,7 @@
 
     std::map<std::string, Upstreams> upstreamsOfService;
     std::map<std::string, double> usualDurations;                  ///< Logarithms by service.
-    RecentMap<std::string, UsualPace> paces {maxServices};         ///< By service.
+    RecentMap<std::string, UsualPace> paces {maxKinds};            ///< By service and kind of work.
     RecentMap<SpeedKey, Observations> observations {maxUpstreams}; ///< Of this process.
     std::unordered_map<std::string, Source> peers;
     std::unordered_map<std::string, Source> zones;
--- a/src/decision/usual_pace.cpp
+++ b/src/decision/usual_pace.cpp
@@ -73,12 +73,9 @@
     }
 }
 
-std::optional<double> UsualPace::logSlowdown(const WorkLoad &load, const WorkLoad &reference) const
+std::optional<double> UsualPace::logDuration(const WorkLoad &load) const
 {
-    if (this->samples < minSamples) {
-        return std::nullopt;
-    }
-    return this->predict(termsOf(load)) - this->predict(termsOf(reference));
+    return this->samples < minSamples ? std::nullopt : std::optional(this->predict(termsOf(load)));
 }
 
 } // namespace azurespindle::decision
--- a/src/decision/usual_pace.h
+++ b/src/decision/usual_pace.h
@@ -37,9 +37,8 @@
 
     // Queries
 
-    /// Returns the natural logarithm of the factor by which the load makes work slower than at
-    /// \a reference, or nothing before minSamples.
-    std::optional<double> logSlowdown(const WorkLoad &load, const WorkLoad &reference) const;
+    /// Returns the natural logarithm of the usual duration, or nothing before minSamples.
+    std::optional<double> logDuration(const WorkLoad &load) const;
 
 private:
     static constexpr std::size_t terms = 3;
