Place requests by the learned speed of upstreams

Cause: the router considered all upstreams of a service equally fast. Change: it measures the pace of streams (decision::StreamPace) and the time of complete responses, and takes in the sums of others. Candidates carry their speed; backups avoid slow engines. The strictest pause objective of a service's streams goes into the demand. request-placed has speedThere; events 316 (upstream-speed-changed) and 317 (reported-speed-rejected) are new.

--- a/src/journal/event_id.h
+++ b/src/journal/event_id.h
@@ -48,6 +48,8 @@
     LimitEnded = 313,
     UpstreamLeaving = 314,
     UpstreamPaused = 315,
+    UpstreamSpeedChanged = 316,
+    ReportedSpeedRejected = 317,
 
     ConfigurationAccepted = 400,
     ConfigurationRefused = 401,
--- a/src/routing/internal/active_request.h
+++ b/src/routing/internal/active_request.h
@@ -5,6 +5,7 @@
 
 #include "decision/engine_choice.h"
 #include "decision/load_table.h"
+#include "decision/stream_pace.h"
 #include "routing/router_events.h"
 
 #include <memory>
@@ -117,6 +118,8 @@
     std::optional<UpstreamRecord> backup; ///< Engine that holds a copy as generation proceeds.
     decision::ResourceClaim backupClaim;  ///< Claim on \a backup.
     Instant attemptStartedAt;
+    std::uint32_t attemptsAtStart = 0; ///< Attempts at the upstream then, with the current one.
+    decision::StreamPace pace;         ///< Of the current attempt's events.
     Instant lastActivityAt; ///< Time at which the current attempt started or last sent data.
     ResponseHead head;
     bool headReceived = false;
--- a/src/routing/internal/journal_text.h
+++ b/src/routing/internal/journal_text.h
@@ -41,6 +41,9 @@
     return partsText(ids);
 }
 
+/// Returns a relative speed as the value of a journal field.
+std::string speedText(double speed);
+
 } // namespace azurespindle::routing::internal
 
 #endif
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -90,6 +90,7 @@
         status.migratingGenerations += each.migration ? 1 : 0;
     }
     status.unconfirmedStops = this->runStops.size();
+    status.unusualSpeeds = this->speeds.differing();
     return status;
 }
 
@@ -165,7 +166,8 @@
             this->coldUntil[id] = this->now + record.coldTimeLeft;
         }
     }
-    this->state = event.state;
+    const std::shared_ptr<const FleetState> previousState = std::exchange(this->state, event.state);
+    this->setSpeedInputs(*previousState);
     if (!this->coldUntil.empty()) {
         this->upstreamsOfService.clear();
         for (const auto &[id, record] : this->state->upstreams) {
@@ -336,6 +338,8 @@
     for (const UpstreamObservation &observation : event.observations) {
         this->applyObservation(observation, ObservationSource::Member);
     }
+    this->noteRejectedSpeeds(event.peer,
+                             this->speeds.updatePeer(event.peer, event.speeds, this->now));
 }
 
 void Router::on(const FleetReportArrived &event)
@@ -344,6 +348,7 @@
     if (!event.requestCounts.empty()) {
         this->retryBudget.updateZone(fleetName, event.requestCounts, event.processes, this->now);
     }
+    this->noteRejectedSpeeds(fleetName, this->speeds.updateFleet(event.speeds, this->now));
     this->mergeBlockedParts(event.blockedParts);
     for (const decision::NamedLimit &limit : event.limits) {
         this->noteLimit(limit, decision::LimitSource::Zone);
@@ -367,6 +372,8 @@
     for (const decision::NamedLimit &limit : event.limits) {
         this->noteLimit(limit, decision::LimitSource::Zone);
     }
+    this->noteRejectedSpeeds(event.zone,
+                             this->speeds.updateZone(event.zone, event.speeds, this->now));
     this->loads.updateZone(event.zone, event.claims, event.isSnapshot, this->now);
     this->retryBudget.updateZone(event.zone, event.requestCounts, event.processes, this->now);
 }
@@ -399,6 +406,7 @@
 void Router::on(const TimePassed &)
 {
     this->loads.removeSilent(this->now);
+    this->updateSpeeds();
     this->judgeLosses();
     this->repeatRunStops();
     for (const RequestId id : this->activeRequestIds()) {
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -10,6 +10,7 @@
 #include "decision/load_table.h"
 #include "decision/upstream_pauses.h"
 #include "decision/upstream_rate_limits.h"
+#include "decision/upstream_speeds.h"
 #include "routing/internal/active_request.h"
 #include "routing/router_events.h"
 
@@ -48,6 +49,7 @@
     std::uint64_t pausesNoted = 0;      ///< Pauses that upstreams asked for.
     std::uint64_t pausesUnreadable = 0; ///< Stated pauses that could not be read.
     std::uint64_t streamsCutByStop = 0; ///< Streams that ran until the process had to end.
+    std::size_t unusualSpeeds = 0;      ///< Upstreams whose learned speed differs from 1.0.
 };
 
 /// The state machine that routes requests: it selects an upstream for each request, retries failed
@@ -103,9 +105,13 @@
     /// takeOwnLimits().
     std::vector<decision::NamedLimit> takeFleetLimits(bool all, Instant at);
 
+    /// Returns the speeds of upstreams, to take what has to be told to the peers.
+    decision::UpstreamSpeeds &upstreamSpeeds() { return this->speeds; }
+
     // Queries
 
     RouterStatus status() const;
+    const decision::UpstreamSpeeds &upstreamSpeeds() const { return this->speeds; }
     /// Returns the claims of this process.
     std::vector<decision::UpstreamClaim> claims() const { return this->loads.ownClaims(); }
     /// Returns the total claims of all processes of which this one hears.
@@ -399,6 +405,19 @@
     /// Updates the claims of the generation and its backup copy to its output so far.
     void updateClaim(ActiveRequest &active);
 
+    // Speeds of upstreams (router_speeds.cpp)
+
+    /// Passes on changes of the upstreams and of the configuration.
+    void setSpeedInputs(const FleetState &previous);
+    /// Returns the shortest pause between events that a service's streams permit; 0: not stated.
+    milliseconds gapObjectiveOf(const std::string &service) const;
+    /// \param resumed true if the events are the first after an interruption.
+    void observePace(ActiveRequest &active, std::uint32_t count, bool resumed);
+    /// Observes the time of a complete response.
+    void observeResponse(const ActiveRequest &active);
+    void updateSpeeds();
+    void noteRejectedSpeeds(const std::string &sender, std::size_t rejected);
+
     /// Records a failure to reach an upstream, whose zone may be partitioned off.
     void noteUnreachable(const UpstreamRecord &upstream);
     /// Returns true if an upstream failed recently, or if its zone is silent or may be partitioned.
@@ -457,9 +476,11 @@
     decision::ColdStartLimiter coldStartLimiter;
     decision::UpstreamRateLimits rateLimits;
     decision::UpstreamPauses pauses;
-    bool ownLimitsChanged = false;   ///< See takeOwnLimits().
-    bool zoneLimitsChanged = false;  ///< See takeZoneLimits().
-    bool fleetLimitsChanged = false; ///< See takeFleetLimits().
+    decision::UpstreamSpeeds speeds;
+    std::map<std::string, milliseconds> gapObjectives; ///< Strictest one by service.
+    bool ownLimitsChanged = false;                     ///< See takeOwnLimits().
+    bool zoneLimitsChanged = false;                    ///< See takeZoneLimits().
+    bool fleetLimitsChanged = false;                   ///< See takeFleetLimits().
     decision::CrashTracker crashes;
     decision::CrashSuspects crashSuspects;
     std::vector<ConnectionLoss> recentLosses;
--- a/src/routing/router_admission.cpp
+++ b/src/routing/router_admission.cpp
@@ -228,6 +228,7 @@
     const bool isEngine = service != nullptr && service->engine;
     candidate.memoryCapacity = isEngine ? service->engine->memoryTokens : 0;
     candidate.sameZone = record.zone == nearZone;
+    candidate.speed = this->speeds.speed(record.id, record.incarnation);
     candidate.recentlyFailing = this->isUnreliable(record);
     candidate.claimsDelayed = this->loads.usesFleetTotals() ? record.zone != this->options.zone
                                                             : this->loads.hasZoneTotal(record.zone);
@@ -294,7 +295,12 @@
     const Tokens prompt = active.request->promptTokens;
     const auto claimedOutput = static_cast<Tokens>(
         claimedOutputFraction * static_cast<double>(this->expectedOutputTokens(active, 0)));
-    return {prompt, prompt + claimedOutput, false, false};
+    decision::RequestDemand demand {prompt, prompt + claimedOutput, false, false};
+    demand.eventGapObjective = this->gapObjectiveOf(active.serviceName);
+    if (active.service != nullptr && active.service->engine) {
+        demand.tokensPerEvent = active.service->engine->tokensPerEvent;
+    }
+    return demand;
 }
 
 std::optional<std::size_t>
--- a/src/routing/router_attempts.cpp
+++ b/src/routing/router_attempts.cpp
@@ -73,6 +73,8 @@
     active.resuming = active.relaying;
     active.takeover = takeover.value_or(Takeover {});
     this->loads.add(upstream.id, claim);
+    active.attemptsAtStart = this->loads.totalClaim(upstream.id).attempts;
+    active.pace.restart();
     if (active.service != nullptr && active.service->engine) {
         this->placements.push_back({upstream.id, claim});
     }
@@ -108,24 +110,27 @@
                               const AttemptPlan &plan)
 {
     const decision::ResourceClaim load = this->loads.totalClaim(plan.upstream.id);
-    this->journal(active, journal::EventId::RequestPlaced,
-                  {{"attempt", std::to_string(number)},
-                   {"upstream", plan.upstream.id},
-                   {"workspace", active.workspace},
-                   {"route", active.route->name},
-                   {"waitedMs", internal::millisecondsSince(active.arrivedAt, this->now)},
-                   {"leftMs", std::to_string(plan.timeLeft.count())},
-                   {"attemptsThere", std::to_string(load.attempts)},
-                   {"memoryThere", std::to_string(load.memory)},
-                   {"afterEvent", std::to_string(plan.resumeAfterEvent.value_or(0))},
-                   {"takeover", plan.takeover ? plan.takeover->source : ""},
-                   {"backup", plan.backupAddress},
-                   {"promptTokens", std::to_string(active.request->promptTokens)},
-                   {"promptParts", internal::partsText(active.request->promptParts)},
-                   {"maxTokens", std::to_string(active.request->maxOutputTokens)},
-                   {"expectedTokens", std::to_string(this->expectedOutputTokens(active, 0))},
-                   {"version", std::to_string(active.routeTable->configuration().version)},
-                   {"revision", std::to_string(this->state->revision)}});
+    this->journal(
+        active, journal::EventId::RequestPlaced,
+        {{"attempt", std::to_string(number)},
+         {"upstream", plan.upstream.id},
+         {"workspace", active.workspace},
+         {"route", active.route->name},
+         {"waitedMs", internal::millisecondsSince(active.arrivedAt, this->now)},
+         {"leftMs", std::to_string(plan.timeLeft.count())},
+         {"attemptsThere", std::to_string(load.attempts)},
+         {"memoryThere", std::to_string(load.memory)},
+         {"speedThere",
+          internal::speedText(this->speeds.speed(plan.upstream.id, plan.upstream.incarnation))},
+         {"afterEvent", std::to_string(plan.resumeAfterEvent.value_or(0))},
+         {"takeover", plan.takeover ? plan.takeover->source : ""},
+         {"backup", plan.backupAddress},
+         {"promptTokens", std::to_string(active.request->promptTokens)},
+         {"promptParts", internal::partsText(active.request->promptParts)},
+         {"maxTokens", std::to_string(active.request->maxOutputTokens)},
+         {"expectedTokens", std::to_string(this->expectedOutputTokens(active, 0))},
+         {"version", std::to_string(active.routeTable->configuration().version)},
+         {"revision", std::to_string(this->state->revision)}});
 }
 
 void Router::releaseUpstream(ActiveRequest &active)
@@ -195,7 +200,8 @@
     if (active.claim.prefill > 0 || active.resuming) {
         active.attemptFirstEventAt = this->now;
     }
-    if (std::exchange(active.resuming, false)) {
+    const bool resumed = std::exchange(active.resuming, false);
+    if (resumed) {
         this->journal(active, journal::EventId::GenerationResumed,
                       {{"upstream", active.upstream.id},
                        {"events", std::to_string(active.eventCount)},
@@ -213,6 +219,7 @@
     if (active.eventCount == 0) {
         this->clearParts(active);
     }
+    this->observePace(active, event.count, resumed);
     active.eventCount += event.count;
     active.lastEventId = std::max(active.lastEventId, event.lastEventId);
     if (active.eventCount - active.claimUpdatedAtEvent >= claimUpdateInterval) {
@@ -311,6 +318,7 @@
                && (active.head.status < statusServerError || !this->canRetry(active))) {
         this->crashes.clearSuspect(active.fingerprint);
         if (active.head.status == statusOk) {
+            this->observeResponse(active);
             this->clearParts(active);
         }
         this->emit(ForwardResponse {{active.id, active.attempt}});
--- a/src/routing/router_events.h
+++ b/src/routing/router_events.h
@@ -5,6 +5,7 @@
 #include "decision/fleet_retry_budget.h"
 #include "decision/load_table.h"
 #include "decision/upstream_rate_limits.h"
+#include "decision/upstream_speeds.h"
 #include "journal/event_id.h"
 #include "routing/published_view.h"
 #include "routing/types.h"
@@ -148,6 +149,7 @@
     std::vector<UpstreamObservation> observations;
     std::vector<decision::PartCrashes> blockedParts {}; ///< Prompt parts that the peer has blocked.
     std::vector<decision::NamedLimit> limits {};        ///< Limits that the peer read itself.
+    std::vector<decision::SpeedSum> speeds {};          ///< What the peer observed itself.
 };
 
 /// Another zone reported the total claims and request counts of its processes.
@@ -161,6 +163,7 @@
     std::vector<decision::PartCrashes> blockedParts {}; ///< Prompt parts that the zone has blocked.
     std::vector<decision::NamedLimit> limits {};        ///< Limits that its processes read.
     std::vector<UpstreamObservation> observations {};
+    std::vector<decision::SpeedSum> speeds {}; ///< What its processes observed.
 };
 
 /// A relay of this zone reported the total claims and request counts of all processes.
@@ -175,6 +178,7 @@
     std::vector<UpstreamObservation> observations {};
     std::vector<decision::PartCrashes> blockedParts {};
     std::vector<decision::NamedLimit> limits {};
+    std::vector<decision::SpeedSum> speeds {}; ///< What all processes observed.
 };
 
 /// Another process of this zone placed requests.
--- a/src/routing/router_migrations.cpp
+++ b/src/routing/router_migrations.cpp
@@ -189,9 +189,13 @@
     }
     this->assumeSilentZonesBusy(candidates);
     const decision::ResourceClaim claim = this->currentClaim(active);
-    const auto chosen = decision::chooseEngine(
-        candidates, {active.request->promptTokens, claim.memory, true, true},
-        this->nextTieBreaker());
+    const decision::RequestDemand demand {active.request->promptTokens,
+                                          claim.memory,
+                                          true,
+                                          true,
+                                          this->gapObjectiveOf(active.serviceName),
+                                          active.service->engine->tokensPerEvent};
+    const auto chosen = decision::chooseEngine(candidates, demand, this->nextTieBreaker());
     const bool hasCopy = !migration.earlierCopy.empty();
     if (!chosen && !hasCopy) {
         migration.retryAt = this->now + noDestinationRetryDelay;
--- a/src/routing/router_takeovers.cpp
+++ b/src/routing/router_takeovers.cpp
@@ -16,6 +16,9 @@
 /// Cost of a backup copy outside this process's zone if the generation is outside it as well, as a
 /// fraction of an engine's memory. A network partition may make both unreachable.
 constexpr double remoteBackupCost = 0.25;
+/// Cost of a backup copy on an engine that takes twice as long as usual, as a fraction of an
+/// engine's memory.
+constexpr double slowBackupCost = 0.15;
 /// Time after the first event until a backup copy is available: engines send backups several times
 /// a second.
 constexpr milliseconds backupReadyDelay {600};
@@ -38,7 +41,7 @@
     }
     const auto capacity = static_cast<double>(active.service->engine->memoryTokens);
     const UpstreamRecord *best = nullptr;
-    double bestCost = maxBackupMemoryFraction + remoteBackupCost;
+    double bestCost = 0.0;
     for (const auto &[id, record] : this->state->upstreams) {
         if (id == upstream.id || this->isSilentZone(record.zone)
             || !this->isEligible(active, record)) {
@@ -50,8 +53,11 @@
         // this process's zone remains available.
         const bool survivesPartition
             = upstream.zone == this->options.zone || record.zone == this->options.zone;
-        const double cost = memoryFraction + (survivesPartition ? 0.0 : remoteBackupCost);
-        if (!unreliable && memoryFraction < maxBackupMemoryFraction && cost < bestCost) {
+        const double slowness = 1.0 / this->speeds.speed(id, record.incarnation) - 1.0;
+        const double cost = memoryFraction + (survivesPartition ? 0.0 : remoteBackupCost)
+            + slowBackupCost * slowness;
+        const bool hasRoom = memoryFraction < maxBackupMemoryFraction;
+        if (!unreliable && hasRoom && (best == nullptr || cost < bestCost)) {
             best = &record;
             bestCost = cost;
         }
--- a/tests/routing/router_harness.cpp
+++ b/tests/routing/router_harness.cpp
@@ -29,7 +29,9 @@
     longer.timeout = milliseconds(39'000);
     longer.latencyObjective = milliseconds(1'800);
     longer.priority = 1;
+    longer.eventGapObjective = milliseconds(180);
     Route shorter = longer;
+    shorter.eventGapObjective = milliseconds(0);
     shorter.name = "short";
     shorter.pathPrefix = "/short/";
     shorter.resumable = true;
