Share what processes observe of the speed of upstreams

Cause: each process of a large fleet sees a few requests only and learned speeds for itself. Metrics azurespindle_upstreams_unusual_speed and azurespindle_upstream_speed, 64 series at most.

--- a/src/members/internal/routing_codec.cpp
+++ b/src/members/internal/routing_codec.cpp
@@ -9,6 +9,15 @@
 
 constexpr std::uint32_t fieldsPerStep = 3;
 
+/// Unpacks sums of speeds, of which there are never more than upstreams that speeds are kept of.
+void unpackSpeeds(const Object &from, std::vector<decision::SpeedSum> &sums)
+{
+    if (ArrayReader(from).size() > decision::UpstreamSpeeds::maxUpstreams) {
+        throw msgpack::type_error();
+    }
+    unpackList(from, sums);
+}
+
 } // namespace
 
 void write(Packer &out, const decision::UpstreamClaim &claim)
@@ -162,9 +171,25 @@
     }
 }
 
+void write(Packer &out, const decision::SpeedSum &sum)
+{
+    out.pack_array(3);
+    out.pack(sum.key);
+    out.pack(sum.weight);
+    out.pack(sum.logDuration);
+}
+
+void read(const Object &from, decision::SpeedSum &sum)
+{
+    ArrayReader in(from);
+    sum.key = in.as<decision::SpeedKey>();
+    sum.weight = in.as<std::uint32_t>();
+    sum.logDuration = in.as<std::uint32_t>();
+}
+
 void write(Packer &out, const RouterReport &report)
 {
-    out.pack_array(9);
+    out.pack_array(10);
     out.pack(report.complete);
     out.pack(report.viewRevision);
     out.pack(report.readsStore);
@@ -174,6 +199,7 @@
     packList(out, report.blockedParts);
     packList(out, report.limits);
     out.pack(report.sequence);
+    packList(out, report.speeds);
 }
 
 void read(const Object &from, RouterReport &report)
@@ -188,11 +214,12 @@
     unpackList(in.next(), report.blockedParts);
     unpackList(in.next(), report.limits);
     report.sequence = in.as<std::uint64_t>();
+    unpackSpeeds(in.next(), report.speeds);
 }
 
 void write(Packer &out, const ZoneReport &report)
 {
-    out.pack_array(8);
+    out.pack_array(9);
     out.pack(report.zone);
     out.pack(report.complete);
     out.pack(report.processCount);
@@ -201,6 +228,7 @@
     packList(out, report.blockedParts);
     packList(out, report.limits);
     packList(out, report.observations);
+    packList(out, report.speeds);
 }
 
 void read(const Object &from, ZoneReport &report)
@@ -214,11 +242,12 @@
     unpackList(in.next(), report.blockedParts);
     unpackList(in.next(), report.limits);
     unpackList(in.next(), report.observations);
+    unpackSpeeds(in.next(), report.speeds);
 }
 
 void write(Packer &out, const FleetReport &report)
 {
-    out.pack_array(11);
+    out.pack_array(12);
     out.pack(report.complete);
     out.pack(report.acknowledged);
     out.pack(report.processCount);
@@ -230,6 +259,7 @@
     packList(out, report.blockedParts);
     packList(out, report.limits);
     out.pack(report.silentZones);
+    packList(out, report.speeds);
 }
 
 void read(const Object &from, FleetReport &report)
@@ -246,6 +276,7 @@
     unpackList(in.next(), report.blockedParts);
     unpackList(in.next(), report.limits);
     report.silentZones = in.as<std::vector<std::string>>();
+    unpackSpeeds(in.next(), report.speeds);
 }
 
 void write(Packer &out, const PlacementNotice &notice)
--- a/src/metrics/registry.h
+++ b/src/metrics/registry.h
@@ -45,6 +45,9 @@
 };
 constexpr std::size_t counterCount = 14;
 
+/// Returns a label's value as the text exposition format requires it, on one line.
+std::string escapeLabel(const std::string &label);
+
 /// Metrics registry with one series of histograms for each workspace and traffic class, and
 /// counters of the whole process. Thread-safe.
 ///
--- a/src/serving/fleet_reporter.cpp
+++ b/src/serving/fleet_reporter.cpp
@@ -14,6 +14,11 @@
 constexpr std::uint64_t totalsPerCounts = 5;
 constexpr std::uint64_t zoneReportsPerCompleteOne = 10;
 constexpr std::uint64_t fleetReportsPerCompleteOne = 20;
+/// Sums of speeds in one report: of a process each second, of a zone five times a second, of the
+/// fleet twice a second. An entry takes up to 16 bytes.
+constexpr std::size_t maxSpeedsOfProcess = 4;
+constexpr std::size_t maxSpeedsOfZone = 16;
+constexpr std::size_t maxSpeedsOfFleet = 48;
 /// Notices of placements that a process may save up.
 constexpr double maxSavedNotices = 4.0;
 
@@ -109,6 +114,8 @@
     report.requestCounts = this->forwarder.arrivals();
     report.limits = this->forwarder.takeOwnLimits(full);
     if (full) {
+        report.speeds
+            = this->forwarder.takeChangedSpeeds(decision::SpeedScope::Process, maxSpeedsOfProcess);
         report.blockedParts = this->forwarder.blockedParts();
     }
     this->forwarder.recordReport(report.sequence, report.claims, full);
@@ -143,6 +150,7 @@
     report.complete = update.complete;
     report.claims = std::move(update.claims);
     report.limits = this->forwarder.takeZoneLimits(report.complete);
+    report.speeds = this->forwarder.takeChangedSpeeds(decision::SpeedScope::Zone, maxSpeedsOfZone);
     this->hooks.sendToAll(this->relay.remoteRelays(), report);
 }
 
@@ -159,7 +167,10 @@
     report.readsStore = this->view.readsStore();
     const std::set<std::string> silent = this->relay.silentZones(now);
     report.silentZones.assign(silent.begin(), silent.end());
-    if (!tellsCounts) {
+    if (tellsCounts) {
+        report.speeds
+            = this->forwarder.takeChangedSpeeds(decision::SpeedScope::Fleet, maxSpeedsOfFleet);
+    } else {
         report.requestCounts.clear();
     }
     if (!report.complete) {
@@ -177,6 +188,9 @@
             const std::lock_guard lock(this->membersMutex);
             informed = !this->informedMembers.insert(member).second;
         }
+        if (!informed) {
+            introduction.speeds = this->forwarder.speedSums(decision::SpeedScope::Fleet);
+        }
         members::FleetReport &sent = informed ? report : introduction;
         sent.acknowledged = this->acknowledgedReport(member, now);
         this->hooks.send(member, sent);
@@ -216,9 +230,9 @@
             member.lastReport = report.sequence;
         }
     }
-    this->forwarder.handle(routing::PeerReportArrived {from, report.complete, report.claims,
-                                                       report.requestCounts, report.observations,
-                                                       report.blockedParts, report.limits});
+    this->forwarder.handle(routing::PeerReportArrived {
+        from, report.complete, report.claims, report.requestCounts, report.observations,
+        report.blockedParts, report.limits, report.speeds});
     this->view.handleReport(from, {report.viewRevision, report.readsStore});
     this->relay.recordMemberHeard(from, now);
 }
@@ -231,7 +245,7 @@
     this->relay.recordZoneHeard(report.zone, monotonicNow());
     this->forwarder.handle(routing::ZoneReportArrived {
         report.zone, report.complete, report.processCount, report.claims, report.requestCounts,
-        report.blockedParts, report.limits, report.observations});
+        report.blockedParts, report.limits, report.observations, report.speeds});
 }
 
 void FleetReporter::handle(const std::string &from, const members::FleetReport &report)
@@ -239,9 +253,10 @@
     this->view.handleReport(from, {report.viewRevision, report.readsStore});
     std::set<std::string> silentZones(report.silentZones.begin(), report.silentZones.end());
     if (this->relay.recordFleetReport(from, std::move(silentZones), monotonicNow())) {
-        this->forwarder.handle(routing::FleetReportArrived {
-            report.complete, report.acknowledged, report.processCount, report.claims,
-            report.requestCounts, report.observations, report.blockedParts, report.limits});
+        this->forwarder.handle(
+            routing::FleetReportArrived {report.complete, report.acknowledged, report.processCount,
+                                         report.claims, report.requestCounts, report.observations,
+                                         report.blockedParts, report.limits, report.speeds});
     }
 }
 
--- a/src/serving/request_forwarder.h
+++ b/src/serving/request_forwarder.h
@@ -67,6 +67,9 @@
     std::vector<decision::NamedLimit> takeOwnLimits(bool all);
     std::vector<decision::NamedLimit> takeZoneLimits(bool all);
     std::vector<decision::NamedLimit> takeFleetLimits(bool all);
+    /// See decision::UpstreamSpeeds::takeChanged().
+    std::vector<decision::SpeedSum> takeChangedSpeeds(decision::SpeedScope scope,
+                                                      std::size_t maxCount);
     /// Answers every later request with 503, because the process is about to stop.
     void rejectNewRequests() { this->rejectingRequests = true; }
 
@@ -82,6 +85,10 @@
     members::FleetReport fleetReport() const;
     std::vector<decision::PartCrashes> blockedParts() const;
     bool hasChangedLimits() const;
+    /// See decision::UpstreamSpeeds::sums().
+    std::vector<decision::SpeedSum> speedSums(decision::SpeedScope scope) const;
+    /// See decision::UpstreamSpeeds::mostDiffering().
+    std::vector<std::pair<std::string, double>> differingSpeeds(std::size_t maxCount) const;
 
 private:
     /// The HTTP transfer of one attempt.
--- a/src/serving/request_forwarder_reports.cpp
+++ b/src/serving/request_forwarder_reports.cpp
@@ -93,6 +93,26 @@
     return this->router.takeFleetLimits(all, monotonicNow());
 }
 
+std::vector<decision::SpeedSum> RequestForwarder::takeChangedSpeeds(decision::SpeedScope scope,
+                                                                    std::size_t maxCount)
+{
+    const std::lock_guard lock(this->mutex);
+    return this->router.upstreamSpeeds().takeChanged(scope, maxCount, monotonicNow());
+}
+
+std::vector<decision::SpeedSum> RequestForwarder::speedSums(decision::SpeedScope scope) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->router.upstreamSpeeds().sums(scope);
+}
+
+std::vector<std::pair<std::string, double>>
+RequestForwarder::differingSpeeds(std::size_t maxCount) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->router.upstreamSpeeds().mostDiffering(maxCount);
+}
+
 bool RequestForwarder::hasChangedLimits() const
 {
     const std::lock_guard lock(this->mutex);
--- a/src/serving/routing_process.cpp
+++ b/src/serving/routing_process.cpp
@@ -32,6 +32,8 @@
 /// Share of the file descriptors for callers' connections, each of which may need a connection to
 /// an upstream as well.
 constexpr double callerDescriptorShare = 0.45;
+/// Upstreams whose speed is a metric: those that differ most from the usual.
+constexpr std::size_t maxSpeedSeries = 64;
 
 std::uint64_t wallClockMilliseconds()
 {
@@ -303,9 +305,14 @@
          << "azurespindle_upstreams_leaving_total " << status.upstreamsLeaving << "\n"
          << "azurespindle_upstream_pauses_total " << status.pausesNoted << "\n"
          << "azurespindle_upstream_pauses_unreadable_total " << status.pausesUnreadable << "\n"
+         << "azurespindle_upstreams_unusual_speed " << status.unusualSpeeds << "\n"
          << "azurespindle_view_revision " << this->view.revision() << "\n"
          << "azurespindle_ready " << (this->ready() ? 1 : 0) << "\n"
          << "azurespindle_publisher_away " << (this->view.storeUnavailable() ? 1 : 0) << "\n";
+    for (const auto &[upstream, speed] : this->forwarder.differingSpeeds(maxSpeedSeries)) {
+        text << "azurespindle_upstream_speed{upstream=\"" << metrics::escapeLabel(upstream)
+             << "\"} " << speed << "\n";
+    }
     exchange->respond(statusOk, http::Headers {{"content-type", "text/plain; version=0.0.4"}},
                       text.str());
 }
--- a/tests/members/messages_test.cpp
+++ b/tests/members/messages_test.cpp
@@ -49,7 +49,8 @@
                       {{"e", 6, routing::UpstreamObservation::Kind::Draining, milliseconds(7)}},
                       {{7, {8, 9}}},
                       {{"e", 1, 2.5, milliseconds(3)}, {"f", 1, std::nullopt, milliseconds(4)}},
-                      17},
+                      17,
+                      {{18'000'000'000'000'000'000U, 15, 1'012}, {20, 0, 0}}},
         ViewRequest {8},
         ViewChanges {{true, 1, 2, {{"k", std::string("\0v", 2), 2, false}, {"d", "", 3, true}}}},
         ViewChanges {{false, 1, 2, {deltaItem()}}},
@@ -61,7 +62,8 @@
                     {{"s", 4, 5}},
                     {{7, {8}}},
                     {{"e", 1, 2.5, milliseconds(3)}},
-                    {{"e", 6, routing::UpstreamObservation::Kind::Draining, milliseconds(7)}}},
+                    {{"e", 6, routing::UpstreamObservation::Kind::Draining, milliseconds(7)}},
+                    {{19, 15, 1'012}}},
         FleetReport {true,
                      5,
                      290,
@@ -72,7 +74,8 @@
                      {{"e", 6, routing::UpstreamObservation::Kind::Draining, milliseconds(7)}},
                      {{7, {8}}},
                      {{"e", 1, 2.5, milliseconds(3)}},
-                     {"south", "west"}},
+                     {"south", "west"},
+                     {{19, 15, 1'012}}},
         ViewStatus {8, true},
         PlacementNotice {{{"e", {1, 2, 3}}}}};
 }
@@ -107,6 +110,7 @@
     CPPUNIT_TEST(aFrameWithTrailingBytesIsRefused);
     CPPUNIT_TEST(anotherProtocolVersionIsRefused);
     CPPUNIT_TEST(aCrashReportOfAnOlderMemberIsRead);
+    CPPUNIT_TEST(moreSpeedsThanUpstreamsAreRefused);
     CPPUNIT_TEST(mutatedDocumentsAndBodiesNeverCrashTheParsers);
     CPPUNIT_TEST(engineStreamsAreReadInChunksOfAnySize);
     CPPUNIT_TEST(theTableOfAllMembersIsCompressed);
@@ -138,6 +142,16 @@
         CPPUNIT_ASSERT(refused > inputCount / 10);
     }
 
+    /// A report with a million speeds took memory before it was looked at.
+    void moreSpeedsThanUpstreamsAreRefused()
+    {
+        FleetReport report;
+        report.speeds.resize(decision::UpstreamSpeeds::maxUpstreams);
+        CPPUNIT_ASSERT(decode(encode(report)).ok());
+        report.speeds.resize(decision::UpstreamSpeeds::maxUpstreams + 1);
+        CPPUNIT_ASSERT(!decode(encode(report)).ok());
+    }
+
     void aFrameWithTrailingBytesIsRefused()
     {
         CPPUNIT_ASSERT(!decode(encode(samples().front()) + "x").ok());
--- a/tests/serving/fleet_reporter_test.cpp
+++ b/tests/serving/fleet_reporter_test.cpp
@@ -5,7 +5,10 @@
 
 #include <algorithm>
 #include <memory>
+#include <string>
 #include <thread>
+#include <utility>
+#include <vector>
 
 namespace azurespindle::serving {
 namespace {
@@ -51,6 +54,24 @@
         }
     }
 
+    /// Lets all routers update their estimates, and runs all timers for a second.
+    void updateAndRun()
+    {
+        std::this_thread::sleep_for(decision::UpstreamSpeeds::updateInterval);
+        for (auto &[name, node] : this->nodes) {
+            node->forwarder.handle(routing::TimePassed {});
+        }
+        this->run();
+    }
+
+    void tell(const std::string &member, const routing::RouterEvent &event)
+    {
+        this->nodes.at(member)->forwarder.handle(event);
+    }
+    std::vector<std::pair<std::string, double>> speedsKnownTo(const std::string &member) const
+    {
+        return this->nodes.at(member)->forwarder.differingSpeeds(8);
+    }
     void stop(const std::string &member) { this->stopped.insert(member); }
     std::size_t sentBy(const std::string &member) const { return this->nodes.at(member)->sent; }
     std::size_t receivedBy(const std::string &member) const
@@ -137,6 +158,7 @@
     CPPUNIT_TEST_SUITE(FleetReporterTest);
     CPPUNIT_TEST(whatAMemberSendsAndHearsDoesNotGrowWithTheFleet);
     CPPUNIT_TEST(oneRelayTellsItsZoneTheTotalsUntilItFallsSilent);
+    CPPUNIT_TEST(aSpeedThatOneZoneObservesIsKnownInAnother);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -171,6 +193,34 @@
         CPPUNIT_ASSERT_MESSAGE("other zones hear it, too",
                                fleet.sendersOfTotalsTo("a-105").size() == 1);
     }
+
+    /// Each zone learned the speed of an upstream for itself.
+    void aSpeedThatOneZoneObservesIsKnownInAnother()
+    {
+        ReportingFleet fleet(10);
+        fleet.run();
+        auto state = std::make_shared<routing::FleetState>();
+        routing::PeerReportArrived observed;
+        observed.peer = "observer";
+        for (const char *id : {"e1", "e2", "e3"}) {
+            routing::UpstreamRecord record;
+            record.id = id;
+            record.service = "models";
+            record.incarnation = 7;
+            state->upstreams[id] = record;
+            observed.speeds.push_back(
+                {decision::speedKey(id, 7), 50, std::string(id) == "e2" ? 1'200U : 1'000U});
+        }
+        fleet.tell("c-105", routing::FleetStateChanged {state});
+        fleet.tell("a-100", observed);
+        fleet.updateAndRun();
+        fleet.updateAndRun();
+        fleet.updateAndRun();
+        const auto known = fleet.speedsKnownTo("c-105");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), known.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("e2"), known[0].first);
+        CPPUNIT_ASSERT(known[0].second < 0.6);
+    }
 };
 
 REGISTER_SUITE(FleetReporterTest, "fleet_reporter");
