Merge the speed of upstreams

Cause: every upstream was taken for equally fast; on a fleet with engines at 0.6, 1.0 and 1.6 of the usual speed the slow ones made streams late.

--- a/src/serving/request_forwarder.h
+++ b/src/serving/request_forwarder.h
@@ -41,6 +41,8 @@
 {
     routing::RouterStatus router;
     std::size_t responseBytes = 0; ///< Memory granted to responses that are being received.
+    /// Ids and speeds of the upstreams that differ most from the usual speed of their services.
+    std::vector<std::pair<std::string, double>> unusualSpeeds {};
 };
 
 /// Forwards requests to upstreams and relays their responses, as routing::Router decides.
@@ -80,6 +82,9 @@
     std::vector<decision::NamedLimit> takeFleetLimits(bool all);
     /// Waits for the lock that requests need, and frees it again.
     void passLock() { const std::lock_guard lock(this->mutex); }
+    /// See decision::UpstreamSpeeds::takeChanged().
+    std::vector<decision::SpeedSum> takeChangedSpeeds(decision::SpeedScope scope,
+                                                      std::size_t maxCount);
     /// Answers every later request with 503, because the process is about to stop.
     void rejectNewRequests() { this->rejectingRequests = true; }
 
@@ -99,6 +104,8 @@
     bool hasChangedLimits() const;
     /// Returns true if responses wait for memory.
     bool isMemoryShort() const;
+    /// See decision::UpstreamSpeeds::sums().
+    std::vector<decision::SpeedSum> speedSums(decision::SpeedScope scope) const;
 
 private:
     /// The HTTP transfer of one attempt.
--- a/src/serving/request_forwarder_reports.cpp
+++ b/src/serving/request_forwarder_reports.cpp
@@ -3,6 +3,12 @@
 #include "serving/request_forwarder.h"
 
 namespace azurespindle::serving {
+namespace {
+
+/// Upstreams whose speed is a metric.
+constexpr std::size_t maxSpeedSeries = 64;
+
+} // namespace
 
 std::vector<decision::UpstreamClaim> RequestForwarder::takeChangedClaims()
 {
@@ -41,7 +47,8 @@
     if (!lock.owns_lock()) {
         return std::nullopt;
     }
-    return ForwarderStatus {this->router.status(), this->responseMemory.grantedBytes()};
+    return ForwarderStatus {this->router.status(), this->responseMemory.grantedBytes(),
+                            this->router.upstreamSpeeds().mostDiffering(maxSpeedSeries)};
 }
 
 std::vector<decision::UpstreamClaim> RequestForwarder::claims() const
@@ -102,6 +109,19 @@
     return this->router.takeFleetLimits(all, monotonicNow());
 }
 
+std::vector<decision::SpeedSum> RequestForwarder::takeChangedSpeeds(decision::SpeedScope scope,
+                                                                    std::size_t maxCount)
+{
+    const std::lock_guard lock(this->mutex);
+    return this->router.upstreamSpeeds().takeChanged(scope, maxCount, monotonicNow());
+}
+
+std::vector<decision::SpeedSum> RequestForwarder::speedSums(decision::SpeedScope scope) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->router.upstreamSpeeds().sums(scope);
+}
+
 bool RequestForwarder::hasChangedLimits() const
 {
     const std::lock_guard lock(this->mutex);
--- a/src/serving/routing_process.cpp
+++ b/src/serving/routing_process.cpp
@@ -128,7 +128,12 @@
          << "azurespindle_upstreams_leaving_total " << status.upstreamsLeaving << "\n"
          << "azurespindle_upstream_pauses_total " << status.pausesNoted << "\n"
          << "azurespindle_response_bytes " << forwarder.responseBytes << "\n"
-         << "azurespindle_upstream_pauses_unreadable_total " << status.pausesUnreadable << "\n";
+         << "azurespindle_upstream_pauses_unreadable_total " << status.pausesUnreadable << "\n"
+         << "azurespindle_upstreams_unusual_speed " << status.unusualSpeeds << "\n";
+    for (const auto &[upstream, speed] : forwarder.unusualSpeeds) {
+        text << "azurespindle_upstream_speed{upstream=\"" << metrics::escapeLabel(upstream)
+             << "\"} " << speed << "\n";
+    }
 }
 
 } // namespace
