Claim memory by the output forecast

Cause: claims ignored the hint, the workspace, and outputs that are cut. Change: placement and every revision of a claim use the same forecast, which replaces both copies of claimedOutputFraction and Router::expectedOutputTokens(). The router records the growth of outputs with each revision of the claim and at their end. The metrics state the forecast errors by route. Measured: router_outputs 4 of 4 (outputsOfCallersThatLeaveCountAsFarAsTheyGot fails without the record at the end of a request: claims of 3094 and 3094 tokens); router 36, router_migrations 29, router_limits 20, router_crashes 8, request_forwarder 11, routing_process 16, length_forecast 8: all pass. The effect on a fleet has not been measured.

--- a/src/metrics/registry.cpp
+++ b/src/metrics/registry.cpp
@@ -78,18 +78,6 @@
 
 using SeriesKey = std::pair<std::string, std::string>;
 
-std::string escapeLabel(const std::string &label)
-{
-    std::string text;
-    for (const char character : label) {
-        if (character == '\\' || character == '"') {
-            text += '\\';
-        }
-        text += character == '\n' ? ' ' : character;
-    }
-    return text;
-}
-
 void writeHistogram(std::ostringstream &out, const SeriesKey &key, const Series &series,
                     std::size_t measure)
 {
@@ -111,6 +99,18 @@
 
 } // namespace
 
+std::string escapeLabel(const std::string &label)
+{
+    std::string text;
+    for (const char character : label) {
+        if (character == '\\' || character == '"') {
+            text += '\\';
+        }
+        text += character == '\n' ? ' ' : character;
+    }
+    return text;
+}
+
 /// Independently locked part of the series, selected by the hash of their labels.
 struct Registry::Shard
 {
--- a/src/metrics/registry.h
+++ b/src/metrics/registry.h
@@ -45,6 +45,9 @@
 };
 constexpr std::size_t counterCount = 14;
 
+/// Returns \a label with the characters escaped that end a label in the exposition format.
+std::string escapeLabel(const std::string &label);
+
 /// Metrics registry with one series of histograms for each workspace and traffic class, and
 /// counters of the whole process. Thread-safe.
 ///
--- a/src/routing/internal/active_request.h
+++ b/src/routing/internal/active_request.h
@@ -5,6 +5,7 @@
 
 #include "decision/engine_choice.h"
 #include "decision/load_table.h"
+#include "decision/output_forecast.h"
 #include "routing/router_events.h"
 
 #include <memory>
@@ -147,6 +148,9 @@
     std::optional<Migration> migration;
     Instant nextRecoveryAt; ///< Earliest time of the next recovery of a silent stream.
     std::uint64_t claimUpdatedAtEvent = 0; ///< Event count at the last update of the claim.
+    /// Forecast when the output began; nothing if this process does not see all of an output.
+    std::optional<decision::InitialForecast> initialForecast;
+    Tokens recordedOutput = 0; ///< Output of which the forecasts have been told, in tokens.
 };
 
 /// Knowledge that an engine is shutting down.
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -6,8 +6,8 @@
 #include "decision/crash_tracker.h"
 #include "decision/engine_choice.h"
 #include "decision/fleet_retry_budget.h"
-#include "decision/length_forecast.h"
 #include "decision/load_table.h"
+#include "decision/output_forecast.h"
 #include "decision/upstream_pauses.h"
 #include "decision/upstream_rate_limits.h"
 #include "routing/internal/active_request.h"
@@ -62,8 +62,6 @@
 public:
     /// Interval at which TimePassed has to be sent.
     static constexpr milliseconds tickInterval {20};
-    /// Number of routes for which output length forecasts are kept.
-    static constexpr std::size_t maxForecasts = 256;
 
     explicit Router(RouterOptions options);
 
@@ -123,6 +121,8 @@
     /// Returns true if a limit that this process read has changed since takeOwnLimits().
     bool hasChangedLimits() const { return this->ownLimitsChanged; }
     const decision::FleetRetryBudget &fleetRetryBudget() const { return this->retryBudget; }
+    /// Returns the errors of the output length forecasts by route.
+    std::vector<decision::ForecastError> forecastErrors() const { return this->outputs.errors(); }
     /// Returns this process's request counts.
     std::vector<decision::RequestCounts> requestCounts(Instant now) const
     {
@@ -421,8 +421,16 @@
     /// Returns the request whose current attempt is \a attempt, or nullptr.
     ActiveRequest *findByCurrentAttempt(const AttemptId &attempt);
     const UpstreamRecord *findUpstream(const std::string &id) const;
-    /// Returns the expected number of output tokens after the first \a produced ones.
-    Tokens expectedOutputTokens(const ActiveRequest &active, Tokens produced) const;
+    /// Returns the number of output tokens that the caller has received.
+    static Tokens producedTokens(const ActiveRequest &active);
+    /// Returns what is known of a request's output before it begins.
+    static decision::OutputRequest outputOf(const ActiveRequest &active);
+    /// Returns the forecast of the output after its first \a produced tokens.
+    decision::OutputForecast outputForecast(const ActiveRequest &active, Tokens produced) const;
+    /// Forecasts the output of a request that is about to be placed for the first time.
+    void beginOutput(ActiveRequest &active);
+    /// Tells the forecasts how far an output has grown.
+    void recordOutput(ActiveRequest &active);
     void emit(RouterEffect effect) { this->effects.push_back(std::move(effect)); }
     /// Writes a journal entry about a request.
     void journal(const ActiveRequest &active, journal::EventId id,
@@ -463,7 +471,7 @@
     decision::CrashTracker crashes;
     decision::CrashSuspects crashSuspects;
     std::vector<ConnectionLoss> recentLosses;
-    RecentMap<std::string, decision::LengthForecast> forecasts {maxForecasts}; ///< By route.
+    decision::OutputForecaster outputs;
     std::vector<SuspectedCrash> suspectedCrashes;
     std::vector<RunStop> runStops; ///< Also of requests that have ended.
     RouterStatus counters;
--- a/src/routing/router_admission.cpp
+++ b/src/routing/router_admission.cpp
@@ -25,16 +25,6 @@
 constexpr double maxQueueTimeFraction = 0.6;
 /// Number of requests that may be queued for all services.
 constexpr std::size_t maxQueued = 512;
-/// Fraction of the expected output that is claimed as memory. It is below 1 because generations end
-/// at different times and do not all reach their full size at once.
-constexpr double claimedOutputFraction = 0.5;
-/// Output length that is assumed if the request states no maximum.
-constexpr Tokens defaultMaxOutput = 512;
-/// Expected output as a fraction of the maximum, before lengths were observed.
-constexpr double expectedOutputFraction = 0.42;
-/// Number of observed outputs of a route at which the forecast and the estimate from the maximum
-/// have equal weight.
-constexpr double forecastHalfWeight = 24.0;
 constexpr double tieBreakerScale = 1.0 / 2'147'483'648.0; ///< Maps a 31-bit tie breaker to [0, 1).
 
 std::uint64_t fingerprintOf(const RoutedRequest &request)
@@ -271,30 +261,10 @@
     }
 }
 
-Tokens Router::expectedOutputTokens(const ActiveRequest &active, Tokens produced) const
-{
-    const Tokens maxOutput
-        = active.request->maxOutputTokens > 0 ? active.request->maxOutputTokens : defaultMaxOutput;
-    const double fromMaximum
-        = expectedOutputFraction * (maxOutput > produced ? maxOutput - produced : 0);
-    const decision::LengthForecast *forecast = this->forecasts.find(active.route->name);
-    if (forecast == nullptr) {
-        return static_cast<Tokens>(fromMaximum);
-    }
-    // Short outputs end first, so a forecast from few observations is biased towards them.
-    const decision::LengthEstimate estimate = forecast->estimate("", "");
-    const double forecastWeight
-        = estimate.effectiveSamples() / (estimate.effectiveSamples() + forecastHalfWeight);
-    return static_cast<Tokens>(forecastWeight * estimate.expectedRemaining(produced, maxOutput)
-                               + (1.0 - forecastWeight) * fromMaximum);
-}
-
 decision::RequestDemand Router::demandOf(const ActiveRequest &active) const
 {
     const Tokens prompt = active.request->promptTokens;
-    const auto claimedOutput = static_cast<Tokens>(
-        claimedOutputFraction * static_cast<double>(this->expectedOutputTokens(active, 0)));
-    return {prompt, prompt + claimedOutput, false, false};
+    return {prompt, prompt + this->outputForecast(active, 0).meanWhileRunning(), false, false};
 }
 
 std::optional<std::size_t>
@@ -328,6 +298,7 @@
     const decision::ResourceClaim claim = isEngine
         ? decision::ResourceClaim {1, this->demandOf(active).memory, active.request->promptTokens}
         : decision::ResourceClaim {1, 0, 0};
+    this->beginOutput(active);
     this->dequeue(active);
     this->startAttempt(active, upstream, claim, std::nullopt);
     return true;
--- a/src/routing/router_attempts.cpp
+++ b/src/routing/router_attempts.cpp
@@ -108,6 +108,8 @@
                               const AttemptPlan &plan)
 {
     const decision::ResourceClaim load = this->loads.totalClaim(plan.upstream.id);
+    const auto expectedTokens
+        = static_cast<Tokens>(this->outputForecast(active, 0).expectedRemaining());
     this->journal(active, journal::EventId::RequestPlaced,
                   {{"attempt", std::to_string(number)},
                    {"upstream", plan.upstream.id},
@@ -123,7 +125,7 @@
                    {"promptTokens", std::to_string(active.request->promptTokens)},
                    {"promptParts", internal::partsText(active.request->promptParts)},
                    {"maxTokens", std::to_string(active.request->maxOutputTokens)},
-                   {"expectedTokens", std::to_string(this->expectedOutputTokens(active, 0))},
+                   {"expectedTokens", std::to_string(expectedTokens)},
                    {"version", std::to_string(active.routeTable->configuration().version)},
                    {"revision", std::to_string(this->state->revision)}});
 }
@@ -230,6 +232,7 @@
     if (!active.running || active.service == nullptr || !active.service->engine) {
         return;
     }
+    this->recordOutput(active);
     const Tokens memory = this->currentClaim(active).memory;
     this->loads.subtract(active.upstream.id, active.claim);
     active.claim.memory = memory;
--- a/src/routing/router_completion.cpp
+++ b/src/routing/router_completion.cpp
@@ -39,18 +39,49 @@
     this->closeRequest(active.id);
 }
 
+Tokens Router::producedTokens(const ActiveRequest &active)
+{
+    return static_cast<Tokens>(active.eventCount) * active.service->engine->tokensPerEvent;
+}
+
+decision::OutputRequest Router::outputOf(const ActiveRequest &active)
+{
+    return {active.route->name, active.workspace, active.request->maxOutputTokens,
+            active.request->expectedOutputTokens};
+}
+
+decision::OutputForecast Router::outputForecast(const ActiveRequest &active, Tokens produced) const
+{
+    return this->outputs.forecast(outputOf(active), produced);
+}
+
+void Router::beginOutput(ActiveRequest &active)
+{
+    // A caller that resumes a stream has part of its output already.
+    if (!active.initialForecast && !active.request->lastEventId && active.service != nullptr
+        && active.service->engine) {
+        active.initialForecast = this->outputs.initialForecast(outputOf(active));
+    }
+}
+
+void Router::recordOutput(ActiveRequest &active)
+{
+    if (!active.initialForecast) {
+        return;
+    }
+    const Tokens produced = producedTokens(active);
+    this->outputs.recordGrowth(outputOf(active), active.recordedOutput, produced);
+    active.recordedOutput = produced;
+}
+
 void Router::completeStream(ActiveRequest &active)
 {
     this->crashes.clearSuspect(active.fingerprint);
     this->cancelAttempts(active);
     this->discardMigration(active, true);
-    const bool isFullOutput
-        = !active.request->lastEventId && active.service != nullptr && active.service->engine;
-    if (isFullOutput) {
-        this->forecasts.touch(active.route->name)
-            .observe("", "",
-                     static_cast<Tokens>(active.eventCount)
-                         * active.service->engine->tokensPerEvent);
+    this->recordOutput(active);
+    if (active.initialForecast) {
+        this->outputs.recordEnd(outputOf(active), producedTokens(active), *active.initialForecast);
     }
     this->emit(EndStream {active.id});
     this->finishRequest(active);
@@ -118,6 +149,7 @@
 void Router::closeRequest(RequestId id)
 {
     ActiveRequest &closing = this->activeRequests.at(id);
+    this->recordOutput(closing);
     this->dequeue(closing);
     this->releaseParallelTakeover(closing);
     this->releaseUpstream(closing);
--- a/src/routing/router_migrations.cpp
+++ b/src/routing/router_migrations.cpp
@@ -25,8 +25,6 @@
 /// and some of an engine's copies stay in its zone while others leave it.
 constexpr double copyDurationMargin = 1.4;
 constexpr double megabitsPerByte = 8.0 / 1e6;
-/// Fraction of the expected remaining output that is claimed as memory.
-constexpr double claimedOutputFraction = 0.5;
 
 bool contains(const std::vector<std::string> &list, const std::string &item)
 {
@@ -58,11 +56,9 @@
 
 decision::ResourceClaim Router::currentClaim(const ActiveRequest &active) const
 {
-    const Tokens produced
-        = static_cast<Tokens>(active.eventCount) * active.service->engine->tokensPerEvent;
-    const Tokens remaining = this->expectedOutputTokens(active, produced);
-    const auto claimedOutput = static_cast<Tokens>(claimedOutputFraction * remaining);
-    return {1, active.request->promptTokens + produced + claimedOutput, 0};
+    const Tokens produced = producedTokens(active);
+    const Tokens growth = this->outputForecast(active, produced).meanWhileRunning();
+    return {1, active.request->promptTokens + produced + growth, 0};
 }
 
 void Router::noteDraining(const ActiveRequest &active)
--- a/src/serving/request_forwarder.h
+++ b/src/serving/request_forwarder.h
@@ -73,6 +73,8 @@
     // Queries
 
     routing::RouterStatus status() const;
+    /// Returns the errors of the output length forecasts by route.
+    std::vector<decision::ForecastError> forecastErrors() const;
     std::vector<decision::UpstreamClaim> claims() const;
     std::vector<decision::RequestCounts> arrivals() const;
     /// Returns the claims and arrival counts of this process and its peers together. The zone's
--- a/src/serving/request_forwarder_reports.cpp
+++ b/src/serving/request_forwarder_reports.cpp
@@ -35,6 +35,12 @@
     return this->router.status();
 }
 
+std::vector<decision::ForecastError> RequestForwarder::forecastErrors() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->router.forecastErrors();
+}
+
 std::vector<decision::UpstreamClaim> RequestForwarder::claims() const
 {
     const std::lock_guard lock(this->mutex);
--- a/src/serving/routing_process.cpp
+++ b/src/serving/routing_process.cpp
@@ -1,5 +1,7 @@
 #include "serving/routing_process.h"
 
+#include "serving/forecast_metrics.h"
+
 #include <algorithm>
 #include <chrono>
 #include <random>
@@ -306,6 +308,7 @@
          << "azurespindle_view_revision " << this->view.revision() << "\n"
          << "azurespindle_ready " << (this->ready() ? 1 : 0) << "\n"
          << "azurespindle_publisher_away " << (this->view.storeUnavailable() ? 1 : 0) << "\n";
+    text << forecastExposition(this->forwarder.forecastErrors());
     exchange->respond(statusOk, http::Headers {{"content-type", "text/plain; version=0.0.4"}},
                       text.str());
 }
