--- a/src/serving/request_forwarder.h
+++ b/src/serving/request_forwarder.h
@@ -43,6 +43,8 @@
     std::size_t responseBytes = 0; ///< Memory granted to responses that are being received.
     /// Ids and speeds of the upstreams that differ most from the usual speed of their services.
     std::vector<std::pair<std::string, double>> unusualSpeeds {};
+    /// Errors of the output length forecasts by route.
+    std::vector<decision::ForecastError> forecastErrors {};
 };
 
 /// Forwards requests to upstreams and relays their responses, as routing::Router decides.
--- a/src/serving/request_forwarder_reports.cpp
+++ b/src/serving/request_forwarder_reports.cpp
@@ -48,7 +48,8 @@
         return std::nullopt;
     }
     return ForwarderStatus {this->router.status(), this->responseMemory.grantedBytes(),
-                            this->router.upstreamSpeeds().mostDiffering(maxSpeedSeries)};
+                            this->router.upstreamSpeeds().mostDiffering(maxSpeedSeries),
+                            this->router.forecastErrors()};
 }
 
 std::vector<decision::UpstreamClaim> RequestForwarder::claims() const
--- a/src/serving/routing_process.cpp
+++ b/src/serving/routing_process.cpp
@@ -1,5 +1,7 @@
 #include "serving/routing_process.h"
 
+#include "serving/forecast_metrics.h"
+
 #include <algorithm>
 #include <chrono>
 #include <random>
@@ -383,6 +385,7 @@
          << "azurespindle_publisher_away " << (this->view.storeUnavailable() ? 1 : 0) << "\n";
     if (const auto status = this->forwarder.statusWithin(statusPatience)) {
         writeForwarderMetrics(*status, text);
+        text << forecastExposition(status->forecastErrors);
     }
     exchange->respond(statusOk, http::Headers {{"content-type", "text/plain; version=0.0.4"}},
                       text.str());
