--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -13,6 +13,7 @@
 #include "decision/upstream_speeds.h"
 #include "routing/internal/active_request.h"
 #include "routing/router_events.h"
+#include "routing/router_status.h"
 
 #include <map>
 #include <optional>
@@ -24,34 +25,6 @@
 
 namespace azurespindle::routing {
 
-struct RouterOptions
-{
-    std::string zone; ///< Zone of this process.
-    std::map<std::string, std::string> regionOfZone;
-    std::uint64_t seed = 0; ///< Differs between processes, so that they break ties differently.
-    decision::FleetRetryLimits retryLimits;
-    std::string name {}; ///< Name of this process.
-};
-
-/// Counters of a router, for `azurespindle status` and the metrics.
-struct RouterStatus
-{
-    std::size_t openRequests = 0;
-    std::size_t queuedRequests = 0;
-    std::size_t migratingGenerations = 0;
-    std::uint64_t migrationsStarted = 0;
-    std::uint64_t migrationsCompleted = 0;
-    std::uint64_t generationsLost = 0;
-    std::uint64_t runStopsAsked = 0;    ///< Requests to engines to stop a run.
-    std::uint64_t takeoversBeside = 0;  ///< Takeovers from engines that could not be reached.
-    std::size_t unconfirmedStops = 0;   ///< Runs whose engines have not confirmed their stop.
-    std::uint64_t upstreamsLeaving = 0; ///< Upstreams that stated in a response that they leave.
-    std::uint64_t pausesNoted = 0;      ///< Pauses that upstreams asked for.
-    std::uint64_t pausesUnreadable = 0; ///< Stated pauses that could not be read.
-    std::uint64_t streamsCutByStop = 0; ///< Streams that ran until the process had to end.
-    std::size_t unusualSpeeds = 0;      ///< Upstreams whose learned speed differs from 1.0.
-};
-
 /// The state machine that routes requests: it selects an upstream for each request, retries failed
 /// attempts, migrates running generations between engines, and rejects requests.
 ///
--- a/src/routing/router_attempts.cpp
+++ b/src/routing/router_attempts.cpp
@@ -242,24 +242,6 @@
     }
 }
 
-void Router::updateClaim(ActiveRequest &active)
-{
-    active.claimUpdatedAtEvent = active.eventCount;
-    if (!active.running || active.service == nullptr || !active.service->engine) {
-        return;
-    }
-    this->recordOutput(active);
-    const Tokens memory = this->currentClaim(active).memory;
-    this->loads.subtract(active.upstream.id, active.claim);
-    active.claim.memory = memory;
-    this->loads.add(active.upstream.id, active.claim);
-    if (active.backup) {
-        this->loads.subtract(active.backup->id, active.backupClaim);
-        active.backupClaim.memory = memory;
-        this->loads.add(active.backup->id, active.backupClaim);
-    }
-}
-
 void Router::recordPause(ActiveRequest &active) const
 {
     if (active.eventCount == 0) {
--- a/src/serving/request_forwarder.h
+++ b/src/serving/request_forwarder.h
@@ -106,6 +106,8 @@
     bool hasChangedLimits() const;
     /// Returns true if responses wait for memory.
     bool isMemoryShort() const;
+    /// See decision::UpstreamSpeeds::mostDiffering().
+    std::vector<std::pair<std::string, double>> differingSpeeds(std::size_t maxCount) const;
     /// See decision::UpstreamSpeeds::sums().
     std::vector<decision::SpeedSum> speedSums(decision::SpeedScope scope) const;
 
--- a/src/serving/request_forwarder_reports.cpp
+++ b/src/serving/request_forwarder_reports.cpp
@@ -123,6 +123,13 @@
     return this->router.upstreamSpeeds().sums(scope);
 }
 
+std::vector<std::pair<std::string, double>>
+RequestForwarder::differingSpeeds(std::size_t maxCount) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->router.upstreamSpeeds().mostDiffering(maxCount);
+}
+
 bool RequestForwarder::hasChangedLimits() const
 {
     const std::lock_guard lock(this->mutex);
