--- a/src/decision/upstream_speeds.cpp
+++ b/src/decision/upstream_speeds.cpp
@@ -29,6 +29,14 @@
 /// a constant part, and one that is divided by the square root of the number of observations.
 constexpr double insignificantLogSpeed = 0.12;
 constexpr double expectedSpread = 0.35;
+/// The constant part in a service whose upstreams are nearly all alike. There, a moderate
+/// difference is more often due to the requests that an upstream happened to get than to the
+/// upstream.
+constexpr double insignificantLogSpeedAmongEqual = 0.3;
+/// Share of a service's known upstreams that have to differ for it to count as uneven, and the
+/// difference, as a natural logarithm, from which one does.
+constexpr double unevenShare = 0.2;
+constexpr double unevenLogSpeed = 0.2;
 /// Change of a mean logarithm, in hundredths, that is reported.
 constexpr std::uint32_t reportedChange = 8;
 /// Change of a weight that is reported, as a fraction of the smaller weight.
@@ -124,7 +132,7 @@
                                   std::size_t maxSums, Instant now)
 {
     std::size_t rejected = 0;
-    source.heardAt = now;
+    source.receivedAt = now;
     for (const SpeedSum &each : sums) {
         const bool inRange = each.weight <= maxWeight && each.logDuration <= maxLogDuration;
         if (!inRange) {
@@ -168,7 +176,7 @@
 void UpstreamSpeeds::dropOutdated(Instant now)
 {
     const auto silent
-        = [now](const Source &source) { return now - source.heardAt > reportTimeout; };
+        = [now](const Source &source) { return now - source.receivedAt > reportTimeout; };
     for (auto *sources : {&this->peers, &this->zones}) {
         const bool arePeers = sources == &this->peers;
         std::erase_if(*sources, [&](const auto &entry) { return silent(entry.second); });
@@ -224,7 +232,7 @@
     return found != sums.end() && found->first == key ? found : sums.end();
 }
 
-void UpstreamSpeeds::addUp(Instant now)
+void UpstreamSpeeds::updateTotals(Instant now)
 {
     Sums own;
     this->observations.eraseIf([&](SpeedKey key, Observations &each) {
@@ -263,14 +271,14 @@
     }
     this->updatedAt = now;
     this->dropOutdated(now);
-    this->addUp(now);
+    this->updateTotals(now);
     for (const auto &[service, upstreams] : this->upstreamsOfService) {
         this->estimate(service, upstreams, now, changes);
     }
     return changes;
 }
 
-UpstreamSpeeds::Sum UpstreamSpeeds::heardOf(SpeedKey key) const
+UpstreamSpeeds::Sum UpstreamSpeeds::totalFor(SpeedKey key) const
 {
     if (this->fleet) {
         // The fleet's sum includes the observations of this process.
@@ -316,7 +324,7 @@
                               std::vector<SpeedChange> &changes)
 {
     for (const auto &[key, upstream] : upstreams) {
-        const Sum sum = this->heardOf(key);
+        const Sum sum = this->totalFor(key);
         if (sum.weight < minWeight) {
             this->estimates.erase(key);
             continue;
@@ -327,7 +335,7 @@
         }
         estimate.lastWeight = sum.weight;
         const double periods = 1.0
-            + inSeconds(estimate.lastGrowthAt - estimate.firstHeardAt) / inSeconds(samplePeriod);
+            + inSeconds(estimate.lastGrowthAt - estimate.firstReceivedAt) / inSeconds(samplePeriod);
         estimate.trust = std::min(sum.weight, periods);
         estimate.logDuration = sum.mean;
     }
@@ -345,11 +353,29 @@
                 = std::clamp((*usual - each.logDuration) * each.trust / (each.trust + priorWeight),
                              -maxLogSpeed, maxLogSpeed);
         }
-        this->apply(upstream, key, changes);
     }
+    const double insignificant
+        = this->isUneven(upstreams) ? insignificantLogSpeed : insignificantLogSpeedAmongEqual;
+    for (const auto &[key, upstream] : upstreams) {
+        this->apply(upstream, key, insignificant, changes);
+    }
+}
+
+bool UpstreamSpeeds::isUneven(const Upstreams &upstreams) const
+{
+    std::size_t known = 0;
+    std::size_t differing = 0;
+    for (const auto &[key, upstream] : upstreams) {
+        const auto found = this->estimates.find(key);
+        if (found != this->estimates.end()) {
+            known += 1;
+            differing += std::abs(found->second.logSpeed) >= unevenLogSpeed ? 1 : 0;
+        }
+    }
+    return static_cast<double>(differing) > unevenShare * static_cast<double>(known);
 }
 
-void UpstreamSpeeds::apply(const std::string &upstream, SpeedKey key,
+void UpstreamSpeeds::apply(const std::string &upstream, SpeedKey key, double insignificantLogSpeed,
                            std::vector<SpeedChange> &changes)
 {
     const auto found = this->estimates.find(key);
@@ -413,14 +439,15 @@
     return {key, weight, static_cast<std::uint32_t>(std::lround(mean))};
 }
 
-bool UpstreamSpeeds::isDue(const ToldSum &told, const SpeedSum &sum, SpeedScope scope, Instant now)
+bool UpstreamSpeeds::isDue(const ReportedSum &last, const SpeedSum &sum, SpeedScope scope,
+                           Instant now)
 {
-    const microseconds age = now - told.toldAt;
-    const std::uint32_t difference = std::max(sum.logDuration, told.sum.logDuration)
-        - std::min(sum.logDuration, told.sum.logDuration);
+    const microseconds age = now - last.reportedAt;
+    const std::uint32_t difference = std::max(sum.logDuration, last.sum.logDuration)
+        - std::min(sum.logDuration, last.sum.logDuration);
     const bool changed = difference >= reportedChange
-        || sum.weight >= told.sum.weight * (1.0 + reportedWeightChange)
-        || sum.weight * (1.0 + reportedWeightChange) <= told.sum.weight;
+        || sum.weight >= last.sum.weight * (1.0 + reportedWeightChange)
+        || sum.weight * (1.0 + reportedWeightChange) <= last.sum.weight;
     const seconds repeat = scope == SpeedScope::Process ? repeatInterval : totalsRepeatInterval;
     return age >= repeat || (changed && age >= minReportInterval);
 }
@@ -429,26 +456,27 @@
                                                   Instant now)
 {
     const Sums &current = this->sumsOf(scope);
-    std::map<SpeedKey, ToldSum> &toldSums = this->told[scope];
+    std::map<SpeedKey, ReportedSum> &reportedSums = this->reportedByScope[scope];
     std::vector<SpeedSum> changed;
-    for (auto each = toldSums.begin(); each != toldSums.end() && changed.size() < maxCount;) {
+    for (auto each = reportedSums.begin();
+         each != reportedSums.end() && changed.size() < maxCount;) {
         if (find(current, each->first) != current.end()) {
             ++each;
             continue;
         }
         changed.push_back({each->first, 0, 0});
-        each = toldSums.erase(each);
+        each = reportedSums.erase(each);
     }
-    SpeedKey &next = this->nextToTell[scope];
+    SpeedKey &next = this->nextToReport[scope];
     auto each = std::lower_bound(current.begin(), current.end(), next,
                                  [](const auto &entry, SpeedKey key) { return entry.first < key; });
     for (std::size_t step = 0; step < current.size() && changed.size() < maxCount; ++step) {
         each = each == current.end() ? current.begin() : each;
         const SpeedSum sum = reported(each->first, each->second);
-        const auto before = toldSums.find(each->first);
-        if (before == toldSums.end() || isDue(before->second, sum, scope, now)) {
+        const auto before = reportedSums.find(each->first);
+        if (before == reportedSums.end() || isDue(before->second, sum, scope, now)) {
             changed.push_back(sum);
-            toldSums[each->first] = {sum, now};
+            reportedSums[each->first] = {sum, now};
         }
         ++each;
         next = each == current.end() ? 0 : each->first;
--- a/src/decision/upstream_speeds.h
+++ b/src/decision/upstream_speeds.h
@@ -162,17 +162,17 @@
     };
     struct Source
     {
-        Instant heardAt;
+        Instant receivedAt;
         std::unordered_map<SpeedKey, ReceivedSum> sums;
     };
-    struct ToldSum
+    struct ReportedSum
     {
         SpeedSum sum;
-        Instant toldAt;
+        Instant reportedAt;
     };
     struct Estimate
     {
-        Instant firstHeardAt;
+        Instant firstReceivedAt;
         Instant lastGrowthAt;     ///< Time at which further observations were last heard of.
         double lastWeight = 0.0;  ///< Weight of the sum at the last update.
         double logDuration = 0.0; ///< Natural logarithm of the duration at the reference load.
@@ -191,16 +191,21 @@
     static Sums merged(Sums sums);
     static Sums::const_iterator find(const Sums &sums, SpeedKey key);
     static SpeedSum reported(SpeedKey key, const Sum &sum);
-    static bool isDue(const ToldSum &told, const SpeedSum &sum, SpeedScope scope, Instant now);
+    static bool isDue(const ReportedSum &last, const SpeedSum &sum, SpeedScope scope, Instant now);
     static void dropExpired(Source &source, microseconds lifetime, Instant now);
     void dropOutdated(Instant now);
-    void addUp(Instant now);
-    Sum heardOf(SpeedKey key) const;
+    void updateTotals(Instant now);
+    Sum totalFor(SpeedKey key) const;
     /// Returns the logarithm of the usual duration of a service, or nothing without observations.
     std::optional<double> usualLogDuration(const Upstreams &upstreams) const;
     void estimate(const std::string &service, const Upstreams &upstreams, Instant now,
                   std::vector<SpeedChange> &changes);
-    void apply(const std::string &upstream, SpeedKey key, std::vector<SpeedChange> &changes);
+    /// Returns true if many of a service's upstreams differ in speed.
+    bool isUneven(const Upstreams &upstreams) const;
+    /// \param insignificantLogSpeed difference, as a natural logarithm, up to which a well-known
+    /// speed counts as usual.
+    void apply(const std::string &upstream, SpeedKey key, double insignificantLogSpeed,
+               std::vector<SpeedChange> &changes);
     const Sums &sumsOf(SpeedScope scope) const;
 
     std::map<std::string, Upstreams> upstreamsOfService;
@@ -212,8 +217,8 @@
     std::unordered_map<std::string, Source> zones;
     std::optional<Source> fleet;
     std::map<SpeedScope, Sums> added; ///< Sums by scope, as of the last update.
-    std::map<SpeedScope, std::map<SpeedKey, ToldSum>> told;
-    std::map<SpeedScope, SpeedKey> nextToTell;        ///< Key with which the next report begins.
+    std::map<SpeedScope, std::map<SpeedKey, ReportedSum>> reportedByScope;
+    std::map<SpeedScope, SpeedKey> nextToReport;      ///< Key with which the next report begins.
     std::unordered_map<SpeedKey, Estimate> estimates; ///< Of current upstreams with observations.
     std::unordered_map<SpeedKey, double> speeds;      ///< Only those that differ from 1.0.
     std::optional<Instant> updatedAt;
--- a/src/http/internal/request_reader.cpp
+++ b/src/http/internal/request_reader.cpp
@@ -157,7 +157,8 @@
     const auto &head = this->parser->get();
     if (head.count(Field::content_length) > 1 || head.count(Field::transfer_encoding) > 1
         || head.count(Field::host) > 1) {
-        return RejectedRequest {statusBadRequest, "a header that may stand once stands twice",
+        return RejectedRequest {statusBadRequest,
+                                "a header field that may occur only once is repeated",
                                 RefusalReason::Malformed};
     }
     const auto encoding = head.find(Field::transfer_encoding);
--- a/src/journal/event_id.cpp
+++ b/src/journal/event_id.cpp
@@ -51,8 +51,8 @@
          "The header of a request did not arrive in time, or its body made no progress; it was "
          "refused."},
         {E::InputMemoryShort, "input-memory-short", S::Warning,
-         "All callers together reached the memory for what they send, and one was refused; "
-         "`heldBytes` is what it held."},
+         "The input of all callers reached its memory limit, and one request was refused; "
+         "`heldBytes` is the memory that its connection held."},
         {E::ConnectionLimitReached, "connection-limit-reached", S::Warning,
          "A connection beyond the largest number was refused."},
         {E::UpstreamAdded, "upstream-added", S::Info, "An upstream is known now."},
--- a/src/serving/request_forwarder.cpp
+++ b/src/serving/request_forwarder.cpp
@@ -189,7 +189,8 @@
             return false;
         }
         if (this->delaysForCaller(session)) {
-            this->pausedStreams.push_back(transfer->id);
+            this->pausedStreams.push_back(attempt);
+            this->dispatch(routing::ReadingPaused {attempt, true});
             return false;
         }
         this->forwardEvents(attempt, session, bytes);
@@ -402,6 +403,9 @@
 void RequestForwarder::execute(const routing::RequestClosed &effect)
 {
     const auto found = this->sessions.find(effect.request);
+    if (found == this->sessions.end()) {
+        return;
+    }
     this->freeBody(effect.request, found->second.currentTransfer);
     if (found->second.parallelTransfer) {
         this->freeBody(effect.request, *found->second.parallelTransfer);
--- a/src/serving/request_forwarder.h
+++ b/src/serving/request_forwarder.h
@@ -93,8 +93,8 @@
     // Queries
 
     routing::RouterStatus status() const;
-    /// Returns the status, or nothing if the lock is not free within \a patience.
-    std::optional<ForwarderStatus> statusWithin(milliseconds patience) const;
+    /// Returns the status, or nothing if the lock is not free within \a timeout.
+    std::optional<ForwarderStatus> statusWithin(milliseconds timeout) const;
     std::vector<decision::UpstreamClaim> claims() const;
     std::vector<decision::RequestCounts> arrivals() const;
     /// Returns the claims and arrival counts of this process and its peers together. The zone's
@@ -194,7 +194,7 @@
     routing::RequestId lastRequestId = 0;
     decision::ResponseMemory responseMemory {
         decision::ResponseMemoryLimits {.total = maxTotalBufferedBytes}};
-    std::vector<http::TransferId> pausedStreams;            ///< Streams that wait for memory.
+    std::vector<routing::AttemptId> pausedStreams;          ///< Streams that wait for memory.
     std::vector<routing::BroadcastCrash> unreportedCrashes; ///< onCrash has yet to be called.
     bool placementUnreported = false;                       ///< onPlacement has yet to be called.
 };
--- a/src/serving/request_forwarder_memory.cpp
+++ b/src/serving/request_forwarder_memory.cpp
@@ -64,14 +64,18 @@
     }
     // One at a time: the next event or tick continues if that was not enough.
     if (const auto blocker = this->responseMemory.blocker()) {
-        this->giveUp({blocker->request, blocker->attempt}, "no memory to receive it");
+        this->giveUp({blocker->request, blocker->attempt},
+                     "not enough memory to buffer the response");
     }
 }
 
 void RequestForwarder::continueStreams()
 {
-    for (const http::TransferId id : std::exchange(this->pausedStreams, {})) {
-        this->client.resume(id);
+    for (const routing::AttemptId &attempt : std::exchange(this->pausedStreams, {})) {
+        if (const Transfer *transfer = this->findTransfer(attempt)) {
+            this->client.resume(transfer->id);
+            this->dispatch(routing::ReadingPaused {attempt, false});
+        }
     }
 }
 
--- a/src/serving/request_forwarder_reports.cpp
+++ b/src/serving/request_forwarder_reports.cpp
@@ -41,9 +41,9 @@
     return this->router.status();
 }
 
-std::optional<ForwarderStatus> RequestForwarder::statusWithin(milliseconds patience) const
+std::optional<ForwarderStatus> RequestForwarder::statusWithin(milliseconds timeout) const
 {
-    const std::unique_lock lock(this->mutex, patience);
+    const std::unique_lock lock(this->mutex, timeout);
     if (!lock.owns_lock()) {
         return std::nullopt;
     }
--- a/src/serving/routing_process.cpp
+++ b/src/serving/routing_process.cpp
@@ -30,7 +30,7 @@
 constexpr seconds discoveryPeriod {2};
 /// Time for which the metrics wait for the state of the requests. It is left out if requests make
 /// no progress.
-constexpr milliseconds statusPatience {200};
+constexpr milliseconds statusLockTimeout {200};
 /// Steps in which the capacity of a VM is told to the others.
 constexpr double processorShareStep = 0.1;
 constexpr double linkMegabitsStep = 10.0;
@@ -383,7 +383,7 @@
          << "azurespindle_request_path_stalls_total " << this->progress.stallCount() << "\n"
          << "azurespindle_unsent_bytes " << this->callerServer.unsentBytes() << "\n"
          << "azurespindle_publisher_away " << (this->view.storeUnavailable() ? 1 : 0) << "\n";
-    if (const auto status = this->forwarder.statusWithin(statusPatience)) {
+    if (const auto status = this->forwarder.statusWithin(statusLockTimeout)) {
         writeForwarderMetrics(*status, text);
         text << forecastExposition(status->forecastErrors);
     }
