Let requests that fit overtake those that do not

The queue of a service stopped at its first request without room, so that engines had free memory while smaller requests behind it waited. RequestQueue holds the order as a class of its own, and QueuePass limits how many requests are tried in vain, as each try considers all upstreams. An arrival tries no other requests any more: it frees nothing.

--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -8,6 +8,7 @@
 #include "decision/fleet_retry_budget.h"
 #include "decision/length_forecast.h"
 #include "decision/load_table.h"
+#include "decision/request_queue.h"
 #include "decision/upstream_pauses.h"
 #include "decision/upstream_rate_limits.h"
 #include "routing/internal/active_request.h"
@@ -166,10 +167,6 @@
 
     /// Resolves route, workspace and service of a request. \return the reply if it is rejected.
     std::optional<LocalReply> admit(ActiveRequest &arrived);
-    /// Tries to place the queued requests, in order.
-    void placeQueued();
-    void enqueue(ActiveRequest &active);
-    void dequeue(ActiveRequest &active);
     /// Returns what a request needs of an engine.
     decision::RequestDemand demandOf(const ActiveRequest &active) const;
     /// Returns the index of the best candidate with capacity, or nothing.
@@ -190,13 +187,8 @@
     bool isEligible(const ActiveRequest &active, const UpstreamRecord &record) const;
     /// Returns true if an upstream may serve the request, apart from the rates that it bears.
     bool canServe(const ActiveRequest &active, const UpstreamRecord &record) const;
-    /// Returns the time that a request may spend in the queue.
-    static microseconds maxQueueTime(const ActiveRequest &active);
     /// Returns true if route and workspace permit the region of the upstream's zone.
     bool regionAllowed(const ActiveRequest &active, const UpstreamRecord &record) const;
-    /// Rejects queued requests that waited too long, or whose service has no upstream.
-    void rejectUnplaceable();
-    milliseconds retryAfter(const ActiveRequest &active) const;
     /// Returns true if the process may end before the request does.
     bool outlastsStop(const ActiveRequest &active) const;
     /// Returns the time in which a request has to end: until its deadline or the end of the stop.
@@ -204,6 +196,24 @@
     /// Returns the reply to a request that cannot be served before the process ends.
     LocalReply stoppingReply(const ActiveRequest &active) const;
 
+    // Queue (router_queue.cpp)
+
+    void enqueue(ActiveRequest &active);
+    void dequeue(ActiveRequest &active);
+    /// Tries to place the queued requests, in order.
+    void placeQueued();
+    /// Tries to place a request that was queued just now, unless others go first.
+    void placeArrived(ActiveRequest &arrived);
+    /// Tries to place a queued request or ends it, and reports the outcome to \a pass.
+    void advanceQueued(const decision::WaitingRequest &waiting, decision::QueuePass &pass);
+    /// Returns the same number for requests of a service that may use the same upstreams.
+    static std::uint64_t constraintsOf(const ActiveRequest &active);
+    /// Returns the time that a request may spend in the queue.
+    static microseconds maxQueueTime(const ActiveRequest &active);
+    /// Rejects queued requests that waited too long, or whose service has no upstream.
+    void rejectUnplaceable();
+    milliseconds retryAfter(const ActiveRequest &active) const;
+
     // Attempts (router_attempts.cpp)
 
     void startAttempt(ActiveRequest &active, const UpstreamRecord &upstream,
@@ -450,7 +460,7 @@
     std::set<std::string> silentZones;
     std::map<std::string, UnreachableZone> unreachableZones;
     std::unordered_map<RequestId, ActiveRequest> activeRequests;
-    std::vector<RequestId> queue; ///< Queued requests by priority and time of arrival.
+    decision::RequestQueue queue;
     decision::LoadTable loads;
     std::vector<decision::UpstreamClaim> placements; ///< See takePlacements().
     decision::FleetRetryBudget retryBudget;
--- a/src/routing/router_admission.cpp
+++ b/src/routing/router_admission.cpp
@@ -1,4 +1,4 @@
-// Admission, queueing, placement and rejection of requests.
+// Admission and placement of requests.
 
 #include "routing/router.h"
 
@@ -19,12 +19,6 @@
 /// Retry-After delay while the process stops. It is short because the load balancer sends the retry
 /// to another process.
 constexpr milliseconds stoppingRetryAfter {20};
-constexpr milliseconds minRetryAfter {100};
-constexpr milliseconds maxRetryAfter {1'500};
-/// Fraction of the latency objective for which a request may be queued.
-constexpr double maxQueueTimeFraction = 0.6;
-/// Number of requests that may be queued for all services.
-constexpr std::size_t maxQueued = 512;
 /// Fraction of the expected output that is claimed as memory. It is below 1 because generations end
 /// at different times and do not all reach their full size at once.
 constexpr double claimedOutputFraction = 0.5;
@@ -94,7 +88,7 @@
     }
     this->retryBudget.recordRequest(stored.serviceName, this->now);
     this->enqueue(stored);
-    this->placeQueued();
+    this->placeArrived(stored);
     this->rejectBeyondLimits();
 }
 
@@ -134,58 +128,12 @@
     if (this->outlastsStop(arrived)) {
         return this->stoppingReply(arrived);
     }
-    if (this->queue.size() >= maxQueued) {
+    if (this->queue.isFull()) {
         return LocalReply {statusUnavailable, this->retryAfter(arrived), "the queue is full"};
     }
     return std::nullopt;
 }
 
-void Router::enqueue(ActiveRequest &active)
-{
-    active.queued = true;
-    active.queuedAt = this->now;
-    const auto isBefore = [this](RequestId a, RequestId b) {
-        const ActiveRequest &first = this->activeRequests.at(a);
-        const ActiveRequest &second = this->activeRequests.at(b);
-        return std::pair(first.priority, first.arrivedAt)
-            < std::pair(second.priority, second.arrivedAt);
-    };
-    const auto place
-        = std::upper_bound(this->queue.begin(), this->queue.end(), active.id, isBefore);
-    this->queue.insert(place, active.id);
-}
-
-void Router::dequeue(ActiveRequest &active)
-{
-    if (std::exchange(active.queued, false)) {
-        this->queue.erase(std::remove(this->queue.begin(), this->queue.end(), active.id),
-                          this->queue.end());
-    }
-}
-
-void Router::placeQueued()
-{
-    const std::vector<RequestId> queued = this->queue;
-    std::vector<std::string> full; ///< Services whose upstreams had no capacity for a request.
-    for (const RequestId id : queued) {
-        ActiveRequest *each = this->findRequest(id);
-        if (each == nullptr || !each->queued) {
-            continue;
-        }
-        // One that may have run is retried here, as its caller may not be able to send it again.
-        if (this->outlastsStop(*each) && !each->relaying && each->mayHaveRunOn.empty()) {
-            this->sendReply(*each, this->stoppingReply(*each));
-            continue;
-        }
-        if (contains(full, each->serviceName)) {
-            continue;
-        }
-        if (!this->rejectIfCrashing(*each) && !this->tryPlace(*each)) {
-            full.push_back(each->serviceName);
-        }
-    }
-}
-
 bool Router::regionAllowed(const ActiveRequest &active, const UpstreamRecord &record) const
 {
     const auto found = this->options.regionOfZone.find(record.zone);
@@ -333,17 +281,6 @@
     return true;
 }
 
-milliseconds Router::retryAfter(const ActiveRequest &active) const
-{
-    // Capacity becomes available only as running generations end, so the delay grows with the
-    // remaining time. The spread keeps callers that were rejected together from retrying together.
-    const auto left = std::chrono::duration_cast<milliseconds>(active.deadline - this->now);
-    const milliseconds quarter = left / 4;
-    const auto spread = milliseconds(static_cast<std::int64_t>(active.id * 37 % 200));
-    const milliseconds delay = std::min(maxRetryAfter, std::max(minRetryAfter, quarter));
-    return delay + spread;
-}
-
 bool Router::outlastsStop(const ActiveRequest &active) const
 {
     return this->stop && active.deadline > this->stop->endsAt;
@@ -364,31 +301,4 @@
         : LocalReply {statusUnavailable, stoppingRetryAfter, "this process is stopping"};
 }
 
-microseconds Router::maxQueueTime(const ActiveRequest &active)
-{
-    return std::chrono::duration_cast<microseconds>(active.route->latencyObjective
-                                                    * maxQueueTimeFraction);
-}
-
-void Router::rejectUnplaceable()
-{
-    this->rejectBeyondLimits();
-    const std::vector<RequestId> queued = this->queue;
-    for (const RequestId id : queued) {
-        ActiveRequest *each = this->findRequest(id);
-        const bool inService = std::any_of(
-            this->state->upstreams.begin(), this->state->upstreams.end(), [&](const auto &entry) {
-                return entry.second.service == each->serviceName && !entry.second.draining;
-            });
-        if (inService && this->now - each->queuedAt < maxQueueTime(*each)) {
-            continue;
-        }
-        const char *reason
-            = inService ? "no upstream had room in time" : "no upstream is in service";
-        const bool mayHaveRun = !each->mayHaveRunOn.empty();
-        this->sendReply(*each,
-                        {mayHaveRun ? 502 : statusUnavailable, this->retryAfter(*each), reason});
-    }
-}
-
 } // namespace azurespindle::routing
--- a/src/routing/router_limits.cpp
+++ b/src/routing/router_limits.cpp
@@ -197,7 +197,7 @@
     if (this->rateLimits.empty() && this->pauses.empty()) {
         return;
     }
-    const std::vector<RequestId> queued = this->queue;
+    const std::vector<RequestId> queued = this->queue.ids();
     std::map<std::string, std::size_t> ahead; // Requests that wait, by service.
     for (const RequestId id : queued) {
         ActiveRequest *each = this->findRequest(id);
--- a/tests/routing/router_harness.cpp
+++ b/tests/routing/router_harness.cpp
@@ -7,6 +7,7 @@
 
 constexpr Tokens engineMemory = 34'000;
 constexpr Tokens longPrompt = 3'000;
+constexpr Tokens shortOutput = 12;
 
 Route makeRoute(const std::string &name, RouteKind kind, const std::string &service)
 {
@@ -134,6 +135,24 @@
     return this->lastRequest;
 }
 
+RequestId RouterHarness::sendRequest(const std::string &path, const std::string &key,
+                                     Tokens promptTokens)
+{
+    this->lastRequest += 1;
+    auto request = std::make_shared<RoutedRequest>();
+    request->callerRequestId = "c" + std::to_string(this->lastRequest);
+    request->host = "shop.example:80";
+    request->method = "POST";
+    request->target = path;
+    request->path = path;
+    request->key = key;
+    request->body = request->callerRequestId;
+    request->promptTokens = promptTokens;
+    request->maxOutputTokens = shortOutput;
+    this->handle(RequestArrived {this->lastRequest, request});
+    return this->lastRequest;
+}
+
 void RouterHarness::handle(const RouterEvent &event)
 {
     for (RouterEffect &effect : this->router.handle(event, this->time)) {
--- a/tests/routing/router_harness.h
+++ b/tests/routing/router_harness.h
@@ -36,6 +36,9 @@
     routing::RequestId sendRequest(const std::string &path, const std::string &key = "k1",
                                    const std::string &body = "",
                                    const std::vector<routing::PromptPart> &parts = {});
+    /// Sends a request for an engine with a prompt of \a promptTokens and a short output.
+    routing::RequestId sendRequest(const std::string &path, const std::string &key,
+                                   decision::Tokens promptTokens);
     void handle(const routing::RouterEvent &event);
     /// Advances the time in steps of Router::tickInterval.
     void advanceTime(milliseconds time);
--- a/tests/routing/router_test.cpp
+++ b/tests/routing/router_test.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(aRequestIsQueuedForCapacityAndRejectedBeforeItsDeadline);
     CPPUNIT_TEST(requestsForAServiceWithoutUpstreamsAreRejectedAtOnce);
     CPPUNIT_TEST(requestsOfHigherPriorityArePlacedFirst);
+    CPPUNIT_TEST(aRequestThatFitsOvertakesOneThatDoesNot);
     CPPUNIT_TEST(aStoppingProcessTakesNothingThatItCannotFinish);
     CPPUNIT_TEST(aStoppingProcessRejectsQueuedRequestsThatItCannotFinish);
     CPPUNIT_TEST(aRetryDuringAStopEndsBeforeTheProcess);
@@ -416,6 +417,23 @@
                              std::uint64_t(harness.lastEffect<StartAttempt>()->attempt.request));
     }
 
+    /// The queue of a service stopped at its first request that did not fit, while its engine had
+    /// room for the next one.
+    void aRequestThatFitsOvertakesOneThatDoesNot()
+    {
+        RouterHarness harness;
+        harness.configure();
+        harness.addEngine("e1");
+        while (harness.router.status().queuedRequests == 0) {
+            harness.sendRequest("/long/1");
+        }
+        const std::size_t started = harness.countEffects<StartAttempt>();
+        harness.sendRequest("/long/1", "k1", 50);
+        CPPUNIT_ASSERT_EQUAL(started + 1, harness.countEffects<StartAttempt>());
+        harness.sendRequest("/long/1");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), harness.router.status().queuedRequests);
+    }
+
     void aStoppingProcessTakesNothingThatItCannotFinish()
     {
         RouterHarness harness;
