--- a/src/members/internal/frame_codec.h
+++ b/src/members/internal/frame_codec.h
@@ -98,6 +98,8 @@
 void read(const Object &from, decision::PartCrashes &blocked);
 void write(Packer &out, const decision::NamedLimit &limit);
 void read(const Object &from, decision::NamedLimit &limit);
+void write(Packer &out, const decision::DemandReport &demand);
+void read(const Object &from, decision::DemandReport &demand);
 void write(Packer &out, const RouterReport &report);
 void read(const Object &from, RouterReport &report);
 void write(Packer &out, const ViewRequest &request);
--- a/src/members/internal/routing_codec.cpp
+++ b/src/members/internal/routing_codec.cpp
@@ -164,7 +164,7 @@
 
 void write(Packer &out, const RouterReport &report)
 {
-    out.pack_array(9);
+    out.pack_array(10);
     out.pack(report.complete);
     out.pack(report.viewRevision);
     out.pack(report.readsStore);
@@ -174,6 +174,7 @@
     packList(out, report.blockedParts);
     packList(out, report.limits);
     out.pack(report.sequence);
+    write(out, report.demand);
 }
 
 void read(const Object &from, RouterReport &report)
@@ -188,11 +189,12 @@
     unpackList(in.next(), report.blockedParts);
     unpackList(in.next(), report.limits);
     report.sequence = in.as<std::uint64_t>();
+    read(in.next(), report.demand);
 }
 
 void write(Packer &out, const ZoneReport &report)
 {
-    out.pack_array(8);
+    out.pack_array(9);
     out.pack(report.zone);
     out.pack(report.complete);
     out.pack(report.processCount);
@@ -201,6 +203,7 @@
     packList(out, report.blockedParts);
     packList(out, report.limits);
     packList(out, report.observations);
+    write(out, report.demand);
 }
 
 void read(const Object &from, ZoneReport &report)
@@ -214,11 +217,12 @@
     unpackList(in.next(), report.blockedParts);
     unpackList(in.next(), report.limits);
     unpackList(in.next(), report.observations);
+    read(in.next(), report.demand);
 }
 
 void write(Packer &out, const FleetReport &report)
 {
-    out.pack_array(11);
+    out.pack_array(12);
     out.pack(report.complete);
     out.pack(report.acknowledged);
     out.pack(report.processCount);
@@ -230,6 +234,7 @@
     packList(out, report.blockedParts);
     packList(out, report.limits);
     out.pack(report.silentZones);
+    write(out, report.demand);
 }
 
 void read(const Object &from, FleetReport &report)
@@ -246,6 +251,7 @@
     unpackList(in.next(), report.blockedParts);
     unpackList(in.next(), report.limits);
     report.silentZones = in.as<std::vector<std::string>>();
+    read(in.next(), report.demand);
 }
 
 void write(Packer &out, const PlacementNotice &notice)
--- a/src/members/messages.h
+++ b/src/members/messages.h
@@ -4,6 +4,7 @@
 #include "base/error.h"
 #include "base/text_delta.h"
 #include "decision/crash_suspects.h"
+#include "decision/demand_report.h"
 #include "decision/engine_order.h"
 #include "decision/fleet_retry_budget.h"
 #include "decision/lease_manager.h"
@@ -25,7 +26,7 @@
 /// Version of the protocol between entry processes. A connection whose frames carry another version
 /// is closed: during a rolling update the old and the new version form two separate fleets, each
 /// with its own leases, instead of misreading each other's messages.
-constexpr std::uint32_t protocolVersion = 5;
+constexpr std::uint32_t protocolVersion = 6;
 
 /// Largest frame accepted, in bytes; enough for a document of 1 MiB and its envelope.
 constexpr std::size_t maxFrameBytes = 1'500'000;
@@ -176,6 +177,7 @@
     std::vector<decision::PartCrashes> blockedParts {};
     std::vector<decision::NamedLimit> limits {}; ///< Limits that the sender read in responses.
     std::uint64_t sequence = 0; ///< Number of the report, ascending from 1 in a process's life.
+    decision::DemandReport demand {}; ///< What the sender's callers demand.
     bool operator==(const RouterReport &other) const = default;
 };
 
@@ -192,6 +194,7 @@
     std::vector<decision::NamedLimit> limits {}; ///< Limits that the zone's processes read.
     /// Recent observations of the zone's processes.
     std::vector<routing::UpstreamObservation> observations {};
+    decision::DemandReport demand {}; ///< What the callers of the zone's processes demand.
     bool operator==(const ZoneReport &other) const = default;
 };
 
@@ -211,6 +214,7 @@
     std::vector<decision::PartCrashes> blockedParts {};
     std::vector<decision::NamedLimit> limits {};
     std::vector<std::string> silentZones {}; ///< Zones whose relays the sender does not hear.
+    decision::DemandReport demand {};        ///< What the callers of all processes demand.
     bool operator==(const FleetReport &other) const = default;
 };
 
--- a/tests/members/messages_test.cpp
+++ b/tests/members/messages_test.cpp
@@ -18,6 +18,13 @@
     return {"k", "", 2, false, routing::ValueDelta {1, {3, 4, 5, {{6, 7, 8}, {9, 10, 11}}, "new"}}};
 }
 
+decision::DemandReport sampleDemand()
+{
+    return {{{"s", 1, 2, 3, milliseconds(4)}, {"t", 9, 1, 0, milliseconds(0)}},
+            {{"s", 1, 2.5, 3, 4, milliseconds(5)}},
+            {{"w", 6}, {"v", 5}}};
+}
+
 std::vector<Message> samples()
 {
     const MemberRecord record {"m", "z", "1.2.3.4:5", "1.2.3.4:6", 7, MemberState::Suspect};
@@ -49,7 +56,8 @@
                       {{"e", 6, routing::UpstreamObservation::Kind::Draining, milliseconds(7)}},
                       {{7, {8, 9}}},
                       {{"e", 1, 2.5, milliseconds(3)}, {"f", 1, std::nullopt, milliseconds(4)}},
-                      17},
+                      17,
+                      sampleDemand()},
         ViewRequest {8},
         ViewChanges {{true, 1, 2, {{"k", std::string("\0v", 2), 2, false}, {"d", "", 3, true}}}},
         ViewChanges {{false, 1, 2, {deltaItem()}}},
@@ -61,7 +69,8 @@
                     {{"s", 4, 5}},
                     {{7, {8}}},
                     {{"e", 1, 2.5, milliseconds(3)}},
-                    {{"e", 6, routing::UpstreamObservation::Kind::Draining, milliseconds(7)}}},
+                    {{"e", 6, routing::UpstreamObservation::Kind::Draining, milliseconds(7)}},
+                    sampleDemand()},
         FleetReport {true,
                      5,
                      290,
@@ -72,7 +81,8 @@
                      {{"e", 6, routing::UpstreamObservation::Kind::Draining, milliseconds(7)}},
                      {{7, {8}}},
                      {{"e", 1, 2.5, milliseconds(3)}},
-                     {"south", "west"}},
+                     {"south", "west"},
+                     sampleDemand()},
         ViewStatus {8, true},
         PlacementNotice {{{"e", {1, 2, 3}}}}};
 }
@@ -104,6 +114,7 @@
     CPPUNIT_TEST_SUITE(MessagesTest);
     CPPUNIT_TEST(everyMessageRoundTrips);
     CPPUNIT_TEST(mutatedFramesNeverCrashTheDecoder);
+    CPPUNIT_TEST(demandOutOfRangeIsRefused);
     CPPUNIT_TEST(aFrameWithTrailingBytesIsRefused);
     CPPUNIT_TEST(anotherProtocolVersionIsRefused);
     CPPUNIT_TEST(aCrashReportOfAnOlderMemberIsRead);
@@ -138,6 +149,22 @@
         CPPUNIT_ASSERT(refused > inputCount / 10);
     }
 
+    /// One process with a fault must not make all others hold their requests back.
+    void demandOutOfRangeIsRefused()
+    {
+        RouterReport report;
+        report.demand = sampleDemand();
+        CPPUNIT_ASSERT(decode(encode(report)).ok());
+        report.demand.arrivals[0].perSecond = 1e300;
+        CPPUNIT_ASSERT(!decode(encode(report)).ok());
+        report.demand = sampleDemand();
+        report.demand.waiting[0].requests = 1'000'000'000;
+        CPPUNIT_ASSERT(!decode(encode(report)).ok());
+        report.demand = sampleDemand();
+        report.demand.workspaces.resize(decision::DemandReport::maxEntries + 1);
+        CPPUNIT_ASSERT(!decode(encode(report)).ok());
+    }
+
     void aFrameWithTrailingBytesIsRefused()
     {
         CPPUNIT_ASSERT(!decode(encode(samples().front()) + "x").ok());
