Leave room for urgent requests, bound plain upstreams, forecast waits

The router feeds the modules of the queue (router_queue.cpp, router_demand.cpp; its options and status move to router_status.h): - A less urgent request leaves an engine to urgent ones that arrive or wait elsewhere (request-held-back, 222). - All processes together send a plain upstream one and a half times its slots, by claims; the rest waits in order. A refusal for lack of a slot no longer excludes the upstream (224). - A request that cannot start in time is rejected at once (225), and Retry-After follows from the expected wait, where enough is known. Otherwise both are as before. - Workspaces that use more than twice the mean wait behind others of their priority (226).

--- a/src/decision/request_queue.cpp
+++ b/src/decision/request_queue.cpp
@@ -9,7 +9,8 @@
 
 bool isBefore(const WaitingRequest &first, const WaitingRequest &second)
 {
-    return std::tie(first.priority, first.arrivedAt) < std::tie(second.priority, second.arrivedAt);
+    return std::tie(first.priority, first.isBehind, first.arrivedAt)
+        < std::tie(second.priority, second.isBehind, second.arrivedAt);
 }
 
 /// Returns true if \a later has to wait for its turn while \a earlier, of the same service, waits.
@@ -25,6 +26,7 @@
 
 void RequestQueue::add(WaitingRequest request)
 {
+    request.isBehind = request.memory > 0 && this->workspacesBehind.count(request.workspace) > 0;
     const auto place
         = std::upper_bound(this->requests.begin(), this->requests.end(), request, isBefore);
     this->requests.insert(place, std::move(request));
@@ -42,6 +44,18 @@
     }
 }
 
+void RequestQueue::setWorkspacesBehind(std::set<std::string> workspaces)
+{
+    if (workspaces == this->workspacesBehind) {
+        return;
+    }
+    this->workspacesBehind = std::move(workspaces);
+    for (WaitingRequest &each : this->requests) {
+        each.isBehind = each.memory > 0 && this->workspacesBehind.count(each.workspace) > 0;
+    }
+    std::stable_sort(this->requests.begin(), this->requests.end(), isBefore);
+}
+
 std::vector<RequestId> RequestQueue::ids() const
 {
     std::vector<RequestId> ids;
@@ -79,15 +93,15 @@
     return ids;
 }
 
-void QueuePass::recordPlacement(const std::string &service,
-                                const std::function<bool(RequestId)> &mayUse)
+std::vector<RequestId> QueuePass::passedOver(const std::string &service) const
 {
-    for (WaitingRequest &each : this->misses) {
-        if (each.service == service && mayUse(each.id)) {
-            each.overtaken += 1;
-            this->queue.recordOvertake(each.id);
+    std::vector<RequestId> ids;
+    for (const WaitingRequest &each : this->misses) {
+        if (each.service == service) {
+            ids.push_back(each.id);
         }
     }
+    return ids;
 }
 
 bool QueuePass::mayTry(const WaitingRequest &request) const
@@ -96,7 +110,8 @@
     for (const WaitingRequest &each : this->misses) {
         if (each.service == request.service) {
             missed += 1;
-            if (missed == maxMisses || holdsBack(each, request)) {
+            const WaitingRequest *current = this->queue.find(each.id);
+            if (missed == maxMisses || holdsBack(current == nullptr ? each : *current, request)) {
                 return false;
             }
         }
--- a/src/decision/request_queue.h
+++ b/src/decision/request_queue.h
@@ -6,7 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <functional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -23,9 +23,12 @@
     /// Equal for requests of a service that may use the same upstreams.
     std::uint64_t constraints = 0;
     std::uint32_t overtaken = 0; ///< Later requests that took an upstream which it may use.
+    std::string workspace {};
+    bool isBehind = false; ///< Set by the queue: its workspace waits behind the others.
 };
 
-/// The requests that wait for upstreams, by priority, then by time of arrival.
+/// The requests that wait for upstreams: by priority, then those of workspaces that use far more
+/// than their share behind the others, then by time of arrival.
 ///
 /// A request that fits may overtake requests of its service that do not fit, so that free capacity
 /// is used. Each may be overtaken at most maxOvertakes times: after that, the service's capacity is
@@ -50,6 +53,8 @@
     void remove(RequestId id);
     /// Records that a later request took an upstream which a waiting one may use.
     void recordOvertake(RequestId id);
+    /// Sets the workspaces whose requests for engines wait behind others of their priority.
+    void setWorkspacesBehind(std::set<std::string> workspaces);
 
     // Queries
 
@@ -68,6 +73,7 @@
 
 private:
     std::vector<WaitingRequest> requests;
+    std::set<std::string> workspacesBehind;
 };
 
 /// One pass over a RequestQueue in which the owner tries to place its requests, in order. It limits
@@ -78,23 +84,22 @@
     /// Requests of one service that may be tried in vain.
     static constexpr std::size_t maxMisses = 3;
 
-    explicit QueuePass(RequestQueue &queue) : queue(queue) { }
+    explicit QueuePass(const RequestQueue &queue) : queue(queue) { }
 
     // Commands
 
     /// Records that a waiting request was tried and did not fit.
     void recordMiss(const WaitingRequest &request) { this->misses.push_back(request); }
-    /// Records that a request of \a service was placed.
-    /// \param mayUse tells whether a waiting request could have taken the same upstream.
-    void recordPlacement(const std::string &service, const std::function<bool(RequestId)> &mayUse);
 
     // Queries
 
     /// Returns true if a waiting request may be tried and is likely enough to fit.
     bool mayTry(const WaitingRequest &request) const;
+    /// Returns the ids of the requests of a service that were tried in vain.
+    std::vector<RequestId> passedOver(const std::string &service) const;
 
 private:
-    RequestQueue &queue;
+    const RequestQueue &queue;
     std::vector<WaitingRequest> misses;
 };
 
--- a/src/journal/event_id.cpp
+++ b/src/journal/event_id.cpp
@@ -44,6 +44,18 @@
          "An engine was asked to stop a run that continues elsewhere, and has not confirmed that "
          "it "
          "did; it is asked again."},
+        {E::RequestHeldBack, "request-held-back", S::Debug,
+         "A request waits because more urgent ones are about to need the room that is left at the "
+         "engines; `urgentRequests` is the number of places that are kept for them."},
+        {E::RequestOvertaken, "request-overtaken", S::Debug,
+         "A later request that fits was placed while this one, which does not, waits."},
+        {E::RequestWithoutSlot, "request-without-slot", S::Debug,
+         "A plain upstream had no slot for a request, which waits for the next one."},
+        {E::RequestHopeless, "request-hopeless", S::Info,
+         "A request is refused at once, because no room is expected for it in time."},
+        {E::RequestBehindOthers, "request-behind-others", S::Debug,
+         "A request waits behind those of other workspaces, because its own uses far more than its "
+         "share."},
         {E::UpstreamAdded, "upstream-added", S::Info, "An upstream is known now."},
         {E::UpstreamRemoved, "upstream-removed", S::Info, "An upstream is no longer listed."},
         {E::UpstreamCondition, "upstream-condition", S::Info,
--- a/src/journal/event_id.h
+++ b/src/journal/event_id.h
@@ -31,6 +31,11 @@
     GenerationLost = 212,
     RequestCut = 213,
     RunStopUnconfirmed = 214,
+    RequestHeldBack = 222,
+    RequestOvertaken = 223,
+    RequestWithoutSlot = 224,
+    RequestHopeless = 225,
+    RequestBehindOthers = 226,
 
     UpstreamAdded = 300,
     UpstreamRemoved = 301,
--- a/src/routing/internal/active_request.h
+++ b/src/routing/internal/active_request.h
@@ -106,6 +106,8 @@
     Instant deadline;
     bool queued = false;
     Instant queuedAt;
+    bool heldBack = false; ///< True once it had to leave room for more urgent requests.
+    std::optional<Instant> expectedStart; ///< Forecast when it was queued.
 
     AttemptNumber lastAttempt = 0; ///< Highest attempt number used so far.
     AttemptNumber attempt = 0;     ///< Number of the current attempt.
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -85,7 +85,7 @@
 {
     RouterStatus status = this->counters;
     status.openRequests = this->activeRequests.size();
-    status.queuedRequests = this->queue.size();
+    this->describeQueue(status);
     for (const auto &[id, each] : this->activeRequests) {
         status.migratingGenerations += each.migration ? 1 : 0;
     }
@@ -329,6 +329,7 @@
 {
     this->loads.updatePeer(event.peer, event.claims, event.isSnapshot, this->now);
     this->retryBudget.updatePeer(event.peer, event.requestCounts, this->now);
+    this->demand.fleet.updatePeer(event.peer, event.demand, this->now);
     this->mergeBlockedParts(event.blockedParts);
     for (const decision::NamedLimit &limit : event.limits) {
         this->noteLimit(limit, decision::LimitSource::Member);
@@ -341,6 +342,7 @@
 void Router::on(const FleetReportArrived &event)
 {
     this->loads.updateFleet(event.claims, event.isSnapshot, event.acknowledged, this->now);
+    this->demand.fleet.updateFleet(event.demand, this->now);
     if (!event.requestCounts.empty()) {
         this->retryBudget.updateZone(fleetName, event.requestCounts, event.processes, this->now);
     }
@@ -369,6 +371,7 @@
     }
     this->loads.updateZone(event.zone, event.claims, event.isSnapshot, this->now);
     this->retryBudget.updateZone(event.zone, event.requestCounts, event.processes, this->now);
+    this->demand.fleet.updateZone(event.zone, event.demand, this->now);
 }
 
 void Router::on(const ProcessesChanged &event)
@@ -399,6 +402,7 @@
 void Router::on(const TimePassed &)
 {
     this->loads.removeSilent(this->now);
+    this->demand.fleet.removeSilent(this->now);
     this->judgeLosses();
     this->repeatRunStops();
     for (const RequestId id : this->activeRequestIds()) {
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -12,7 +12,9 @@
 #include "decision/upstream_pauses.h"
 #include "decision/upstream_rate_limits.h"
 #include "routing/internal/active_request.h"
+#include "routing/internal/demand_knowledge.h"
 #include "routing/router_events.h"
+#include "routing/router_status.h"
 
 #include <map>
 #include <optional>
@@ -24,33 +26,6 @@
 
 namespace azurespindle::routing {
 
-struct RouterOptions
-{
-    std::string zone; ///< Zone of this process.
-    std::map<std::string, std::string> regionOfZone;
-    std::uint64_t seed = 0; ///< Differs between processes, so that they break ties differently.
-    decision::FleetRetryLimits retryLimits;
-    std::string name {}; ///< Name of this process.
-};
-
-/// Counters of a router, for `azurespindle status` and the metrics.
-struct RouterStatus
-{
-    std::size_t openRequests = 0;
-    std::size_t queuedRequests = 0;
-    std::size_t migratingGenerations = 0;
-    std::uint64_t migrationsStarted = 0;
-    std::uint64_t migrationsCompleted = 0;
-    std::uint64_t generationsLost = 0;
-    std::uint64_t runStopsAsked = 0;    ///< Requests to engines to stop a run.
-    std::uint64_t takeoversBeside = 0;  ///< Takeovers from engines that could not be reached.
-    std::size_t unconfirmedStops = 0;   ///< Runs whose engines have not confirmed their stop.
-    std::uint64_t upstreamsLeaving = 0; ///< Upstreams that stated in a response that they leave.
-    std::uint64_t pausesNoted = 0;      ///< Pauses that upstreams asked for.
-    std::uint64_t pausesUnreadable = 0; ///< Stated pauses that could not be read.
-    std::uint64_t streamsCutByStop = 0; ///< Streams that ran until the process had to end.
-};
-
 /// The state machine that routes requests: it selects an upstream for each request, retries failed
 /// attempts, migrates running generations between engines, and rejects requests.
 ///
@@ -121,6 +96,14 @@
     {
         return this->crashSuspects.blockedParts(now);
     }
+    /// Returns what this process's callers demand, for the peers.
+    /// \param all false to leave out all but the requests that wait.
+    decision::DemandReport ownDemand(bool all, Instant at) const;
+    /// Returns what the callers of this process and its peers demand.
+    decision::DemandReport zoneDemand(Instant at) const;
+    /// Returns what the callers of all processes of which this one hears demand.
+    decision::DemandReport fleetDemand(Instant at) const;
+    bool hasQueuedRequests() const { return this->queue.size() > 0; }
     /// Returns true if a limit that this process read has changed since takeOwnLimits().
     bool hasChangedLimits() const { return this->ownLimitsChanged; }
     const decision::FleetRetryBudget &fleetRetryBudget() const { return this->retryBudget; }
@@ -210,9 +193,35 @@
     static std::uint64_t constraintsOf(const ActiveRequest &active);
     /// Returns the time that a request may spend in the queue.
     static microseconds maxQueueTime(const ActiveRequest &active);
-    /// Rejects queued requests that waited too long, or whose service has no upstream.
+    void recordOvertake(RequestId overtaken, const ActiveRequest &by);
+    /// Rejects queued requests that waited too long or cannot start in time, or whose service has
+    /// no upstream.
     void rejectUnplaceable();
-    milliseconds retryAfter(const ActiveRequest &active) const;
+    /// Returns why a queued request has to be rejected now, or nullptr.
+    const char *rejectionReason(ActiveRequest &active);
+    void describeQueue(RouterStatus &status) const;
+
+    // Demand and capacity (router_demand.cpp)
+
+    /// Records that a request was accepted, or that an attempt which was executed has ended.
+    void measureArrival(const ActiveRequest &active);
+    void measureEnd(const ActiveRequest &active);
+    /// Updates the estimate of the fleet's demand, and of its load while requests wait.
+    void updateDemandEstimate();
+    void updateFleetLoad();
+    /// Returns true if a request has to leave the engine for more urgent ones.
+    bool isHeldBack(ActiveRequest &active,
+                    const std::vector<decision::UpstreamCandidate> &candidates, std::size_t chosen);
+    /// Returns when a request is expected to start, or nothing if too little is known.
+    std::optional<decision::ExpectedWait> expectedWait(const ActiveRequest &active);
+    /// Returns true if a request will certainly not start within \a left.
+    bool isHopeless(ActiveRequest &active, microseconds left);
+    milliseconds retryAfter(const ActiveRequest &active);
+    /// Notes that a plain upstream had no slot for a request. \return false if it may have refused
+    /// it for another reason.
+    bool noteFull(const ActiveRequest &active, AttemptEnd end);
+    /// Returns true if a plain upstream had no slot a moment ago.
+    bool lacksSlots(const std::string &upstream) const;
 
     // Attempts (router_attempts.cpp)
 
@@ -461,6 +470,7 @@
     std::map<std::string, UnreachableZone> unreachableZones;
     std::unordered_map<RequestId, ActiveRequest> activeRequests;
     decision::RequestQueue queue;
+    internal::DemandKnowledge demand;
     decision::LoadTable loads;
     std::vector<decision::UpstreamClaim> placements; ///< See takePlacements().
     decision::FleetRetryBudget retryBudget;
--- a/src/routing/router_admission.cpp
+++ b/src/routing/router_admission.cpp
@@ -1,5 +1,6 @@
 // Admission and placement of requests.
 
+#include "decision/plain_capacity.h"
 #include "routing/router.h"
 
 #include <algorithm>
@@ -87,6 +88,7 @@
         return;
     }
     this->retryBudget.recordRequest(stored.serviceName, this->now);
+    this->measureArrival(stored);
     this->enqueue(stored);
     this->placeArrived(stored);
     this->rejectBeyondLimits();
@@ -155,7 +157,8 @@
 bool Router::isEligible(const ActiveRequest &active, const UpstreamRecord &record) const
 {
     if (!this->canServe(active, record) || !this->rateLimits.allows(record.id, this->now)
-        || !this->pauses.allows(record.id, record.incarnation, this->now)) {
+        || !this->pauses.allows(record.id, record.incarnation, this->now)
+        || this->lacksSlots(record.id)) {
         return false;
     }
     const auto cold = this->coldUntil.find(record.id);
@@ -191,6 +194,11 @@
         }
     }
     this->assumeSilentZonesBusy(candidates);
+    if (active.service == nullptr || !active.service->engine) {
+        std::erase_if(candidates, [](const decision::UpstreamCandidate &each) {
+            return !decision::hasPlainCapacity(each);
+        });
+    }
     return candidates;
 }
 
@@ -271,11 +279,17 @@
     if (!chosen) {
         return false;
     }
+    if (this->isHeldBack(active, candidates, *chosen)) {
+        return false;
+    }
     const UpstreamRecord upstream = *this->findUpstream(candidates[*chosen].upstream);
     const bool isEngine = active.service != nullptr && active.service->engine;
     const decision::ResourceClaim claim = isEngine
         ? decision::ResourceClaim {1, this->demandOf(active).memory, active.request->promptTokens}
         : decision::ResourceClaim {1, 0, 0};
+    if (const auto expected = std::exchange(active.expectedStart, std::nullopt)) {
+        this->demand.capacity.recordWait(*expected - active.queuedAt, this->now - active.queuedAt);
+    }
     this->dequeue(active);
     this->startAttempt(active, upstream, claim, std::nullopt);
     return true;
--- a/src/routing/router_attempts.cpp
+++ b/src/routing/router_attempts.cpp
@@ -131,6 +131,7 @@
 void Router::releaseUpstream(ActiveRequest &active)
 {
     if (std::exchange(active.running, false)) {
+        this->measureEnd(active);
         this->loads.subtract(active.upstream.id, active.claim);
         active.claim = {};
         if (active.backup) {
@@ -351,7 +352,8 @@
     this->unreliableUntil[active.upstream.id]
         = this->now + (unreachable ? unreachablePenalty : noCapacityPenalty);
     // After a pause the upstream may be asked again.
-    if (this->pauses.allows(active.upstream.id, active.upstream.incarnation, this->now)) {
+    if (!this->noteFull(active, end)
+        && this->pauses.allows(active.upstream.id, active.upstream.incarnation, this->now)) {
         active.excluded.push_back(active.upstream.id);
     }
     if (unreachable) {
--- a/src/routing/router_events.h
+++ b/src/routing/router_events.h
@@ -2,6 +2,7 @@
 #define AZURESPINDLE_ROUTING_ROUTER_EVENTS_H
 
 #include "decision/crash_suspects.h"
+#include "decision/demand_report.h"
 #include "decision/fleet_retry_budget.h"
 #include "decision/load_table.h"
 #include "decision/upstream_rate_limits.h"
@@ -148,6 +149,7 @@
     std::vector<UpstreamObservation> observations;
     std::vector<decision::PartCrashes> blockedParts {}; ///< Prompt parts that the peer has blocked.
     std::vector<decision::NamedLimit> limits {};        ///< Limits that the peer read itself.
+    decision::DemandReport demand {};                   ///< What the peer's callers demand.
 };
 
 /// Another zone reported the total claims and request counts of its processes.
@@ -161,6 +163,7 @@
     std::vector<decision::PartCrashes> blockedParts {}; ///< Prompt parts that the zone has blocked.
     std::vector<decision::NamedLimit> limits {};        ///< Limits that its processes read.
     std::vector<UpstreamObservation> observations {};
+    decision::DemandReport demand {}; ///< What the callers of its processes demand.
 };
 
 /// A relay of this zone reported the total claims and request counts of all processes.
@@ -175,6 +178,7 @@
     std::vector<UpstreamObservation> observations {};
     std::vector<decision::PartCrashes> blockedParts {};
     std::vector<decision::NamedLimit> limits {};
+    decision::DemandReport demand {}; ///< What the callers of all processes demand.
 };
 
 /// Another process of this zone placed requests.
--- a/src/routing/router_queue.cpp
+++ b/src/routing/router_queue.cpp
@@ -11,8 +11,6 @@
 
 constexpr int statusBadGateway = 502;
 constexpr int statusUnavailable = 503;
-constexpr milliseconds minRetryAfter {100};
-constexpr milliseconds maxRetryAfter {1'500};
 /// Fraction of the latency objective for which a request may be queued.
 constexpr double maxQueueTimeFraction = 0.6;
 
@@ -42,18 +40,30 @@
     active.queuedAt = this->now;
     const bool isEngine = active.service != nullptr && active.service->engine;
     this->queue.add({active.id, active.serviceName, active.priority, active.arrivedAt,
-                     isEngine ? this->demandOf(active).memory : 0, constraintsOf(active), 0});
+                     isEngine ? this->demandOf(active).memory : 0, constraintsOf(active), 0,
+                     active.workspace, false});
+    if (this->queue.find(active.id)->isBehind) {
+        this->journal(active, journal::EventId::RequestBehindOthers,
+                      {{"workspace", active.workspace}});
+    }
 }
 
 void Router::dequeue(ActiveRequest &active)
 {
     if (std::exchange(active.queued, false)) {
         this->queue.remove(active.id);
+        active.heldBack = false;
     }
 }
 
 void Router::placeQueued()
 {
+    std::erase_if(this->demand.fullUntil,
+                  [this](const auto &entry) { return entry.second <= this->now; });
+    if (this->queue.size() == 0) {
+        return;
+    }
+    this->updateDemandEstimate();
     decision::QueuePass pass(this->queue);
     const std::vector<decision::WaitingRequest> waiting = this->queue.inOrder();
     for (const decision::WaitingRequest &each : waiting) {
@@ -80,9 +90,9 @@
         pass.recordMiss(waiting);
         return;
     }
-    pass.recordPlacement(active.serviceName, [&](RequestId passedOver) {
-        return this->canServe(*this->findRequest(passedOver), active.upstream);
-    });
+    for (const RequestId passedOver : pass.passedOver(active.serviceName)) {
+        this->recordOvertake(passedOver, active);
+    }
 }
 
 void Router::placeArrived(ActiveRequest &arrived)
@@ -96,21 +106,19 @@
         return;
     }
     for (const RequestId id : passedOver) {
-        if (this->canServe(*this->findRequest(id), arrived.upstream)) {
-            this->queue.recordOvertake(id);
-        }
+        this->recordOvertake(id, arrived);
     }
 }
 
-milliseconds Router::retryAfter(const ActiveRequest &active) const
+void Router::recordOvertake(RequestId overtaken, const ActiveRequest &by)
 {
-    // Capacity becomes available only as running generations end, so the delay grows with the
-    // remaining time. The spread keeps callers that were rejected together from retrying together.
-    const auto left = std::chrono::duration_cast<milliseconds>(active.deadline - this->now);
-    const milliseconds quarter = left / 4;
-    const auto spread = milliseconds(static_cast<std::int64_t>(active.id * 37 % 200));
-    const milliseconds delay = std::min(maxRetryAfter, std::max(minRetryAfter, quarter));
-    return delay + spread;
+    const ActiveRequest &waiting = *this->findRequest(overtaken);
+    if (this->canServe(waiting, by.upstream)) {
+        this->queue.recordOvertake(overtaken);
+        this->counters.requestsOvertaken += 1;
+        this->journal(waiting, journal::EventId::RequestOvertaken,
+                      {{"by", by.request->callerRequestId}, {"upstream", by.upstream.id}});
+    }
 }
 
 microseconds Router::maxQueueTime(const ActiveRequest &active)
@@ -122,22 +130,56 @@
 void Router::rejectUnplaceable()
 {
     this->rejectBeyondLimits();
+    struct Rejection
+    {
+        RequestId id = 0;
+        const char *reason = nullptr;
+        milliseconds retryAfter {0};
+    };
+    // What waits ahead of a request is counted before the first one is rejected, so that those that
+    // are rejected together are told different times, the first ones the earliest.
+    std::vector<Rejection> rejections;
     for (const RequestId id : this->queue.ids()) {
-        ActiveRequest *each = this->findRequest(id);
-        const bool inService = std::any_of(
-            this->state->upstreams.begin(), this->state->upstreams.end(), [&](const auto &entry) {
-                return entry.second.service == each->serviceName && !entry.second.draining;
-            });
-        if (inService && this->now - each->queuedAt < maxQueueTime(*each)) {
-            continue;
+        ActiveRequest &each = *this->findRequest(id);
+        if (const char *reason = this->rejectionReason(each)) {
+            rejections.push_back({id, reason, this->retryAfter(each)});
         }
-        const char *reason
-            = inService ? "no upstream had room in time" : "no upstream is in service";
-        const bool mayHaveRun = !each->mayHaveRunOn.empty();
-        this->sendReply(
-            *each,
-            {mayHaveRun ? statusBadGateway : statusUnavailable, this->retryAfter(*each), reason});
     }
+    for (const Rejection &rejection : rejections) {
+        ActiveRequest &each = *this->findRequest(rejection.id);
+        const bool mayHaveRun = !each.mayHaveRunOn.empty();
+        this->sendReply(each,
+                        {mayHaveRun ? statusBadGateway : statusUnavailable, rejection.retryAfter,
+                         rejection.reason});
+    }
+}
+
+const char *Router::rejectionReason(ActiveRequest &active)
+{
+    const bool inService = std::any_of(
+        this->state->upstreams.begin(), this->state->upstreams.end(), [&](const auto &entry) {
+            return entry.second.service == active.serviceName && !entry.second.draining;
+        });
+    if (!inService) {
+        return "no upstream is in service";
+    }
+    const microseconds waited = this->now - active.queuedAt;
+    if (waited >= maxQueueTime(active)) {
+        return "no upstream had room in time";
+    }
+    return this->isHopeless(active, maxQueueTime(active) - waited)
+        ? "no upstream will have room in time"
+        : nullptr;
+}
+
+void Router::describeQueue(RouterStatus &status) const
+{
+    status.queuedRequests = this->queue.size();
+    for (const decision::WaitingRequest &each : this->queue.inOrder()) {
+        status.queuedByPriority[std::min(each.priority, decision::DemandReport::maxPriority)] += 1;
+    }
+    status.largestWorkspaceShare = this->demand.estimate.largestWorkspaceShare;
+    status.waitForecastError = this->demand.capacity.meanError();
 }
 
 } // namespace azurespindle::routing
--- a/src/serving/fleet_reporter.cpp
+++ b/src/serving/fleet_reporter.cpp
@@ -39,7 +39,7 @@
     }
     const std::lock_guard lock(this->reportMutex);
     std::vector<routing::UpstreamObservation> observations = this->forwarder.takeObservations();
-    const bool due = full || (heartbeat && !toRelays);
+    const bool due = full || (heartbeat && !toRelays) || this->forwarder.hasQueuedRequests();
     if (due || !observations.empty() || this->forwarder.hasChangedLimits()) {
         this->sendReport(full, this->forwarder.takeChangedClaims(), std::move(observations));
     }
@@ -108,6 +108,7 @@
     report.observations = std::move(observations);
     report.requestCounts = this->forwarder.arrivals();
     report.limits = this->forwarder.takeOwnLimits(full);
+    report.demand = this->forwarder.demand(full);
     if (full) {
         report.blockedParts = this->forwarder.blockedParts();
     }
@@ -161,6 +162,8 @@
     report.silentZones.assign(silent.begin(), silent.end());
     if (!tellsCounts) {
         report.requestCounts.clear();
+        report.demand.arrivals.clear();
+        report.demand.workspaces.clear();
     }
     if (!report.complete) {
         report.blockedParts.clear();
@@ -216,9 +219,9 @@
             member.lastReport = report.sequence;
         }
     }
-    this->forwarder.handle(routing::PeerReportArrived {from, report.complete, report.claims,
-                                                       report.requestCounts, report.observations,
-                                                       report.blockedParts, report.limits});
+    this->forwarder.handle(routing::PeerReportArrived {
+        from, report.complete, report.claims, report.requestCounts, report.observations,
+        report.blockedParts, report.limits, report.demand});
     this->view.handleReport(from, {report.viewRevision, report.readsStore});
     this->relay.recordMemberHeard(from, now);
 }
@@ -231,7 +234,7 @@
     this->relay.recordZoneHeard(report.zone, monotonicNow());
     this->forwarder.handle(routing::ZoneReportArrived {
         report.zone, report.complete, report.processCount, report.claims, report.requestCounts,
-        report.blockedParts, report.limits, report.observations});
+        report.blockedParts, report.limits, report.observations, report.demand});
 }
 
 void FleetReporter::handle(const std::string &from, const members::FleetReport &report)
@@ -239,9 +242,10 @@
     this->view.handleReport(from, {report.viewRevision, report.readsStore});
     std::set<std::string> silentZones(report.silentZones.begin(), report.silentZones.end());
     if (this->relay.recordFleetReport(from, std::move(silentZones), monotonicNow())) {
-        this->forwarder.handle(routing::FleetReportArrived {
-            report.complete, report.acknowledged, report.processCount, report.claims,
-            report.requestCounts, report.observations, report.blockedParts, report.limits});
+        this->forwarder.handle(
+            routing::FleetReportArrived {report.complete, report.acknowledged, report.processCount,
+                                         report.claims, report.requestCounts, report.observations,
+                                         report.blockedParts, report.limits, report.demand});
     }
 }
 
--- a/src/serving/request_forwarder.h
+++ b/src/serving/request_forwarder.h
@@ -82,6 +82,10 @@
     members::FleetReport fleetReport() const;
     std::vector<decision::PartCrashes> blockedParts() const;
     bool hasChangedLimits() const;
+    /// See Router::ownDemand().
+    decision::DemandReport demand(bool all) const;
+    /// Returns true if requests of this process wait for an upstream.
+    bool hasQueuedRequests() const;
 
 private:
     /// The HTTP transfer of one attempt.
--- a/src/serving/request_forwarder_reports.cpp
+++ b/src/serving/request_forwarder_reports.cpp
@@ -52,6 +52,7 @@
     report.requestCounts = budget.ownAndPeerCounts(now);
     report.blockedParts = this->router.blockedParts(now);
     report.observations = this->router.observationsToRelay(routing::ObservationSource::Member, now);
+    report.demand = this->router.zoneDemand(now);
     return report;
 }
 
@@ -66,6 +67,7 @@
     report.requestCounts = budget.allCounts(now);
     report.blockedParts = this->router.blockedParts(now);
     report.observations = this->router.observationsToRelay(routing::ObservationSource::Relay, now);
+    report.demand = this->router.fleetDemand(now);
     return report;
 }
 
@@ -99,6 +101,18 @@
     return this->router.hasChangedLimits();
 }
 
+decision::DemandReport RequestForwarder::demand(bool all) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->router.ownDemand(all, monotonicNow());
+}
+
+bool RequestForwarder::hasQueuedRequests() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->router.hasQueuedRequests();
+}
+
 std::vector<decision::RequestCounts> RequestForwarder::arrivals() const
 {
     const std::lock_guard lock(this->mutex);
--- a/src/serving/routing_process.cpp
+++ b/src/serving/routing_process.cpp
@@ -303,9 +303,20 @@
          << "azurespindle_upstreams_leaving_total " << status.upstreamsLeaving << "\n"
          << "azurespindle_upstream_pauses_total " << status.pausesNoted << "\n"
          << "azurespindle_upstream_pauses_unreadable_total " << status.pausesUnreadable << "\n"
+         << "azurespindle_requests_held_back_total " << status.requestsHeldBack << "\n"
+         << "azurespindle_requests_overtaken_total " << status.requestsOvertaken << "\n"
+         << "azurespindle_requests_hopeless_total " << status.requestsHopeless << "\n"
+         << "azurespindle_attempts_without_slot_total " << status.refusedForSlots << "\n"
+         << "azurespindle_largest_workspace_share " << status.largestWorkspaceShare << "\n"
+         << "azurespindle_wait_forecast_error_seconds " << inSeconds(status.waitForecastError)
+         << "\n"
          << "azurespindle_view_revision " << this->view.revision() << "\n"
          << "azurespindle_ready " << (this->ready() ? 1 : 0) << "\n"
          << "azurespindle_publisher_away " << (this->view.storeUnavailable() ? 1 : 0) << "\n";
+    for (const auto &[priority, count] : status.queuedByPriority) {
+        text << "azurespindle_queued_requests_by_priority{priority=\"" << priority << "\"} "
+             << count << "\n";
+    }
     exchange->respond(statusOk, http::Headers {{"content-type", "text/plain; version=0.0.4"}},
                       text.str());
 }
