Send refused calls again to plain upstreams, bound own calls exactly

A simulated overflow showed that the bound on the fleet's claims gained nothing: calls of 30 ms are over before others hear of them, and a refused call was seldom recognized as refused for lack of a slot. A process is now bounded by its own claims, which are exact, and by twice the slots of the fleet's; a refusal while at least half of the slots are claimed lets the call wait for 10 to 40 ms. Plain services have no generations: resends of refused calls may use the whole part of the budget.

--- a/src/routing/router_admission.cpp
+++ b/src/routing/router_admission.cpp
@@ -195,8 +195,9 @@
     }
     this->assumeSilentZonesBusy(candidates);
     if (active.service == nullptr || !active.service->engine) {
-        std::erase_if(candidates, [](const decision::UpstreamCandidate &each) {
-            return !decision::hasPlainCapacity(each);
+        std::erase_if(candidates, [this](const decision::UpstreamCandidate &each) {
+            const std::uint32_t own = this->loads.ownClaim(each.upstream).attempts;
+            return !decision::hasPlainCapacity(each.slots, own, each.claimed.attempts);
         });
     }
     return candidates;
--- a/src/routing/router_attempts.cpp
+++ b/src/routing/router_attempts.cpp
@@ -359,8 +359,10 @@
     if (unreachable) {
         active.possibleDeliveries -= 1;
     }
+    // A plain service has no generations for which a part of its budget is kept.
+    const bool isPlain = active.service != nullptr && !active.service->engine;
     const bool withinBudget = active.possibleDeliveries == 0
-        || this->retryBudget.allows(active.serviceName, false, this->now);
+        || this->retryBudget.allows(active.serviceName, isPlain, this->now);
     if (active.attemptCount < totalAttemptLimit && withinBudget
         && this->timeLeft(active) > minTimeForRetry) {
         this->enqueue(active);
--- a/src/routing/router_demand.cpp
+++ b/src/routing/router_demand.cpp
@@ -240,9 +240,10 @@
     const bool isEngine = active.service != nullptr && active.service->engine;
     const bool isRefusal = end == AttemptEnd::Complete && active.head.notRun
         && active.head.status == statusUnavailable && !active.head.wrongInstance;
-    // The claim of this attempt has been released already.
+    // The claim of this attempt has been released already. Claims of others are up to 200 ms late:
+    // of a full upstream they may show as little as half.
     const std::uint32_t claimed = this->loads.totalClaim(active.upstream.id).attempts + 1;
-    if (isEngine || !isRefusal || claimed < active.upstream.slots) {
+    if (isEngine || !isRefusal || 2 * std::uint64_t(claimed) < active.upstream.slots) {
         return false;
     }
     const auto spread = static_cast<std::int64_t>(this->nextTieBreaker() % spreadSteps);
