--- a/tests/routing/router_overflow_test.cpp
+++ b/tests/routing/router_overflow_test.cpp
@@ -108,8 +108,7 @@
             process.clearEffects();
             for (const StartAttempt &each : started) {
                 Upstream &upstream = this->upstreams[each.plan.upstream.id];
-                if (upstream.running.size() + upstream.waiting.size()
-                    < slotCount + upstreamQueue) {
+                if (upstream.running.size() + upstream.waiting.size() < slotCount + upstreamQueue) {
                     upstream.waiting.push_back({index, each.attempt.request, {}});
                 } else {
                     this->counted.refusals += 1;
@@ -187,7 +186,8 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    /// 343 calls were rejected, and 977 attempts refused, when one of three upstreams was evacuated.
+    /// 343 calls were rejected, and 977 attempts refused, when one of three upstreams was
+    /// evacuated.
     void callsAreServedWhileAnUpstreamIsEvacuated()
     {
         CallingFleet fleet(300.0);
