Bound the cost of forecasts while many requests wait

With 512 waiting requests each tick forecast the wait of each of them, which goes through the whole queue. The stay of a kind that the reports leave out is taken from this process.

--- a/src/routing/router_demand.cpp
+++ b/src/routing/router_demand.cpp
@@ -34,7 +34,7 @@
     return std::min(priority, decision::DemandReport::maxPriority);
 }
 
-/// Returns the mean time that requests stay at their engines; 0: unknown.
+/// Returns the mean time that requests stay at their engines, as \a rates tell; 0: unknown.
 milliseconds stayOf(const std::vector<decision::ArrivalRate> &rates, const std::string &service,
                     std::uint32_t priority)
 {
@@ -50,17 +50,14 @@
 
 decision::DemandReport Router::ownDemand(bool all, Instant at) const
 {
-    decision::DemandReport own;
-    std::vector<decision::DemandReport> waiting;
-    for (const decision::WaitingRequest &each : this->queue.inOrder()) {
-        const auto age = std::chrono::duration_cast<milliseconds>(at - each.arrivedAt);
-        waiting.push_back(
-            {{{each.service, reportedPriority(each.priority), 1, each.memory,
-               std::clamp(age, milliseconds(0), decision::DemandReport::maxDuration)}},
-             {},
-             {}});
+    decision::DemandReport requests;
+    for (const decision::WaitingRequest &request : this->queue.inOrder()) {
+        const auto age = std::chrono::duration_cast<milliseconds>(at - request.arrivedAt);
+        requests.waiting.push_back(
+            {request.service, reportedPriority(request.priority), 1, request.memory,
+             std::clamp(age, milliseconds(0), decision::DemandReport::maxDuration)});
     }
-    own = decision::sumOf(waiting);
+    decision::DemandReport own = decision::sumOf({requests});
     if (!all) {
         return own;
     }
@@ -145,7 +142,9 @@
     const auto need
         = decision::urgentNeed(active.serviceName, priority, this->demand.estimate.arrivals,
                                this->demand.estimate.waitingElsewhere);
-    const milliseconds stay = stayOf(this->demand.estimate.arrivals, active.serviceName, priority);
+    const milliseconds told = stayOf(this->demand.estimate.arrivals, active.serviceName, priority);
+    const milliseconds stay
+        = told.count() > 0 ? told : this->demand.meter.stayOf(active.serviceName, priority);
     if (!need || decision::leavesRoomFor(*need, candidates, chosen, this->demandOf(active), stay)) {
         return false;
     }
@@ -216,6 +215,15 @@
     if (active.relaying || !active.mayHaveRunOn.empty()) {
         return false; // Its caller could not send it again.
     }
+    // Each forecast goes through the whole queue: it is made when a request has been queued, and
+    // again when the load of the fleet is summed up.
+    const microseconds age = this->now - this->demand.load.summedAt;
+    const bool isDue = !active.expectedStart || age == microseconds(0) || age >= fleetLoadLifetime;
+    const bool hasForecast
+        = this->demand.capacity.expectedWait(active.serviceName, {1.0, 0.0, 1.0, 0.0}).has_value();
+    if (!isDue || !hasForecast) {
+        return false;
+    }
     const auto wait = this->expectedWait(active);
     if (!wait) {
         return false;
