Reserve at contended engines before a request is sent

Cause: a generation that is sent to an engine without free capacity waits there until its caller's deadline and cannot be withdrawn. Change: where the service publishes hold_ms, an engine whose claims with the request exceed 0.75 of its memory or slots is asked for a reservation first. The request stays queued meanwhile, and its claim counts. A refusal or a lost answer leads to another engine or leaves the request in the queue; a reservation that cannot be used is released. Events 220 and 221, three counters, and the calls to engines in platform/. Without hold_ms nothing changes. The new tests were not run against broken versions of the code. No play with engines that take reservations was run.

--- a/src/journal/event_id.cpp
+++ b/src/journal/event_id.cpp
@@ -44,6 +44,12 @@
          "An engine was asked to stop a run that continues elsewhere, and has not confirmed that "
          "it "
          "did; it is asked again."},
+        {E::ReservationRefused, "reservation-refused", S::Info,
+         "An engine without free capacity reserved none for a request, or did not answer; another "
+         "engine is tried."},
+        {E::ReservationUnused, "reservation-unused", S::Info,
+         "An engine reserved capacity for a request that could not use it any more; it was "
+         "released."},
         {E::UpstreamAdded, "upstream-added", S::Info, "An upstream is known now."},
         {E::UpstreamRemoved, "upstream-removed", S::Info, "An upstream is no longer listed."},
         {E::UpstreamCondition, "upstream-condition", S::Info,
--- a/src/journal/event_id.h
+++ b/src/journal/event_id.h
@@ -31,6 +31,8 @@
     GenerationLost = 212,
     RequestCut = 213,
     RunStopUnconfirmed = 214,
+    ReservationRefused = 220,
+    ReservationUnused = 221,
 
     UpstreamAdded = 300,
     UpstreamRemoved = 301,
--- a/src/routing/internal/active_request.h
+++ b/src/routing/internal/active_request.h
@@ -88,6 +88,15 @@
     UpstreamRecord engine;
 };
 
+/// A reservation that an engine has not answered yet.
+struct PendingReservation
+{
+    std::uint32_t number = 0;
+    UpstreamRecord upstream;
+    decision::ResourceClaim claim; ///< Claim on \a upstream, from the moment of asking.
+    Instant expiresAt; ///< Time at which the engine drops the reservation unless it is used.
+};
+
 /// A request from its arrival until RequestClosed.
 struct ActiveRequest
 {
@@ -146,7 +155,10 @@
     std::uint64_t lastEventId = 0;
     Instant attemptFirstEventAt; ///< Time of the first event of the current attempt.
     std::optional<Migration> migration;
-    Instant nextRecoveryAt; ///< Earliest time of the next recovery of a silent stream.
+    std::optional<PendingReservation> reservation; ///< The request is queued while it is set.
+    std::uint32_t lastReservation = 0;             ///< Number of reservations requested so far.
+    std::string reservationHandle; ///< Reservation for the attempt that starts next.
+    Instant nextRecoveryAt;        ///< Earliest time of the next recovery of a silent stream.
     std::uint64_t claimUpdatedAtEvent = 0; ///< Event count at the last update of the claim.
     /// Forecast when the output began; nothing if this process does not see all of an output.
     std::optional<decision::InitialForecast> initialForecast;
--- a/src/routing/platform_adapter.h
+++ b/src/routing/platform_adapter.h
@@ -48,6 +48,12 @@
         requestReport;
     /// Releases a copy of a generation at its engine. The response is ignored.
     std::function<void(const ReleaseCopy &copy)> releaseCopy;
+    /// Asks an engine for a reservation. Calls \a handler once, from any thread.
+    std::function<void(const RequestReservation &call,
+                       const std::function<void(const ReservationResponse &)> &handler)>
+        requestReservation;
+    /// Releases a reservation at its engine. The response is ignored.
+    std::function<void(const ReleaseReservation &reservation)> releaseReservation;
 };
 
 } // namespace azurespindle::routing
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -8,6 +8,7 @@
 #include "decision/fleet_retry_budget.h"
 #include "decision/load_table.h"
 #include "decision/output_forecast.h"
+#include "decision/reservation_policy.h"
 #include "decision/upstream_pauses.h"
 #include "decision/upstream_rate_limits.h"
 #include "routing/internal/active_request.h"
@@ -48,6 +49,9 @@
     std::uint64_t pausesNoted = 0;      ///< Pauses that upstreams asked for.
     std::uint64_t pausesUnreadable = 0; ///< Stated pauses that could not be read.
     std::uint64_t streamsCutByStop = 0; ///< Streams that ran until the process had to end.
+    std::uint64_t reservationsTaken = 0;
+    std::uint64_t reservationsRefused = 0; ///< Also those without an answer.
+    std::uint64_t reservationsUnused = 0;  ///< Taken when the request could not use them any more.
 };
 
 /// The state machine that routes requests: it selects an upstream for each request, retries failed
@@ -149,6 +153,7 @@
     void on(const EventsArrived &event);
     void on(const AttemptEnded &event);
     void on(const MigrationResponseArrived &event);
+    void on(const ReservationAnswered &event);
     void on(const EngineReportArrived &event);
     void on(const FleetStateChanged &event);
     void on(const StoreAvailabilityChanged &event);
@@ -204,6 +209,14 @@
     /// Returns the reply to a request that cannot be served before the process ends.
     LocalReply stoppingReply(const ActiveRequest &active) const;
 
+    // Reservations (router_reservations.cpp)
+
+    bool mustReserve(const ActiveRequest &active, const decision::UpstreamCandidate &chosen) const;
+    void requestReservation(ActiveRequest &active, const UpstreamRecord &upstream,
+                            const decision::ResourceClaim &claim);
+    /// Removes the pending reservation and its claim.
+    void endReservation(ActiveRequest &active);
+
     // Attempts (router_attempts.cpp)
 
     void startAttempt(ActiveRequest &active, const UpstreamRecord &upstream,
@@ -465,6 +478,7 @@
     decision::ColdStartLimiter coldStartLimiter;
     decision::UpstreamRateLimits rateLimits;
     decision::UpstreamPauses pauses;
+    decision::ReservationPolicy reservationPolicy;
     bool ownLimitsChanged = false;   ///< See takeOwnLimits().
     bool zoneLimitsChanged = false;  ///< See takeZoneLimits().
     bool fleetLimitsChanged = false; ///< See takeFleetLimits().
--- a/src/routing/router_admission.cpp
+++ b/src/routing/router_admission.cpp
@@ -167,7 +167,7 @@
             this->sendReply(*each, this->stoppingReply(*each));
             continue;
         }
-        if (contains(full, each->serviceName)) {
+        if (each->reservation || contains(full, each->serviceName)) {
             continue;
         }
         if (!this->rejectIfCrashing(*each) && !this->tryPlace(*each)) {
@@ -227,8 +227,10 @@
 std::vector<decision::UpstreamCandidate> Router::candidatesFor(const ActiveRequest &active) const
 {
     std::vector<decision::UpstreamCandidate> candidates;
+    const Tokens memory = this->reservationPolicy.empty() ? 0 : this->demandOf(active).memory;
     for (const auto &[id, record] : this->state->upstreams) {
-        if (this->isEligible(active, record)) {
+        if (this->isEligible(active, record)
+            && this->reservationPolicy.accepts(id, record.incarnation, memory, this->now)) {
             candidates.push_back(this->makeCandidate(record, active.service, this->options.zone));
         }
     }
@@ -298,6 +300,10 @@
     const decision::ResourceClaim claim = isEngine
         ? decision::ResourceClaim {1, this->demandOf(active).memory, active.request->promptTokens}
         : decision::ResourceClaim {1, 0, 0};
+    if (isEngine && this->mustReserve(active, candidates[*chosen])) {
+        this->requestReservation(active, upstream, claim);
+        return true;
+    }
     this->beginOutput(active);
     this->dequeue(active);
     this->startAttempt(active, upstream, claim, std::nullopt);
--- a/src/routing/router_attempts.cpp
+++ b/src/routing/router_attempts.cpp
@@ -93,6 +93,7 @@
     AttemptPlan plan = this->makePlan(active, upstream);
     plan.takeover = takeover;
     plan.backupAddress = active.backup ? active.backup->address : "";
+    plan.reservation = std::exchange(active.reservationHandle, "");
     const bool continues = takeover.has_value() || active.route->resumable;
     if (active.lastEventId > 0 && (continues || active.request->lastEventId)) {
         plan.resumeAfterEvent = active.lastEventId;
@@ -122,6 +123,7 @@
                    {"afterEvent", std::to_string(plan.resumeAfterEvent.value_or(0))},
                    {"takeover", plan.takeover ? plan.takeover->source : ""},
                    {"backup", plan.backupAddress},
+                   {"reservation", plan.reservation},
                    {"promptTokens", std::to_string(active.request->promptTokens)},
                    {"promptParts", internal::partsText(active.request->promptParts)},
                    {"maxTokens", std::to_string(active.request->maxOutputTokens)},
--- a/src/routing/router_completion.cpp
+++ b/src/routing/router_completion.cpp
@@ -150,6 +150,7 @@
 {
     ActiveRequest &closing = this->activeRequests.at(id);
     this->recordOutput(closing);
+    this->endReservation(closing);
     this->dequeue(closing);
     this->releaseParallelTakeover(closing);
     this->releaseUpstream(closing);
--- a/src/routing/router_events.h
+++ b/src/routing/router_events.h
@@ -73,6 +73,31 @@
     bool operator==(const EngineReport &other) const = default;
 };
 
+/// Identifies a reservation that was requested of an engine.
+struct ReservationId
+{
+    RequestId request = 0;
+    std::uint32_t number = 0; ///< Distinguishes the reservations of one request.
+    std::string upstream;
+    std::string address; ///< IP:PORT of the engine.
+    bool operator==(const ReservationId &other) const = default;
+};
+
+/// Outcome of a request to an engine to reserve a slot and memory.
+enum class ReservationStatus {
+    Taken,
+    Refused, ///< The engine has no room.
+    Failed,  ///< No response arrived, or it could not be parsed. The engine may have reserved.
+};
+
+/// An engine's response to a RequestReservation.
+struct ReservationResponse
+{
+    ReservationStatus status = ReservationStatus::Failed;
+    std::string handle; ///< Identifies the reservation at the engine, if it was taken.
+    bool operator==(const ReservationResponse &other) const = default;
+};
+
 // Events: inputs of the router. -------------------------------------------------------------
 
 /// A caller's request arrived.
@@ -119,6 +144,13 @@
     MigrationResponse response;
 };
 
+/// An engine responded to a RequestReservation, or did not in time.
+struct ReservationAnswered
+{
+    ReservationId id;
+    ReservationResponse response;
+};
+
 /// An engine responded to a RequestEngineReport.
 struct EngineReportArrived
 {
@@ -231,10 +263,10 @@
 
 using RouterEvent
     = std::variant<RequestArrived, CallerLeft, HeadArrived, EventsArrived, AttemptEnded,
-                   MigrationResponseArrived, EngineReportArrived, FleetStateChanged,
-                   StoreAvailabilityChanged, PeerReportArrived, ZoneReportArrived,
-                   FleetReportArrived, PlacementsAnnounced, PeerCrashReported, ProcessesChanged,
-                   TimePassed, StopRequested, StopTimedOut>;
+                   MigrationResponseArrived, ReservationAnswered, EngineReportArrived,
+                   FleetStateChanged, StoreAvailabilityChanged, PeerReportArrived,
+                   ZoneReportArrived, FleetReportArrived, PlacementsAnnounced, PeerCrashReported,
+                   ProcessesChanged, TimePassed, StopRequested, StopTimedOut>;
 
 // Effects: actions that the router requests. ------------------------------------------------
 
@@ -308,6 +340,21 @@
     std::string handle;
 };
 
+/// Asks an engine to reserve a slot and memory for a request that is sent there next.
+struct RequestReservation
+{
+    ReservationId id;
+    Tokens tokens = 0;
+    milliseconds lifetime {0}; ///< Time after which the engine drops an unused reservation.
+};
+
+/// Releases a reservation that is not used.
+struct ReleaseReservation
+{
+    std::string address; ///< IP:PORT of the engine.
+    std::string handle;
+};
+
 /// Sends the peers a report about a crash.
 struct BroadcastCrash : CrashReport
 { };
@@ -324,10 +371,10 @@
     journal::Entry entry;
 };
 
-using RouterEffect
-    = std::variant<StartAttempt, CancelAttempt, RelayStream, ForwardResponse, EndStream,
-                   AbortStream, SendLocalReply, RequestMigration, RequestEngineReport, ReleaseCopy,
-                   BroadcastCrash, RequestClosed, WriteJournal>;
+using RouterEffect = std::variant<StartAttempt, CancelAttempt, RelayStream, ForwardResponse,
+                                  EndStream, AbortStream, SendLocalReply, RequestMigration,
+                                  RequestEngineReport, ReleaseCopy, RequestReservation,
+                                  ReleaseReservation, BroadcastCrash, RequestClosed, WriteJournal>;
 using RouterEffects = std::vector<RouterEffect>;
 
 } // namespace azurespindle::routing
--- a/src/routing/types.h
+++ b/src/routing/types.h
@@ -60,6 +60,7 @@
     bool supportsMigration = false; ///< True if a running generation can be copied to an engine.
     bool supportsBackup = false;    ///< True if a second engine can hold a copy as it grows.
     milliseconds copyLifetime {0};  ///< Time for which an engine keeps an unused copy.
+    milliseconds maxHoldTime {0};   ///< Longest time of a reservation; 0: there are none.
     bool operator==(const EngineTraits &other) const = default;
 };
 
@@ -163,7 +164,8 @@
     bool toEngine = false;      ///< True if the upstream is a model engine.
     std::optional<std::uint64_t> resumeAfterEvent; ///< Id of the last event received so far.
     std::optional<Takeover> takeover;
-    std::string backupAddress; ///< IP:PORT of the engine that holds a backup copy; empty: none.
+    std::string backupAddress;  ///< IP:PORT of the engine that holds a backup copy; empty: none.
+    std::string reservation {}; ///< Handle of the reservation at the engine; empty: none.
     bool operator==(const AttemptPlan &other) const = default;
 };
 
--- a/src/serving/request_forwarder.cpp
+++ b/src/serving/request_forwarder.cpp
@@ -386,6 +386,20 @@
     this->adapter.releaseCopy(effect);
 }
 
+void RequestForwarder::execute(const routing::RequestReservation &effect)
+{
+    this->placementUnreported = true;
+    this->adapter.requestReservation(
+        effect, [this, id = effect.id](const routing::ReservationResponse &response) {
+            this->handle(routing::ReservationAnswered {id, response});
+        });
+}
+
+void RequestForwarder::execute(const routing::ReleaseReservation &effect)
+{
+    this->adapter.releaseReservation(effect);
+}
+
 void RequestForwarder::execute(const routing::BroadcastCrash &effect)
 {
     this->unreportedCrashes.push_back(effect);
--- a/src/serving/request_forwarder.h
+++ b/src/serving/request_forwarder.h
@@ -141,6 +141,8 @@
     void execute(const routing::RequestMigration &effect);
     void execute(const routing::RequestEngineReport &effect);
     void execute(const routing::ReleaseCopy &effect);
+    void execute(const routing::RequestReservation &effect);
+    void execute(const routing::ReleaseReservation &effect);
     void execute(const routing::BroadcastCrash &effect);
     void execute(const routing::RequestClosed &effect);
     void execute(const routing::WriteJournal &effect);
--- a/src/serving/routing_process.cpp
+++ b/src/serving/routing_process.cpp
@@ -305,6 +305,9 @@
          << "azurespindle_upstreams_leaving_total " << status.upstreamsLeaving << "\n"
          << "azurespindle_upstream_pauses_total " << status.pausesNoted << "\n"
          << "azurespindle_upstream_pauses_unreadable_total " << status.pausesUnreadable << "\n"
+         << "azurespindle_reservations_taken_total " << status.reservationsTaken << "\n"
+         << "azurespindle_reservations_refused_total " << status.reservationsRefused << "\n"
+         << "azurespindle_reservations_unused_total " << status.reservationsUnused << "\n"
          << "azurespindle_view_revision " << this->view.revision() << "\n"
          << "azurespindle_ready " << (this->ready() ? 1 : 0) << "\n"
          << "azurespindle_publisher_away " << (this->view.storeUnavailable() ? 1 : 0) << "\n";
--- a/tests/platform/engine_client_test.cpp
+++ b/tests/platform/engine_client_test.cpp
@@ -38,6 +38,8 @@
 {
     CPPUNIT_TEST_SUITE(EngineClientTest);
     CPPUNIT_TEST(migrationResponsesAreParsed);
+    CPPUNIT_TEST(reservationResponsesAreParsed);
+    CPPUNIT_TEST(reservationsAreRequestedAndReleased);
     CPPUNIT_TEST(reportsAreParsed);
     CPPUNIT_TEST(aMigrationRequestNamesTheRunningRequest);
     CPPUNIT_TEST(aMigrationRequestNamesAnIdOfAnyBytes);
@@ -160,6 +162,49 @@
         CPPUNIT_ASSERT(engine.endlessBytes() < maxTakenBytes);
     }
 
+    void reservationResponsesAreParsed()
+    {
+        using routing::ReservationStatus;
+        const auto parsed = [](int status, const std::string &body) {
+            return parseReservationResponse({http::TransferEnd::Complete, status, ""}, body);
+        };
+        CPPUNIT_ASSERT((routing::ReservationResponse {ReservationStatus::Taken, "a-7"})
+                       == parsed(200, R"({"retain":"a-7"})"));
+        CPPUNIT_ASSERT(parsed(503, "{}").status == ReservationStatus::Refused);
+        const std::string longHandle = R"({"retain":")" + std::string(129, 'a') + R"("})";
+        for (const std::string &body :
+             {std::string("garbage"), std::string("{}"), std::string(R"({"retain":7})"),
+              std::string(R"({"retain":""})"), std::string(R"({"retain":"../x"})"),
+              std::string(R"({"retain":"a\r\nB: c"})"), longHandle}) {
+            CPPUNIT_ASSERT_MESSAGE(body, parsed(200, body) == routing::ReservationResponse {});
+        }
+        CPPUNIT_ASSERT(parsed(404, "{}").status == ReservationStatus::Failed);
+        CPPUNIT_ASSERT(parseReservationResponse({http::TransferEnd::TimedOut, 0, ""}, "").status
+                       == ReservationStatus::Failed);
+    }
+
+    void reservationsAreRequestedAndReleased()
+    {
+        std::promise<std::string> taken;
+        std::promise<std::string> dropped;
+        const RawServer engine([&](const std::string &request) {
+            (request.rfind("POST", 0) == 0 ? taken : dropped).set_value(request);
+            return RawAnswer {"HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n{\"retain\":\"a-7\"}"};
+        });
+        http::Client client;
+        std::promise<routing::ReservationResponse> response;
+        requestReservation(
+            client, {{1, 1, "e0", engine.address()}, 3'400, milliseconds(500)},
+            [&](const routing::ReservationResponse &parsed) { response.set_value(parsed); });
+        CPPUNIT_ASSERT_EQUAL(std::string("a-7"), response.get_future().get().handle);
+        const std::string request = taken.get_future().get();
+        CPPUNIT_ASSERT_EQUAL(std::size_t {0}, request.find("POST /v1/hold-take "));
+        CPPUNIT_ASSERT(request.find(R"({"token_count":3400,"ttl_ms":500})") != std::string::npos);
+        releaseReservation(client, {engine.address(), "a-7"});
+        CPPUNIT_ASSERT_EQUAL(std::size_t {0},
+                             dropped.get_future().get().find("DELETE /v1/hold-drop/a-7 "));
+    }
+
     void anEndlessResponseToAReleaseIsGivenUp()
     {
         const RawServer engine([](const std::string &) { return endless; });
--- a/tests/platform/http_translation_test.cpp
+++ b/tests/platform/http_translation_test.cpp
@@ -153,9 +153,11 @@
         plan.resumeAfterEvent = 17;
         plan.takeover = routing::Takeover {"10.0.0.2:80/h"};
         plan.backupAddress = "10.0.0.3:80";
+        plan.reservation = "r7";
         const http::ClientRequest out = writeAttempt(readValid(callerRequest()), plan);
         CPPUNIT_ASSERT_EQUAL(std::string("17"), valueOf(out.fields, "Last-Event-Id"));
         CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.2:80/h"), valueOf(out.fields, "Kv-From"));
+        CPPUNIT_ASSERT_EQUAL(std::string("r7"), valueOf(out.fields, "Azurespindle-Retain"));
         CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.3:80"),
                              valueOf(out.fields, "Azurespindle-Kv-Backup"));
         CPPUNIT_ASSERT_EQUAL(std::string("1"),
--- a/tests/platform/item_decoder_test.cpp
+++ b/tests/platform/item_decoder_test.cpp
@@ -32,7 +32,7 @@
       R"("timeout_ms":1000,"target_latency_ms":150,"priority":2,"service":"t","public":true}],)"
       R"("services":[{"name":"s","health_path":"/healthz","max_conns":252,"cold_start_s":1.0,)"
       R"("cold_per_s":27.0,"engine":{"slots":24,"kv_capacity":34218,"kv_bytes":262144,)"
-      R"("link_mbps":38000.0,"moves":true,"backups":true,"stride":4,"kv_handle_s":5.0}},)"
+      R"("link_mbps":38000.0,"moves":true,"backups":true,"stride":4,"kv_handle_s":5.0,"hold_ms":2000}},)"
       R"({"name":"t","max_conns":110}],"limits":{"max_header_bytes":16384,)"
       R"("max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},)"
       R"("tenants":[{"name":"w","api_keys":["a","b"],"priority":1},{"name":"x","api_keys":[]}]})";
@@ -132,6 +132,7 @@
         CPPUNIT_ASSERT_EQUAL(34'218U, engine.memoryTokens);
         CPPUNIT_ASSERT(engine.supportsMigration && engine.supportsBackup);
         CPPUNIT_ASSERT(engine.copyLifetime == milliseconds(5'000));
+        CPPUNIT_ASSERT(engine.maxHoldTime == milliseconds(2'000));
         CPPUNIT_ASSERT(!parsed.services.at(1).engine);
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), parsed.workspaces.at(0).keys.size());
         CPPUNIT_ASSERT_EQUAL(1U, parsed.workspaces.at(0).priority.value_or(9));
--- a/tests/routing/router_harness.cpp
+++ b/tests/routing/router_harness.cpp
@@ -66,9 +66,11 @@
     this->handle(FleetStateChanged {std::make_shared<FleetState>(this->state)});
 }
 
-void RouterHarness::configure()
+void RouterHarness::configure(milliseconds maxHoldTime)
 {
-    this->state.routeTable = std::make_shared<RouteTable>(sampleConfiguration());
+    RoutingConfiguration configuration = sampleConfiguration();
+    configuration.services.front().engine->maxHoldTime = maxHoldTime;
+    this->state.routeTable = std::make_shared<RouteTable>(std::move(configuration));
     this->publish();
 }
 
--- a/tests/routing/router_harness.h
+++ b/tests/routing/router_harness.h
@@ -23,7 +23,8 @@
     /// Publishes the sample configuration. The routes `/long/` and `/short/` lead to engines, and
     /// only `/short/` is resumable. `/order/` (not idempotent), `/look/`, `/open/` (needs no key)
     /// and `/home/` (restricted to one region) lead to plain upstreams.
-    void configure();
+    /// \param maxHoldTime longest reservation at an engine; 0: engines take none.
+    void configure(milliseconds maxHoldTime = milliseconds(0));
     void addEngine(const std::string &id, const std::string &zone = "north");
     void addPlainUpstream(const std::string &id, const std::string &zone = "north");
     void setDraining(const std::string &id);
