Test that moderate differences among equal upstreams change nothing

Cause: the rule of isUneven() had no test of its own. Change: one slightly slower engine among twenty equal ones keeps the usual speed. Measured: upstream_speeds 14 of 14; without the rule (every service taken for uneven) this test alone fails.

--- a/tests/decision/upstream_speeds_test.cpp
+++ b/tests/decision/upstream_speeds_test.cpp
@@ -175,6 +175,7 @@
     CPPUNIT_TEST(unevenSpeedsAreLearnedDespiteSlowPeriods);
     CPPUNIT_TEST(processesWithFewSamplesShareWhatTheyObserve);
     CPPUNIT_TEST(equalUpstreamsAreNeutralDespiteSlowPeriods);
+    CPPUNIT_TEST(aModerateDifferenceAmongEqualUpstreamsChangesNothing);
     CPPUNIT_TEST(oneWildSampleChangesNothing);
     CPPUNIT_TEST(oneSlowPeriodSeenByAllProcessesChangesLittle);
     CPPUNIT_TEST(observationsOfOneSlowPeriodAloneAreNotTrusted);
@@ -228,6 +229,20 @@
         CPPUNIT_ASSERT_MESSAGE(std::to_string(total / 30.0), total / 30.0 > 0.98);
     }
 
+    /// In a fleet of equal engines, chance made some seem a little slower, and choices changed.
+    void aModerateDifferenceAmongEqualUpstreamsChangesNothing()
+    {
+        std::vector<double> engineSpeeds(20, 1.0);
+        engineSpeeds.back() = 0.78;
+        SimulatedFleet fleet(12, engineSpeeds);
+        fleet.run(seconds(30), 4.0);
+        std::size_t neutral = 0;
+        for (std::size_t process = 0; process < fleet.processes.size(); ++process) {
+            neutral += fleet.speed(process, engineSpeeds.size() - 1) == 1.0 ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL(fleet.processes.size(), neutral);
+    }
+
     void oneWildSampleChangesNothing()
     {
         UpstreamSpeeds speeds;
