--- a/review/support-2/platform.cpp
+++ b/review/support-2/platform.cpp
@@ -68,6 +68,15 @@
     return this->append(key, "", true);
 }
 
+void Store::removeLapsed(const std::vector<std::string> &keys)
+{
+    const std::lock_guard lock(this->mutex);
+    for (const std::string &key : keys) {
+        this->changes.push_back({key, "", this->changes.size() + 2, true});
+    }
+    this->changed.notify_all();
+}
+
 double Store::append(const std::string &key, const std::string &value, bool deleted)
 {
     const std::lock_guard lock(this->mutex);
@@ -234,7 +243,8 @@
 }
 
 Engine::Engine(ServerEntry entry, EngineTimes times, Arrivals &arrivals, Copies &copies)
-    : entry(std::move(entry)), times(times), arrivals(arrivals), copies(copies)
+    : entry(std::move(entry)), times(times), arrivals(arrivals), copies(copies),
+      firstTokenMs(times.firstToken)
 {
     this->server = std::make_unique<HttpServer>(
         [this](const HttpMessage &request, const Connection &connection) {
@@ -256,6 +266,13 @@
     return registered;
 }
 
+double Engine::workedUntil(const std::string &id) const
+{
+    const std::lock_guard lock(this->mutex);
+    const auto found = this->workEnds.find(id);
+    return found == this->workEnds.end() ? 0.0 : found->second;
+}
+
 std::size_t Engine::running() const
 {
     const std::lock_guard lock(this->mutex);
@@ -327,10 +344,10 @@
     }
     const bool continues = !source.empty() && this->copies.take(source);
     const double turnAt = nowMs()
-        + (source.empty()  ? 0.0
+        + (source.empty()  ? this->firstTokenMs.load()
                : continues ? this->times.admit
                            : this->times.refuse);
-    while (nowMs() < turnAt && !connection.closed()) {
+    while (nowMs() < turnAt && (this->ignoresClose || !connection.closed())) {
         sleepMs(pollMs);
     }
     if (source.empty() || continues) {
@@ -355,10 +372,11 @@
         run.created = last.empty() ? 0 : std::stoull(last);
         run.started = true;
     }
-    bool open = connection.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-                                "Azurespindle-Attempt-Id: "
-                                + id + "\r\nAzurespindle-Server-Seal: seal." + this->entry.id + "."
-                                + id + "\r\nTransfer-Encoding: chunked\r\n\r\n");
+    const bool begun = connection.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                                       "Azurespindle-Attempt-Id: "
+                                       + id + "\r\nAzurespindle-Server-Seal: seal." + this->entry.id
+                                       + "." + id + "\r\nTransfer-Encoding: chunked\r\n\r\n");
+    bool open = begun || this->ignoresClose;
     double backedUpAt = nowMs();
     bool complete = false;
     while (open) {
@@ -383,7 +401,9 @@
             .append(":")
             .append(std::to_string(number))
             .append("\n\n");
-        open = connection.sendChunk(event) && !connection.closed();
+        open = (connection.sendChunk(event) && !connection.closed()) || this->ignoresClose;
+        const std::lock_guard lock(this->mutex);
+        this->workEnds[id] = nowMs();
     }
     if (complete) {
         this->copies.take(copy);
--- a/review/support-2/platform.h
+++ b/review/support-2/platform.h
@@ -19,6 +19,8 @@
     double put(const std::string &key, const nlohmann::json &value);
     /// Removes an item. \return the time of the acknowledgement.
     double remove(const std::string &key);
+    /// Removes the entries that have lapsed when the store looks for such entries.
+    void removeLapsed(const std::vector<std::string> &keys);
     std::uint16_t port() const { return this->server->port(); }
 
 private:
@@ -119,11 +121,12 @@
 /// How long an engine takes, in milliseconds.
 struct EngineTimes
 {
-    double event = 40.0;   ///< Between two events.
-    double move = 5.0;     ///< For a copy of a run.
-    double backUp = 200.0; ///< Between two updates of a run's backup.
-    double admit = 0.0;    ///< That a run which goes on from a copy waits for its turn.
-    double refuse = 0.0;   ///< That a request waits for its refusal, if its copy doesn't exist.
+    double event = 40.0;     ///< Between two events.
+    double move = 5.0;       ///< For a copy of a run.
+    double backUp = 200.0;   ///< Between two updates of a run's backup.
+    double firstToken = 0.0; ///< From a slot to the first token of a new run.
+    double admit = 0.0;      ///< That a run which goes on from a copy waits for its turn.
+    double refuse = 0.0;     ///< That a request waits for its refusal, if its copy doesn't exist.
 };
 
 /// Stand-in of a model engine that streams numbered events and moves its runs to other engines.
@@ -136,6 +139,12 @@
 
     /// Time until it exits, which its reports tell from now on.
     void drain(double leavesMs);
+    /// Sets the time to the first token of new runs.
+    void setFirstToken(double milliseconds) { this->firstTokenMs = milliseconds; }
+    /// Makes it work on when the connection of a run closes.
+    void ignoreClosedConnections() { this->ignoresClose = true; }
+    /// Returns the time until which it worked on a request; 0: it did not.
+    double workedUntil(const std::string &id) const;
     nlohmann::json registration() const;
     std::size_t running() const;
     const ServerEntry entry;
@@ -164,7 +173,10 @@
     /// Requests that wait, in the order in which they are admitted.
     std::set<std::pair<bool, std::uint64_t>> waiting;
     std::uint64_t lastWaiting = 0;
-    std::mutex link; ///< Moves go one after another.
+    std::mutex link;                        ///< Moves go one after another.
+    std::map<std::string, double> workEnds; ///< Of runs that have begun, by request.
+    std::atomic<double> firstTokenMs;
+    std::atomic<bool> ignoresClose {false};
     std::atomic<double> exitsAt {0.0};
     std::unique_ptr<HttpServer> server;
 };
