Review stand-ins: take the machines' ports below the ephemeral range

Cause: with all cases beside one another, case 8 once could not run (exit code 2): a port that was free had been given to a connection before the machine listened on it.

Change: freePort() looks below the ports that the system gives to connections.

--- a/review/support-2/net.cpp
+++ b/review/support-2/net.cpp
@@ -467,9 +467,22 @@
 
 std::uint16_t freePort()
 {
-    std::uint16_t port = 0;
-    ::close(listenOn(0, port));
-    return port;
+    // Below the ports that the system gives to connections, which could take it meanwhile.
+    constexpr int lowest = 12'000;
+    constexpr int count = 18'000;
+    static int next = ::getpid() * 61 % count;
+    for (int tries = 0; tries < count; ++tries) {
+        next = (next + 1) % count;
+        const int probe = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const sockaddr_in address = loopback(static_cast<std::uint16_t>(lowest + next));
+        const bool free
+            = ::bind(probe, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0;
+        ::close(probe);
+        if (free) {
+            return static_cast<std::uint16_t>(lowest + next);
+        }
+    }
+    throw std::runtime_error("no port is free on loopback");
 }
 
 } // namespace review
