Move what an attempt's end says about its execution out of Router

Change: statesNotRun() and mayRepeat() become free functions of routing/internal/attempt_outcome with the request as their input; wasNotRun() replaces two copies of the same condition. No behaviour changes.

--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -209,9 +209,6 @@
     /// Updates the longest pause between events, which is journaled when the request finishes.
     void recordPause(ActiveRequest &active) const;
     void handleAttemptEnd(ActiveRequest &active, AttemptEnd end, const std::string &detail);
-    /// Returns true if the upstream's response to the current attempt states that it was not
-    /// executed, and may be believed: it names this request, or the request may be repeated.
-    static bool statesNotRun(const ActiveRequest &active, AttemptEnd end);
     /// Returns true if the stream of the current attempt was forwarded.
     static bool relayedCurrentAttempt(const ActiveRequest &active)
     {
@@ -223,8 +220,6 @@
     void handleMayHaveRun(ActiveRequest &active, AttemptEnd end, const std::string &detail);
     /// Handles the end of an attempt whose stream was forwarded.
     void handleStreamEnd(ActiveRequest &active, AttemptEnd end, const std::string &detail);
-    /// Returns true if executing the request more than once does no harm.
-    static bool mayRepeat(const ActiveRequest &active);
     /// Returns true if a request may be sent again although it may have been executed.
     bool canRetry(const ActiveRequest &active) const;
     void checkDeadline(ActiveRequest &active);
--- a/src/routing/router_attempts.cpp
+++ b/src/routing/router_attempts.cpp
@@ -1,5 +1,6 @@
 // Start of attempts, and the reaction to their progress, end and silence.
 
+#include "routing/internal/attempt_outcome.h"
 #include "routing/internal/journal_text.h"
 #include "routing/router.h"
 
@@ -7,6 +8,11 @@
 #include <utility>
 
 namespace azurespindle::routing {
+
+using internal::mayRepeat;
+using internal::statesNotRun;
+using internal::wasNotRun;
+
 namespace {
 
 constexpr int statusOk = 200;
@@ -304,8 +310,7 @@
         this->handleTakeoverFailure(active, end, detail);
     } else if (streamed) {
         this->handleStreamEnd(active, end, detail);
-    } else if (end == AttemptEnd::NotSent || end == AttemptEnd::ConnectionRefused
-               || statesNotRun(active, end)) {
+    } else if (wasNotRun(active, end)) {
         this->handleNotRun(active, end, detail);
     } else if (end == AttemptEnd::Complete && active.head.authentic
                && !active.head.requestIdMismatch && !active.relaying
@@ -322,19 +327,6 @@
     }
 }
 
-bool Router::statesNotRun(const ActiveRequest &active, AttemptEnd end)
-{
-    const ResponseHead &head = active.head;
-    const bool states = end == AttemptEnd::Complete && (head.notRun || head.wrongInstance);
-    return states && !head.requestIdMismatch && (!head.requestIdMissing || mayRepeat(active));
-}
-
-bool Router::mayRepeat(const ActiveRequest &active)
-{
-    return active.route->kind == RouteKind::Idempotent
-        || (active.route->kind == RouteKind::Streaming && active.route->resumable);
-}
-
 bool Router::canRetry(const ActiveRequest &active) const
 {
     // The attempt that just ended is not in mayHaveRunOn yet.
--- a/src/routing/router_takeovers.cpp
+++ b/src/routing/router_takeovers.cpp
@@ -1,6 +1,7 @@
 // Continuation of generations from copies of their KV cache: backup copies, and copies that a
 // migration made.
 
+#include "routing/internal/attempt_outcome.h"
 #include "routing/router.h"
 
 #include <algorithm>
@@ -187,8 +188,7 @@
 
 void Router::handleTakeoverFailure(ActiveRequest &active, AttemptEnd end, const std::string &detail)
 {
-    const bool notRun = end == AttemptEnd::NotSent || end == AttemptEnd::ConnectionRefused
-        || statesNotRun(active, end);
+    const bool notRun = internal::wasNotRun(active, end);
     if (active.migration && notRun) {
         this->onEarlierCopyRefused(active);
         return;
