Keep the migration away from an attempt when that attempt begins late

Cause: a migration belongs to the attempt that it leaves, and the attempt that takes over follows it. Router::on(HeadArrived) took any head in the stage TakingOver for the takeover's. If a parallel takeover is under way, the current attempt is the one that is left; its late head discarded the migration, and the failure of the parallel takeover then used an empty optional. The same mistake stood in handleTakeoverFailure(): the end of a takeover that is being left itself was taken for the refusal of the earlier copy, or ended the stream beside a parallel takeover that could have continued it, or left a migration that waited for the answer to a stop that nobody had asked for. Change: leavesCurrentAttempt() tells the two apart by the migration's source. The head of an attempt that is left keeps the migration; the end of one whose stream was not forwarded goes to continueWithoutSource(). Evidence: both new tests fail without the change. The first stops in std::optional::operator*, as the process does; in the second the stream is aborted beside the parallel takeover.

--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -329,6 +329,12 @@
     void onStopRefused(ActiveRequest &active);
     /// Asks a source that could not copy the generation to copy it to another engine.
     void askAgainToStop(ActiveRequest &active);
+    /// Returns true if a migration moves the generation away from its current attempt. Otherwise
+    /// the current attempt, if there is a migration, is its takeover.
+    static bool leavesCurrentAttempt(const ActiveRequest &active);
+    /// Handles the end of an attempt that a migration leaves and whose stream was not forwarded.
+    /// \return true if the migration goes on, false if there is none or it cannot.
+    bool continueWithoutSource(ActiveRequest &active, AttemptEnd end);
     /// Continues at the destination, or ends the request, once the source's stream has ended or the
     /// source turns out to be unreachable.
     void advanceStop(ActiveRequest &active);
--- a/src/routing/router_attempts.cpp
+++ b/src/routing/router_attempts.cpp
@@ -189,8 +189,8 @@
     const bool streamStarts = isStream && event.head.status == statusOk && event.head.eventStream
         && event.head.authentic && !event.head.requestIdMismatch;
     if (streamStarts) {
-        if (active.migration && active.migration->stage == MigrationStage::TakingOver) {
-            this->discardMigration(active, true);
+        if (active.migration && !leavesCurrentAttempt(active)) {
+            this->discardMigration(active, true); // The takeover has succeeded.
         }
         this->counters.migrationsCompleted += active.isTakeover ? 1 : 0;
         active.relaying = true;
@@ -306,6 +306,9 @@
                        {"detail", detail}});
     }
     const bool streamed = active.relaying && relayedCurrentAttempt(active);
+    if (!streamed && this->continueWithoutSource(active, end)) {
+        return;
+    }
     if (active.isTakeover && !streamed) {
         this->handleTakeoverFailure(active, end, detail);
     } else if (streamed) {
--- a/src/routing/router_handovers.cpp
+++ b/src/routing/router_handovers.cpp
@@ -3,6 +3,7 @@
 // as it has stopped, long before the rest is copied, so the destination continues from a copy that
 // it has already and recomputes what that lacks. The final copy is the fallback.
 
+#include "routing/internal/attempt_outcome.h"
 #include "routing/router.h"
 
 #include <algorithm>
@@ -109,6 +110,36 @@
     this->chooseDestination(active);
 }
 
+bool Router::leavesCurrentAttempt(const ActiveRequest &active)
+{
+    return active.migration && active.migration->sourceAttempt == active.attempt;
+}
+
+bool Router::continueWithoutSource(ActiveRequest &active, AttemptEnd end)
+{
+    if (!leavesCurrentAttempt(active)) {
+        return false;
+    }
+    Migration &migration = *active.migration;
+    migration.sourceEnded = true;
+    if (active.parallel) {
+        return true; // The parallel takeover continues or ends the stream.
+    }
+    if (migration.stage == MigrationStage::Copied) {
+        this->stopSource(active);
+        return true;
+    }
+    const bool stopping
+        = migration.stage == MigrationStage::Stopping || migration.stage == MigrationStage::Stopped;
+    const bool mayBeCopied = !migration.earlierCopy.empty() || !internal::wasNotRun(active, end);
+    if (stopping && mayBeCopied) {
+        this->advanceStop(active);
+        return true;
+    }
+    this->discardMigration(active, true);
+    return false;
+}
+
 void Router::advanceStop(ActiveRequest &active)
 {
     const Migration &migration = *active.migration;
--- a/tests/routing/router_migrations_test.cpp
+++ b/tests/routing/router_migrations_test.cpp
@@ -69,6 +69,39 @@
     harness.handle(MigrationResponseArrived {{generation, 1}, true, {status, handle, 0}});
 }
 
+/// Migrates a generation to e2, whose takeover (attempt 2) does not begin. As e2 drains as well,
+/// the generation is copied on to e3, and as e2 does not answer the request to stop, a parallel
+/// takeover (attempt 3) is started there.
+RequestId startTakeoverBesideAnother(RouterHarness &harness)
+{
+    const RequestId generation = startGenerationWithoutBackup(harness, 7);
+    harness.setDraining("e1");
+    completeFirstCopy(harness, generation);
+    harness.advanceTime(milliseconds(400));
+    respondToFinalCopy(harness, generation, MigrationStatus::Copied, "final");
+    harness.advanceTime(milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(std::string("e2"), harness.lastUpstream());
+    harness.addEngine("e3");
+    harness.setDraining("e2");
+    harness.advanceTime(milliseconds(20));
+    harness.respondToMigration(generation, false, MigrationStatus::Copied, "second");
+    harness.advanceTime(milliseconds(1'300));
+    const auto parallel = harness.lastEffect<StartAttempt>();
+    CPPUNIT_ASSERT(parallel->parallel);
+    CPPUNIT_ASSERT_EQUAL(3U, parallel->attempt.number);
+    CPPUNIT_ASSERT_EQUAL(std::string("e3"), parallel->plan.upstream.id);
+    return generation;
+}
+
+ResponseHead streamHead()
+{
+    ResponseHead head;
+    head.status = 200;
+    head.authentic = true;
+    head.eventStream = true;
+    return head;
+}
+
 } // namespace
 
 class RouterMigrationsTest : public CppUnit::TestFixture
@@ -99,6 +132,8 @@
     CPPUNIT_TEST(aSilentStreamIsRecoveredByMigration);
     CPPUNIT_TEST(aStoppedStreamWithoutChunksIsNotTakenForAComplete);
     CPPUNIT_TEST(aStreamThatNoBackupContinuesIsNotTakenOverWithoutEnd);
+    CPPUNIT_TEST(aLateTakeoverDoesNotDiscardTheMigrationThatLeavesIt);
+    CPPUNIT_TEST(aTakeoverThatFailsDoesNotEndTheOneBesideIt);
     CPPUNIT_TEST(anUnrecoverableStreamIsAborted);
     CPPUNIT_TEST(aResumableStreamContinuesAfterItsLastEvent);
     CPPUNIT_TEST(enginesArePolledWhileTheStoreIsUnavailable);
@@ -573,10 +608,7 @@
                  {MigrationStatus::Failed, MigrationStatus::NotRunning}) {
                 RouterHarness harness;
                 const RequestId generation = startGenerationWithoutBackup(harness, 7);
-                ResponseHead head;
-                head.status = 200;
-                head.authentic = true;
-                head.eventStream = true;
+                ResponseHead head = streamHead();
                 head.endsWithConnection = endsWithConnection;
                 harness.handle(HeadArrived {{generation, 1}, head});
                 harness.advanceTime(milliseconds(1'600));
@@ -605,6 +637,49 @@
         CPPUNIT_ASSERT(harness.countEffects<StartAttempt>() <= 6);
     }
 
+    /// Guards against a process that corrupts its memory and ends (rule LOST): the head of a late
+    /// takeover discarded the migration away from it, which the failure of the parallel takeover
+    /// then used.
+    void aLateTakeoverDoesNotDiscardTheMigrationThatLeavesIt()
+    {
+        RouterHarness harness;
+        const RequestId generation = startTakeoverBesideAnother(harness);
+        harness.handle(HeadArrived {{generation, 2}, streamHead()});
+        harness.endAttempt(generation, AttemptEnd::Complete, 503, true);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), harness.countEffects<AbortStream>());
+        harness.handle(
+            MigrationResponseArrived {{generation, 2}, true, {MigrationStatus::Copied, "last", 0}});
+        harness.advanceTime(milliseconds(100));
+        const auto start = harness.lastEffect<StartAttempt>();
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("it continues from the final copy", 4U, start->attempt.number);
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:2/last"), start->plan.takeover->source);
+        harness.receiveStreamHead(generation);
+        harness.receiveEvents(generation, 3);
+        harness.endAttempt(generation, AttemptEnd::Complete);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.countEffects<EndStream>());
+        CPPUNIT_ASSERT(harness.router.claims().empty());
+    }
+
+    /// Guards against a generation that is lost although a parallel takeover could continue it: the
+    /// end of the attempt that it leaves was taken for its own.
+    void aTakeoverThatFailsDoesNotEndTheOneBesideIt()
+    {
+        for (const AttemptEnd end : {AttemptEnd::Lost, AttemptEnd::ConnectionRefused}) {
+            RouterHarness harness;
+            const RequestId generation = startTakeoverBesideAnother(harness);
+            harness.handle(AttemptEnded {{generation, 2}, end, "played"});
+            harness.advanceTime(milliseconds(100));
+            CPPUNIT_ASSERT_EQUAL(std::size_t(0), harness.countEffects<AbortStream>());
+            CPPUNIT_ASSERT_EQUAL(std::size_t(3), harness.countEffects<StartAttempt>());
+            harness.receiveStreamHead(generation);
+            CPPUNIT_ASSERT_EQUAL(3U, harness.lastEffect<RelayStream>()->attempt.number);
+            harness.receiveEvents(generation, 3);
+            harness.endAttempt(generation, AttemptEnd::Complete);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.countEffects<EndStream>());
+            CPPUNIT_ASSERT(harness.router.claims().empty());
+        }
+    }
+
     void anUnrecoverableStreamIsAborted()
     {
         RouterHarness harness;
