Count a backup as ready by the current attempt's own events

Cause: backupReady() goes by the time of the attempt's first event, which startAttempt() did not forget, so that an attempt that had not begun counted as having run for as long as the generation's first attempt. Change: the time is an optional, empty until the attempt's first event. Evidence: RouterMigrationsTest anAttemptThatHasNotBegunHasNoBackup fails without the change (3 attempts, 2 expected) and passes with it; router_migrations 32 of 32.

--- a/src/routing/internal/active_request.h
+++ b/src/routing/internal/active_request.h
@@ -148,7 +148,8 @@
     std::uint64_t longestPauseAfter = 0; ///< Number of events forwarded before that pause.
     std::uint64_t eventCount = 0;        ///< Number of events forwarded to the caller.
     std::uint64_t lastEventId = 0;
-    Instant attemptFirstEventAt; ///< Time of the first event of the current attempt.
+    /// Time of the first event of the current attempt; nothing before it.
+    std::optional<Instant> attemptFirstEventAt;
     std::optional<Migration> migration;
     Instant nextRecoveryAt; ///< Earliest time of the next recovery of a silent stream.
     std::uint64_t claimUpdatedAtEvent = 0; ///< Event count at the last update of the claim.
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -302,7 +302,7 @@
                                                const UpstreamRecord &upstream,
                                                const decision::ResourceClaim &claim);
     bool canUseBackup(const ActiveRequest &active) const;
-    /// Returns true if the generation has run for long enough to have a backup copy.
+    /// Returns true if the current attempt has run for long enough to have a backup copy.
     bool backupReady(const ActiveRequest &active) const;
     /// Gives up the backup copy and its claim.
     void releaseBackup(ActiveRequest &active);
--- a/src/routing/router_attempts.cpp
+++ b/src/routing/router_attempts.cpp
@@ -73,6 +73,7 @@
     active.claim = claim;
     active.attemptStartedAt = this->now;
     active.lastActivityAt = this->now;
+    active.attemptFirstEventAt.reset();
     active.head = {};
     active.headReceived = false;
     active.readingPaused = false;
@@ -206,7 +207,7 @@
         return;
     }
     ActiveRequest &active = *current;
-    if (active.claim.prefill > 0 || active.resuming) {
+    if (!active.attemptFirstEventAt) {
         active.attemptFirstEventAt = this->now;
     }
     const bool resumed = std::exchange(active.resuming, false);
--- a/src/routing/router_migrations.cpp
+++ b/src/routing/router_migrations.cpp
@@ -133,8 +133,7 @@
         }
         this->noteDraining(active);
         if (this->canUseBackup(active)) {
-            if (this->now >= this->handoverDeadline(active) && this->backupReady(active)
-                && !active.resuming) {
+            if (this->now >= this->handoverDeadline(active) && this->backupReady(active)) {
                 this->handOverToBackup(active, "upstream is draining");
             }
             return;
--- a/src/routing/router_takeovers.cpp
+++ b/src/routing/router_takeovers.cpp
@@ -80,7 +80,8 @@
 
 bool Router::backupReady(const ActiveRequest &active) const
 {
-    return this->now - active.attemptFirstEventAt >= backupReadyDelay;
+    return active.attemptFirstEventAt
+        && this->now - *active.attemptFirstEventAt >= backupReadyDelay;
 }
 
 void Router::pollEngineReport(const ActiveRequest &active)
@@ -133,7 +134,7 @@
     active.upstream = parallel.upstream;
     active.claim = parallel.claim;
     active.attemptStartedAt = this->now;
-    active.attemptFirstEventAt = this->now;
+    active.attemptFirstEventAt.reset();
     active.head = head;
     active.headReceived = true;
     active.isTakeover = true;
--- a/tests/routing/router_migrations_test.cpp
+++ b/tests/routing/router_migrations_test.cpp
@@ -129,6 +129,7 @@
     CPPUNIT_TEST(aStoppedGenerationContinuesAtItsSourceIfItsDestinationDrains);
     CPPUNIT_TEST(generationsAreNotTakenOverInAnEvacuatedZone);
     CPPUNIT_TEST(aBackupIsNotUsedBeforeItIsReady);
+    CPPUNIT_TEST(anAttemptThatHasNotBegunHasNoBackup);
     CPPUNIT_TEST(aSilentStreamIsRecoveredByMigration);
     CPPUNIT_TEST(aStoppedStreamWithoutChunksIsNotTakenForAComplete);
     CPPUNIT_TEST(aStreamThatNoBackupContinuesIsNotTakenOverWithoutEnd);
@@ -579,6 +580,27 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.countEffects<StartAttempt>());
     }
 
+    /// Guards against a takeover from a backup that does not exist: a crowded engine admits the run
+    /// late, and the events of an earlier attempt were taken for its own.
+    void anAttemptThatHasNotBegunHasNoBackup()
+    {
+        RouterHarness harness;
+        const RequestId generation = startGenerationWithBackup(harness, 20);
+        harness.addEngine("e3");
+        harness.advanceTime(milliseconds(900));
+        endSource(harness, generation);
+        respondToFinalCopy(harness, generation, MigrationStatus::EngineGone, "");
+        CPPUNIT_ASSERT(!harness.lastEffect<StartAttempt>()->plan.backupAddress.empty());
+        harness.advanceTime(milliseconds(1'780));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("no takeover of the takeover", std::size_t(2),
+                                     harness.countEffects<StartAttempt>());
+        harness.receiveStreamHead(generation);
+        harness.receiveEvents(generation, 3);
+        harness.endAttempt(generation, AttemptEnd::Complete);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.countEffects<EndStream>());
+        CPPUNIT_ASSERT(harness.router.claims().empty());
+    }
+
     /// Guards against streams that hang after a network partition of a few seconds: their
     /// connections remain stuck long after the zone is reachable again.
     void aSilentStreamIsRecoveredByMigration()
