Tell members that missed it which requests are blocked

Cause: a crash was told to the members once, as it was found. Who started later, was partitioned off or lost the message never learned of it, in both roles. Change: heartbeats carry a digest of the blocked requests, as they do of the membership. Members of the version before send no digest and get no list, so the protocol's version stays.

--- a/src/decision/crash_tracker.cpp
+++ b/src/decision/crash_tracker.cpp
@@ -5,17 +5,17 @@
 namespace azurespindle::decision {
 
 bool CrashTracker::recordCrash(std::uint64_t fingerprint, const std::string &upstream,
-                               std::uint64_t boot, Instant now)
+                               std::uint64_t boot, Instant crashedAt)
 {
     Record &record = this->records.touch(fingerprint);
-    if (now - record.last > retention) {
+    if (crashedAt - record.last > retention) {
         record.crashes.clear();
     }
     const Crash crash {upstream, boot};
     if (std::find(record.crashes.begin(), record.crashes.end(), crash) != record.crashes.end()) {
         return false;
     }
-    record.last = now;
+    record.last = record.crashes.empty() ? crashedAt : std::max(record.last, crashedAt);
     if (record.crashes.size() < crashesToBlock) {
         record.crashes.push_back(crash);
     }
--- a/src/decision/crash_tracker.h
+++ b/src/decision/crash_tracker.h
@@ -29,7 +29,7 @@
     /// Records that \a upstream, while it had boot number \a boot, crashed running the request.
     /// \return false if this crash was already recorded.
     bool recordCrash(std::uint64_t fingerprint, const std::string &upstream, std::uint64_t boot,
-                     Instant now);
+                     Instant crashedAt);
     /// Records that the request ran to completion, and clears it unless it is blocked.
     /// \return true if it was a suspect.
     bool clearSuspect(std::uint64_t fingerprint);
--- a/src/journal/event_id.cpp
+++ b/src/journal/event_id.cpp
@@ -87,6 +87,8 @@
          "The learned speed of an upstream, relative to its service, changed noticeably."},
         {E::ReportedSpeedRejected, "reported-speed-rejected", S::Warning,
          "A member reported speeds out of range, which are not used."},
+        {E::BlockedRequestsLearned, "blocked-requests-learned", S::Info,
+         "A member told of requests that crashed upstreams before this process heard of it."},
         {E::ConfigurationAccepted, "configuration-accepted", S::Info,
          "A higher revision is in force in this process."},
         {E::ConfigurationRefused, "configuration-refused", S::Error,
--- a/src/journal/event_id.h
+++ b/src/journal/event_id.h
@@ -54,6 +54,7 @@
     UpstreamPaused = 315,
     UpstreamSpeedChanged = 316,
     ReportedSpeedRejected = 317,
+    BlockedRequestsLearned = 318,
 
     ConfigurationAccepted = 400,
     ConfigurationRefused = 401,
--- a/src/members/coordinator.cpp
+++ b/src/members/coordinator.cpp
@@ -160,6 +160,7 @@
     heartbeat.vmListRevision = this->documents.revision(DocumentKind::VmList);
     heartbeat.refusedRevision = this->documents.refusedRevision();
     heartbeat.membershipDigest = this->membership.digest();
+    heartbeat.blockedRequestsDigest = this->crashLog.digest(monotonicNow());
     return heartbeat;
 }
 
--- a/src/members/coordinator.h
+++ b/src/members/coordinator.h
@@ -3,6 +3,7 @@
 
 #include "base/recent_map.h"
 #include "journal/journal.h"
+#include "members/crash_log.h"
 #include "members/document_watch.h"
 #include "members/membership.h"
 #include "members/peer_network.h"
@@ -28,7 +29,8 @@
     std::function<void()> onMembersChanged;
     std::function<void(const std::string &from, const LeaseRequests &requests)> onLeaseRequests;
     std::function<void(const std::string &from, const LeaseGrants &grants)> onLeaseGrants;
-    std::function<void(const CrashReport &crash)> onCrashReport;
+    /// \param age time since the crash.
+    std::function<void(const CrashReport &crash, seconds age)> onCrashReport;
     std::function<void(const std::string &from, const PermitRequests &requests)> onPermitRequests;
     std::function<void(const PermitAnswers &answers)> onPermitAnswers;
     /// See PeerCallbacks::isReachable.
@@ -124,6 +126,10 @@
     void handle(const std::string &from, const DocumentRequest &request);
     void handle(const std::string &from, const DocumentResponse &response);
     void handle(const CrashReport &crash);
+    void handle(const std::string &from, const BlockedRequests &blocked);
+    /// Returns the crashes of the blocked requests if the sender of \a heartbeat is to be sent
+    /// them. Requires the lock.
+    std::vector<PastCrash> blockedRequestsFor(const std::string &from, const Heartbeat &heartbeat);
     /// Returns the requests for documents of which the sender of \a heartbeat has a higher
     /// revision. Requires the lock.
     std::vector<DocumentRequest> requestsFor(const Heartbeat &heartbeat);
@@ -159,6 +165,8 @@
     std::vector<settings::Address> seeds;
     /// Crash reports already handled, keyed by status, source, number and fingerprint.
     RecentMap<std::string, bool> crashReports {maxCrashReports};
+    CrashLog crashLog;
+    TableExchange blockedRequestsExchange {1};
     bool peerHeard = false;
     std::uint64_t tickCount = 0;
 
--- a/src/members/coordinator_messages.cpp
+++ b/src/members/coordinator_messages.cpp
@@ -49,6 +49,8 @@
         this->hooks.onLeaseGrants(from, *grants);
     } else if (const auto *crash = std::get_if<CrashReport>(&message)) {
         this->handle(*crash);
+    } else if (const auto *blocked = std::get_if<BlockedRequests>(&message)) {
+        this->handle(from, *blocked);
     } else if (const auto *permitRequests = std::get_if<PermitRequests>(&message)) {
         this->hooks.onPermitRequests(from, *permitRequests);
     } else if (const auto *permitAnswers = std::get_if<PermitAnswers>(&message)) {
@@ -90,6 +92,7 @@
     std::optional<MemberRecord> sender;
     MembershipUpdate allRecords;
     std::vector<DocumentRequest> requests;
+    BlockedRequests blocked;
     bool sendsTable = false;
     {
         const std::lock_guard lock(this->mutex);
@@ -103,6 +106,7 @@
         }
         if (sender) {
             requests = this->requestsFor(heartbeat);
+            blocked.crashes = this->blockedRequestsFor(from, heartbeat);
         }
         const bool differs = heartbeat.membershipDigest != this->membership.digest();
         sendsTable = sender && this->tables.isDue(from, differs);
@@ -119,9 +123,24 @@
     if (sendsTable) {
         this->network.send(*sender, allRecords);
     }
+    if (!blocked.crashes.empty()) {
+        this->network.send(*sender, blocked);
+    }
     this->publishChanges(changed);
 }
 
+std::vector<PastCrash> Coordinator::blockedRequestsFor(const std::string &from,
+                                                       const Heartbeat &heartbeat)
+{
+    const Instant now = monotonicNow();
+    const bool differs = heartbeat.blockedRequestsDigest
+        && *heartbeat.blockedRequestsDigest != this->crashLog.digest(now);
+    if (!this->blockedRequestsExchange.isDue(from, differs)) {
+        return {};
+    }
+    return this->crashLog.blockedRequests(now);
+}
+
 std::vector<DocumentRequest> Coordinator::requestsFor(const Heartbeat &heartbeat)
 {
     const Instant now = monotonicNow();
@@ -194,11 +213,34 @@
         if (std::exchange(this->crashReports.touch(key), true)) {
             return;
         }
+        this->crashLog.record(crash, seconds(0), monotonicNow());
     }
-    this->hooks.onCrashReport(crash);
+    this->hooks.onCrashReport(crash, seconds(0));
     this->sendToNeighbours(crash);
 }
 
+void Coordinator::handle(const std::string &from, const BlockedRequests &blocked)
+{
+    std::vector<PastCrash> learned;
+    {
+        const std::lock_guard lock(this->mutex);
+        for (const PastCrash &crash : blocked.crashes) {
+            const bool suspects = crash.report.status == CrashStatus::Suspected;
+            if (suspects && this->crashLog.record(crash.report, crash.age, monotonicNow())) {
+                learned.push_back(crash);
+            }
+        }
+    }
+    if (learned.empty()) {
+        return;
+    }
+    this->journal.record({journal::EventId::BlockedRequestsLearned,
+                          {{"member", from}, {"crashes", std::to_string(learned.size())}}});
+    for (const PastCrash &crash : learned) {
+        this->hooks.onCrashReport(crash.report, crash.age);
+    }
+}
+
 void Coordinator::broadcastCrash(const CrashReport &crash)
 {
     this->handle(crash);
--- a/src/members/messages.cpp
+++ b/src/members/messages.cpp
@@ -1,6 +1,7 @@
 #include "members/messages.h"
 
 #include "base/compression.h"
+#include "members/crash_log.h"
 #include "members/internal/frame_codec.h"
 
 namespace azurespindle::members {
@@ -56,13 +57,16 @@
 
 void write(Packer &out, const Heartbeat &heartbeat)
 {
-    out.pack_array(6);
+    out.pack_array(heartbeat.blockedRequestsDigest ? 7 : 6);
     out.pack(heartbeat.incarnation);
     out.pack(heartbeat.configurationRevision);
     out.pack(heartbeat.vmListRevision);
     out.pack(heartbeat.refusedRevision);
     out.pack(heartbeat.membershipDigest);
     out.pack(heartbeat.toNeighbour);
+    if (heartbeat.blockedRequestsDigest) {
+        out.pack(*heartbeat.blockedRequestsDigest);
+    }
 }
 
 void read(const Object &from, Heartbeat &heartbeat)
@@ -74,6 +78,9 @@
     heartbeat.refusedRevision = in.as<std::uint64_t>();
     heartbeat.membershipDigest = in.as<std::uint64_t>();
     heartbeat.toNeighbour = in.as<bool>();
+    if (!in.atEnd()) { // Absent in frames of older members.
+        heartbeat.blockedRequestsDigest = in.as<std::uint64_t>();
+    }
 }
 
 void write(Packer &out, const MembershipUpdate &update)
@@ -157,6 +164,33 @@
     }
 }
 
+void write(Packer &out, const PastCrash &crash)
+{
+    out.pack_array(2);
+    write(out, crash.report);
+    out.pack(static_cast<std::uint32_t>(crash.age.count()));
+}
+
+void read(const Object &from, PastCrash &crash)
+{
+    ArrayReader in(from);
+    read(in.next(), crash.report);
+    crash.age = seconds(in.as<std::uint32_t>());
+}
+
+void write(Packer &out, const BlockedRequests &blocked)
+{
+    packList(out, blocked.crashes);
+}
+
+void read(const Object &from, BlockedRequests &blocked)
+{
+    if (ArrayReader(from).size() > CrashLog::maxExchanged * CrashLog::crashesToBlock) {
+        throw msgpack::type_error();
+    }
+    unpackList(from, blocked.crashes);
+}
+
 /// Unpacks \a body as the alternative of Message at index \a type. Throws type_error if there is no
 /// such alternative or \a body does not match it.
 template<std::size_t Position = 0> Message unpackAlternative(std::size_t type, const Object &body)
--- a/src/members/messages.h
+++ b/src/members/messages.h
@@ -77,6 +77,8 @@
     std::uint64_t refusedRevision = 0; ///< Last configuration revision the sender refused; 0: none.
     std::uint64_t membershipDigest = 0; ///< Membership::digest() of the sender.
     bool toNeighbour = false;           ///< Whether the receiver is one of the sender's neighbours.
+    /// CrashLog::digest() of the sender; nothing in heartbeats of older members.
+    std::optional<std::uint64_t> blockedRequestsDigest {};
     bool operator==(const Heartbeat &other) const = default;
 };
 
@@ -151,6 +153,22 @@
     bool operator==(const CrashReport &other) const = default;
 };
 
+/// A crash that a request is suspected of, and how long ago it was.
+struct PastCrash
+{
+    CrashReport report;
+    seconds age {0};
+    bool operator==(const PastCrash &other) const = default;
+};
+
+/// The crashes of the requests that the sender has blocked, for a member whose digest differs. Only
+/// members that send a digest understand it.
+struct BlockedRequests
+{
+    std::vector<PastCrash> crashes;
+    bool operator==(const BlockedRequests &other) const = default;
+};
+
 /// Reports of engines' phases, and requests for permits to order engines to load.
 struct PermitRequests
 {
@@ -251,7 +269,7 @@
 using Message = std::variant<Hello, Heartbeat, MembershipUpdate, DocumentRequest, DocumentResponse,
                              LeaseRequests, LeaseGrants, CrashReport, PermitRequests, PermitAnswers,
                              RouterReport, ViewRequest, ViewChanges, ZoneReport, FleetReport,
-                             ViewStatus, PlacementNotice>;
+                             ViewStatus, PlacementNotice, BlockedRequests>;
 
 /// Encodes a message as a frame's payload: a msgpack array of protocol version, type and body.
 std::string encode(const Message &message);
--- a/src/members/table_exchange.cpp
+++ b/src/members/table_exchange.cpp
@@ -10,8 +10,7 @@
     }
     std::uint32_t &count = this->differences.touch(member);
     count += 1;
-    return count >= differencesBeforeTable
-        && (count - differencesBeforeTable) % differencesBetweenTables == 0;
+    return count >= this->firstTable && (count - this->firstTable) % differencesBetweenTables == 0;
 }
 
 } // namespace azurespindle::members
--- a/src/members/table_exchange.h
+++ b/src/members/table_exchange.h
@@ -9,11 +9,12 @@
 
 namespace azurespindle::members {
 
-/// Decides when a member is sent the whole membership table because its digest differs.
+/// Decides when a member is sent a whole table, such as the membership table, because its digest
+/// differs.
 ///
-/// While members come and go, most digests differ for a second or two, until gossip has told
-/// everybody what changed. Only a difference that lasts is worth a table, and it is worth another
-/// one only if the first did not help.
+/// While members come and go, most digests of the membership differ for a second or two, until
+/// gossip has told everybody what changed. Only a difference that lasts is worth a table, and it is
+/// worth another one only if the first did not help.
 class TableExchange
 {
 public:
@@ -22,6 +23,12 @@
     /// Further differing heartbeats before the table is sent again.
     static constexpr std::uint32_t differencesBetweenTables = 3;
 
+    /// \param firstTable heartbeat in a row with a differing digest that is answered with the
+    /// table.
+    explicit TableExchange(std::uint32_t firstTable = differencesBeforeTable)
+        : firstTable(firstTable)
+    { }
+
     // Commands
 
     /// Records a heartbeat of \a member.
@@ -30,6 +37,7 @@
     bool isDue(const std::string &member, bool differs);
 
 private:
+    const std::uint32_t firstTable;
     /// Heartbeats in a row whose digest differed, by member.
     RecentMap<std::string, std::uint32_t> differences {Membership::maxMembers};
 };
--- a/src/routing/router_crashes.cpp
+++ b/src/routing/router_crashes.cpp
@@ -194,7 +194,8 @@
 void Router::on(const PeerCrashReported &event)
 {
     if (event.parts.empty()) {
-        this->crashes.recordCrash(event.fingerprint, event.upstream, event.incarnation, this->now);
+        this->crashes.recordCrash(event.fingerprint, event.upstream, event.incarnation,
+                                  this->now - event.age);
     } else if (event.cleared) {
         this->crashSuspects.clear(event.parts);
     } else {
--- a/src/routing/router_events.h
+++ b/src/routing/router_events.h
@@ -211,7 +211,9 @@
 
 /// A peer sent a report about a crash.
 struct PeerCrashReported : CrashReport
-{ };
+{
+    seconds age {0}; ///< Time since the crash.
+};
 
 /// The number of entry processes changed, or the zones that they are heard from.
 struct ProcessesChanged
--- a/src/serving/entry_process.cpp
+++ b/src/serving/entry_process.cpp
@@ -52,7 +52,7 @@
            [this](const std::string &, const members::LeaseGrants &grants) {
                this->leases.onLeaseGrants(grants);
            },
-           [this](const members::CrashReport &report) {
+           [this](const members::CrashReport &report, seconds) {
                if (report.status == members::CrashStatus::Cleared) {
                    this->poolManager.post(report.pool,
                                           decision::CrashSuspectCleared {report.fingerprint});
--- a/src/serving/routing_process.cpp
+++ b/src/serving/routing_process.cpp
@@ -205,10 +205,11 @@
     hooks.onLeaseGrants = [](const std::string &, const members::LeaseGrants &) {};
     hooks.onPermitRequests = [](const std::string &, const members::PermitRequests &) {};
     hooks.onPermitAnswers = [](const members::PermitAnswers &) {};
-    hooks.onCrashReport = [this](const members::CrashReport &report) {
+    hooks.onCrashReport = [this](const members::CrashReport &report, seconds age) {
         this->forwarder.handle(routing::PeerCrashReported {
             {report.fingerprint, report.source, report.number, report.parts,
-             report.status == members::CrashStatus::Cleared}});
+             report.status == members::CrashStatus::Cleared},
+            age});
     };
     hooks.onRouterReport = [this](const std::string &from, const members::RouterReport &report) {
         this->reporter.handle(from, report);
--- a/tests/members/messages_test.cpp
+++ b/tests/members/messages_test.cpp
@@ -28,9 +28,12 @@
     grant.report.boot = 11;
     grant.grant.contended = true;
     grant.grant.remoteUsage = {{3, 4}};
+    Heartbeat heartbeatWithDigest = heartbeat;
+    heartbeatWithDigest.blockedRequestsDigest = 12;
     return {
         Hello {protocolVersion, record},
         heartbeat,
+        heartbeatWithDigest,
         MembershipUpdate {{record, record}, true},
         DocumentRequest {DocumentKind::VmList, 4},
         DocumentResponse {DocumentKind::Configuration, "{}"},
@@ -39,6 +42,7 @@
         LeaseGrants {{grant}},
         CrashReport {"p", 1, "e", 2, CrashStatus::Cleared},
         CrashReport {"", 1, "e", 2, CrashStatus::Suspected, {3, 4}},
+        BlockedRequests {{{{"p", 1, "e", 2, CrashStatus::Suspected}, seconds(3)}}},
         PermitRequests {{{"s#1", "p", "e", 3, decision::OrderPhase::Draining, true, true}}},
         PermitAnswers {{{"e", 3, true, true, milliseconds(5), "why"}}},
         RouterReport {true,
