Refuse answers whose status no server may send

Cause: the client took libcurl's number, which may be any three digits, and refused only those below 200. Change: parseStatusLine() reads the first line of each head, interim ones too; unless it names a code from 100 to 599 the transfer ends as a lost connection, before any part of the answer is reported.

--- a/src/http/client.h
+++ b/src/http/client.h
@@ -53,7 +53,7 @@
 struct TransferResult
 {
     TransferEnd end = TransferEnd::Complete;
-    int status = 0;     ///< HTTP status code; 0 if no status line was received.
+    int status = 0;     ///< HTTP status code; 0 if no valid status line was received.
     std::string detail; ///< libcurl's error message; empty if the transfer is complete.
 };
 
--- a/src/http/internal/transfer.cpp
+++ b/src/http/internal/transfer.cpp
@@ -1,5 +1,7 @@
 #include "http/internal/transfer.h"
 
+#include "http/status_line.h"
+
 #include <strings.h>
 
 #include <algorithm>
@@ -20,6 +22,10 @@
     }
     const std::string line(bytes, size * count);
     if (line.rfind("HTTP/", 0) == 0) {
+        transfer.statusInvalid = !parseStatusLine(line);
+        if (transfer.statusInvalid) {
+            return 0;
+        }
         // Headers received before a further status line belong to an interim (1xx) response.
         transfer.responseHeaders.clear();
         transfer.responseFields.clear();
@@ -191,6 +197,9 @@
         result.end = refused ? TransferEnd::ConnectionRefused : TransferEnd::NotSent;
     } else if (code == CURLE_OPERATION_TIMEDOUT) {
         result.end = connected(transfer.handle) ? TransferEnd::TimedOut : TransferEnd::NotSent;
+    } else if (transfer.statusInvalid) {
+        result.status = 0;
+        result.detail = "the status line is malformed";
     } else if (code == CURLE_WRITE_ERROR) {
         result.detail = "the response is too long";
     } else if (code == CURLE_URL_MALFORMAT || code == CURLE_COULDNT_RESOLVE_HOST) {
--- a/src/http/internal/transfer.h
+++ b/src/http/internal/transfer.h
@@ -24,6 +24,7 @@
     std::size_t bodyBytes = 0; ///< Received so far.
     bool headComplete = false; ///< The blank line after the last status line was received.
     bool statusReported = false;
+    bool statusInvalid = false; ///< A head was refused for its first line.
     bool cancelled = false;
     std::atomic<std::uint64_t> *progress = nullptr; ///< Of the client; not set for fetch().
     Instant startedAt = monotonicNow();
--- a/tests/http/client_test.cpp
+++ b/tests/http/client_test.cpp
@@ -20,6 +20,7 @@
 struct Received
 {
     TransferResult result;
+    std::size_t heads = 0;     ///< Heads that were reported.
     std::size_t headBytes = 0; ///< Of the names and values of header fields.
     std::string body;
     microseconds took {0};
@@ -38,6 +39,7 @@
     request.maxResponseBytes = maxResponseBytes;
     TransferCallbacks callbacks;
     callbacks.onHeaderFields = [&](int, const HeaderFields &fields) {
+        received.heads += 1;
         for (const auto &[name, value] : fields) {
             received.headBytes += name.size() + value.size();
         }
@@ -78,6 +80,7 @@
     CPPUNIT_TEST(anAnswerWithoutLengthEndsWithItsConnection);
     CPPUNIT_TEST(anAnswerWithoutLengthThatIsResetIsNotComplete);
     CPPUNIT_TEST(anAnswerThatEndsEarlyIsNotComplete);
+    CPPUNIT_TEST(anAnswerWithAnInvalidStatusIsNoAnswer);
     CPPUNIT_TEST(anEndlessHeadIsGivenUp);
     CPPUNIT_TEST(endlessInterimHeadsAreGivenUp);
     CPPUNIT_TEST(endlessBytesThatAreNoHeadAreGivenUp);
@@ -111,6 +114,29 @@
         }
     }
 
+    /// Guards against an answer whose status is 000, or another one that no server may send, and
+    /// that reaches a caller as an answer (rule MIXED).
+    void anAnswerWithAnInvalidStatusIsNoAnswer()
+    {
+        const std::string rest = " Odd\r\nContent-Length: 8\r\n\r\nthe body";
+        for (const std::string status :
+             {"000", "0", "00", "20", "099", "600", "999", "2000", "-20", "2x0", "+200", " 200"}) {
+            const std::string answer = "HTTP/1.1 " + status + rest;
+            for (const std::string &interim :
+                 {std::string(), std::string("HTTP/1.1 103 Early\r\nLink: x\r\n\r\n")}) {
+                const Received received = receive({interim + answer, RawEnd::Close});
+                CPPUNIT_ASSERT_MESSAGE(status, received.result.end == TransferEnd::ConnectionLost);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(status, std::size_t(0), received.heads);
+                CPPUNIT_ASSERT_MESSAGE(status, received.body.empty());
+            }
+        }
+        for (const std::string status : {"200 OK", "404", "599 ", "418 I'm a teapot"}) {
+            const Received received
+                = receive({"HTTP/1.1 " + status + "\r\n\r\nthe body", RawEnd::Close});
+            CPPUNIT_ASSERT_MESSAGE(status, received.result.end == TransferEnd::Complete);
+        }
+    }
+
     void anEndlessHeadIsGivenUp()
     {
         assertGivenUpSoon(receive({okHead, RawEnd::Endless, "X-Field: value\r\n"}));
--- a/tests/serving/request_forwarder_test.cpp
+++ b/tests/serving/request_forwarder_test.cpp
@@ -36,6 +36,7 @@
 
 const std::string sealedHead = "HTTP/1.1 200 OK\r\nAzurespindle-Server-Seal: seal\r\n";
 const std::string streamHead = sealedHead + "Content-Type: text/event-stream\r\n";
+constexpr std::size_t okHeadBytes = 12; ///< Of "HTTP/1.1 200".
 const std::string chunkedField = "Transfer-Encoding: chunked\r\n";
 
 bool eventually(const std::function<bool()> &condition)
@@ -125,6 +126,7 @@
     CPPUNIT_TEST(anAnswerWithoutLengthReachesTheCallerWhole);
     CPPUNIT_TEST(anAnswerWithoutLengthThatIsResetIsNoSuccess);
     CPPUNIT_TEST(anAnswerWithoutLengthThatIsResetIsRetriedIfItMay);
+    CPPUNIT_TEST(anAnswerWithAnInvalidStatusIsNotPassedOn);
     CPPUNIT_TEST(aStreamWithoutChunksEndsAfterItsLastEvent);
     CPPUNIT_TEST(aStreamThatEndsInsideAnEventIsNotComplete);
     CPPUNIT_TEST(aStreamThatEndsInsideItsFirstEventIsNotComplete);
@@ -209,6 +211,23 @@
         CPPUNIT_ASSERT_EQUAL(std::string("the body"), response.body);
     }
 
+    /// Guards against a caller that gets a status which no server may send (rule MIXED).
+    void anAnswerWithAnInvalidStatusIsNotPassedOn()
+    {
+        for (const std::string status : {"000", "099", "600", "999"}) {
+            const std::string head = "HTTP/1.1 " + status + streamHead.substr(okHeadBytes);
+            this->answers = {{head + "\r\n" + event(1), RawEnd::Close}};
+            for (const char *path : {"/order/1", "/draft/1"}) {
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(status, 502, this->call(path).status);
+            }
+            this->answers = {{head + "\r\nno body", RawEnd::Close},
+                             {sealedHead + "\r\nthe body", RawEnd::Close}};
+            const Response response = this->call("/look/1");
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(status, 200, response.status);
+            CPPUNIT_ASSERT_EQUAL(std::string("the body"), response.body);
+        }
+    }
+
     void aStreamWithoutChunksEndsAfterItsLastEvent()
     {
         this->answers = {{streamHead + "\r\n" + event(1) + event(2), RawEnd::Close}};
