Follow the store into a new era when it comes back from a copy

What callers saw: after the store had come back from a copy, a new route got 404 and a removed one was served, on all processes, until the store's revisions had passed the old figure; meanwhile the readers listed it again and again. Cause: Store-Era was read nowhere. Positions in the published history were plain revisions, which go back and are given out again, so that all that was written after the drill counted as known, in the view, at the reader and between peers. Change: StoreRevision, the pair of era and number, stands wherever a revision orders something, on the wire as a field at the end. Events 416 to 418, a metric, the drill in the store's stand-in, and the soak plan eras. A store that sends no header is read as before.

--- a/src/journal/event_id.cpp
+++ b/src/journal/event_id.cpp
@@ -123,6 +123,15 @@
          "Requests make no progress for `stalledMs`, as the thread or lock of `stage` is held up: "
          "`callers`, `upstreams` or `timers`. The process reports that it is not ready until they "
          "do."},
+        {E::StoreEraChanged, "store-era-changed", S::Warning,
+         "The store came back from a copy, or is read for the first time in its era: `taken` items "
+         "are as it lists them, `kept` were known better, `missing` are kept for a while although "
+         "it lacks them, and `deferred` had been removed and are not believed for a while."},
+        {E::StoreResponseOutdated, "store-response-outdated", S::Warning,
+         "A response of the store belongs to an earlier era than the known one and was dropped."},
+        {E::StoreEraUnreadable, "store-era-unreadable", S::Warning,
+         "A response of the store states its era twice or not as a number; it counts as one of the "
+         "known era."},
         {E::MemberJoined, "member-joined", S::Info, "Another entry process is a member now."},
         {E::MemberSuspected, "member-suspected", S::Warning,
          "A member is silent; it is removed unless it speaks up."},
--- a/src/journal/event_id.h
+++ b/src/journal/event_id.h
@@ -72,6 +72,9 @@
     ViewUpdateRequested = 413,
     ViewUpdateSent = 414,
     RequestPathStalled = 415,
+    StoreEraChanged = 416,
+    StoreResponseOutdated = 417,
+    StoreEraUnreadable = 418,
 
     MemberJoined = 500,
     MemberSuspected = 501,
--- a/src/members/internal/routing_codec.cpp
+++ b/src/members/internal/routing_codec.cpp
@@ -18,6 +18,25 @@
     unpackList(from, sums);
 }
 
+/// Returns the era of the store, which is last in a message and absent in those of older members.
+std::uint64_t readEra(ArrayReader &in)
+{
+    return in.atEnd() ? 0 : in.as<std::uint64_t>();
+}
+
+/// Sets the era of all revisions in an update, which is transmitted once.
+void setEra(routing::ViewUpdate &update, std::uint64_t era)
+{
+    update.sinceRevision.era = era;
+    update.revision.era = era;
+    for (routing::PublishedItem &item : update.items) {
+        item.revision.era = era;
+        if (item.delta) {
+            item.delta->baseRevision.era = era;
+        }
+    }
+}
+
 } // namespace
 
 void write(Packer &out, const decision::UpstreamClaim &claim)
@@ -91,10 +110,10 @@
     out.pack_array(item.delta ? 6 : 4);
     out.pack(item.key);
     out.pack(item.value);
-    out.pack(item.revision);
+    out.pack(item.revision.number);
     out.pack(item.deleted);
     if (item.delta) {
-        out.pack(item.delta->baseRevision);
+        out.pack(item.delta->baseRevision.number);
         write(out, item.delta->text);
     }
 }
@@ -189,9 +208,9 @@
 
 void write(Packer &out, const RouterReport &report)
 {
-    out.pack_array(10);
+    out.pack_array(11);
     out.pack(report.complete);
-    out.pack(report.viewRevision);
+    out.pack(report.viewRevision.number);
     out.pack(report.readsStore);
     packList(out, report.claims);
     packList(out, report.requestCounts);
@@ -200,6 +219,7 @@
     packList(out, report.limits);
     out.pack(report.sequence);
     packList(out, report.speeds);
+    out.pack(report.viewRevision.era);
 }
 
 void read(const Object &from, RouterReport &report)
@@ -215,6 +235,7 @@
     unpackList(in.next(), report.limits);
     report.sequence = in.as<std::uint64_t>();
     unpackSpeeds(in.next(), report.speeds);
+    report.viewRevision.era = readEra(in);
 }
 
 void write(Packer &out, const ZoneReport &report)
@@ -247,11 +268,11 @@
 
 void write(Packer &out, const FleetReport &report)
 {
-    out.pack_array(12);
+    out.pack_array(13);
     out.pack(report.complete);
     out.pack(report.acknowledged);
     out.pack(report.processCount);
-    out.pack(report.viewRevision);
+    out.pack(report.viewRevision.number);
     out.pack(report.readsStore);
     packList(out, report.claims);
     packList(out, report.requestCounts);
@@ -260,6 +281,7 @@
     packList(out, report.limits);
     out.pack(report.silentZones);
     packList(out, report.speeds);
+    out.pack(report.viewRevision.era);
 }
 
 void read(const Object &from, FleetReport &report)
@@ -277,6 +299,7 @@
     unpackList(in.next(), report.limits);
     report.silentZones = in.as<std::vector<std::string>>();
     unpackSpeeds(in.next(), report.speeds);
+    report.viewRevision.era = readEra(in);
 }
 
 void write(Packer &out, const PlacementNotice &notice)
@@ -293,9 +316,10 @@
 
 void write(Packer &out, const ViewStatus &status)
 {
-    out.pack_array(2);
-    out.pack(status.revision);
+    out.pack_array(3);
+    out.pack(status.revision.number);
     out.pack(status.readsStore);
+    out.pack(status.revision.era);
 }
 
 void read(const Object &from, ViewStatus &status)
@@ -303,27 +327,31 @@
     ArrayReader in(from);
     status.revision = in.as<std::uint64_t>();
     status.readsStore = in.as<bool>();
+    status.revision.era = readEra(in);
 }
 
 void write(Packer &out, const ViewRequest &request)
 {
-    out.pack_array(1);
-    out.pack(request.after);
+    out.pack_array(2);
+    out.pack(request.after.number);
+    out.pack(request.after.era);
 }
 
 void read(const Object &from, ViewRequest &request)
 {
     ArrayReader in(from);
     request.after = in.as<std::uint64_t>();
+    request.after.era = readEra(in);
 }
 
 void write(Packer &out, const ViewChanges &changes)
 {
-    out.pack_array(5);
+    out.pack_array(6);
     out.pack(changes.update.isSnapshot);
-    out.pack(changes.update.sinceRevision);
-    out.pack(changes.update.revision);
+    out.pack(changes.update.sinceRevision.number);
+    out.pack(changes.update.revision.number);
     packCompactList(out, changes.update.items);
+    out.pack(changes.update.revision.era);
 }
 
 void read(const Object &from, ViewChanges &changes)
@@ -333,6 +361,7 @@
     changes.update.sinceRevision = in.as<std::uint64_t>();
     changes.update.revision = in.as<std::uint64_t>();
     unpackCompactList(in, changes.update.items);
+    setEra(changes.update, readEra(in));
 }
 
 } // namespace azurespindle::members::internal
--- a/src/members/messages.h
+++ b/src/members/messages.h
@@ -187,8 +187,8 @@
 struct RouterReport
 {
     bool complete = false; ///< Whether \a claims lists all claims rather than only changed ones.
-    std::uint64_t viewRevision = 0; ///< Store revision of the sender's view.
-    bool readsStore = false;        ///< Whether the sender reads the store itself and gets answers.
+    routing::StoreRevision viewRevision; ///< Store revision of the sender's view.
+    bool readsStore = false; ///< Whether the sender reads the store itself and gets answers.
     std::vector<decision::UpstreamClaim> claims;
     std::vector<decision::RequestCounts> requestCounts;
     std::vector<routing::UpstreamObservation> observations;
@@ -222,9 +222,9 @@
     bool complete = false; ///< Whether \a claims lists all claims rather than only changed ones.
     /// RouterReport::sequence of the receiver's last report that the sums include; 0: none.
     std::uint64_t acknowledged = 0;
-    std::uint32_t processCount = 0; ///< Number of processes included in the sums.
-    std::uint64_t viewRevision = 0; ///< Store revision of the sender's view.
-    bool readsStore = false;        ///< Whether the sender reads the store itself and gets answers.
+    std::uint32_t processCount = 0;      ///< Number of processes included in the sums.
+    routing::StoreRevision viewRevision; ///< Store revision of the sender's view.
+    bool readsStore = false; ///< Whether the sender reads the store itself and gets answers.
     std::vector<decision::UpstreamClaim> claims;
     std::vector<decision::RequestCounts>
         requestCounts {}; ///< Empty if they are not told this time.
@@ -247,15 +247,15 @@
 /// What a member that reads the store tells the others of its zone at regular intervals.
 struct ViewStatus
 {
-    std::uint64_t revision = 0; ///< Store revision of the sender's view.
-    bool readsStore = false;    ///< Whether the sender reads the store itself and gets answers.
+    routing::StoreRevision revision; ///< Store revision of the sender's view.
+    bool readsStore = false; ///< Whether the sender reads the store itself and gets answers.
     bool operator==(const ViewStatus &other) const = default;
 };
 
 /// Requests everything that was published after a store revision.
 struct ViewRequest
 {
-    std::uint64_t after = 0; ///< Store revision that the sender already has.
+    routing::StoreRevision after; ///< Store revision that the sender already has.
     bool operator==(const ViewRequest &other) const = default;
 };
 
--- a/src/routing/published_view.cpp
+++ b/src/routing/published_view.cpp
@@ -99,6 +99,13 @@
     if (update.revision < this->knownRevision) {
         return true;
     }
+    const bool isFirst = this->knownRevision == StoreRevision();
+    if (!isFirst && update.revision.era > this->knownRevision.era) {
+        if (update.isSnapshot) {
+            this->beginEra(update, now);
+        }
+        return update.isSnapshot;
+    }
     std::vector<PublishedItem> sorted = update.items;
     if (update.isSnapshot) {
         const std::vector<PublishedItem> missing = this->deletionsImpliedBy(update);
@@ -110,7 +117,6 @@
     if (!items) {
         return false;
     }
-    const bool isFirst = this->knownRevision == 0;
     this->applyItems(*items, now);
     // What a later listing changes is retained like any other change.
     if (isFirst) {
@@ -137,12 +143,19 @@
     std::map<std::string_view, std::vector<const PublishedItem *>> superseded; // By key.
     for (const PublishedItem &item : items) {
         const auto found = this->items.find(item.key);
-        const std::uint64_t currentRevision
-            = found == this->items.end() ? 0 : found->second.item.revision;
+        const StoreRevision currentRevision
+            = found == this->items.end() ? StoreRevision() : found->second.item.revision;
         if (currentRevision > item.revision
             || (currentRevision == item.revision && !item.deleted)) {
             continue;
         }
+        const auto deferred = this->deferredItems.find(item.key);
+        if (deferred != this->deferredItems.end()) {
+            if (deferred->second.item.revision == item.revision) {
+                continue;
+            }
+            this->deferredItems.erase(deferred);
+        }
         const PublishedItem &newest = *last[item.key];
         const bool isDocument = item.value.size() >= minDeltaValueBytes;
         if (isDocument && &newest != &item && !newest.deleted) {
@@ -158,7 +171,7 @@
         if (expired && isUpstream) {
             this->pendingRemovals.emplace(item.key, now + removalGracePeriod);
         } else {
-            this->remove(item);
+            this->remove(item, now);
         }
     }
 }
@@ -168,10 +181,13 @@
 {
     DecodedItem content = this->decode(item);
     this->pendingRemovals.erase(item.key);
+    if (this->wasKeptOver(item.key, content)) {
+        return;
+    }
     if (const auto *error = std::get_if<Error>(&content)) {
         this->entries.push_back({journal::EventId::PublishedItemRefused,
                                  {{"key", item.key},
-                                  {"revision", std::to_string(item.revision)},
+                                  {"revision", toText(item.revision)},
                                   {"detail", error->message()}}});
         for (const PublishedItem *each : older) {
             DecodedItem earlier = each->deleted ? DecodedItem() : this->decode(*each);
@@ -215,7 +231,7 @@
         {newer ? journal::EventId::ConfigurationAccepted : journal::EventId::ConfigurationStale,
          {{"version", std::to_string(configuration.version)},
           {"before", std::to_string(before)},
-          {"revision", std::to_string(item.revision)},
+          {"revision", toText(item.revision)},
           {"routes", std::to_string(configuration.routes.size())}}});
     if (newer) {
         this->routeTable = std::make_shared<RouteTable>(std::move(configuration));
@@ -234,7 +250,7 @@
     }
 }
 
-void PublishedView::remove(const PublishedItem &item)
+void PublishedView::remove(const PublishedItem &item, Instant now)
 {
     const auto found = this->items.find(item.key);
     this->retain(item);
@@ -243,10 +259,10 @@
         return;
     }
     if (const auto *record = std::get_if<UpstreamRecord>(&found->second.content)) {
-        this->entries.push_back(
-            {journal::EventId::UpstreamRemoved,
-             {{"upstream", record->id}, {"revision", std::to_string(item.revision)}}});
+        this->entries.push_back({journal::EventId::UpstreamRemoved,
+                                 {{"upstream", record->id}, {"revision", toText(item.revision)}}});
     }
+    this->removals.touch(item.key) = {std::move(found->second.content), item.revision, now};
     this->items.erase(found);
 }
 
@@ -290,12 +306,13 @@
         }
     }
     for (const std::string &key : expired) {
-        this->remove({key, {}, this->knownRevision, true});
+        this->remove({key, {}, this->knownRevision, true}, now);
     }
-    if (!expired.empty()) {
+    const bool changed = this->storeDeferredItems(now) || !expired.empty();
+    if (changed) {
         this->rebuildState();
     }
-    return !expired.empty();
+    return changed;
 }
 
 std::vector<journal::Entry> PublishedView::takeJournalEntries()
@@ -303,18 +320,24 @@
     return std::exchange(this->entries, {});
 }
 
-ViewUpdate PublishedView::changesAfter(std::uint64_t revision) const
+ViewUpdate PublishedView::changesAfter(const StoreRevision &revision) const
 {
     ViewUpdate update;
     update.revision = this->knownRevision;
     update.sinceRevision = revision;
-    update.isSnapshot = revision == 0 || revision < this->discarded;
+    if (revision.era == 0 && !this->sawEraChange) {
+        update.sinceRevision.era = this->knownRevision.era; // Of a member that knows no eras.
+    }
+    update.isSnapshot = revision.number == 0 || update.sinceRevision < this->discarded;
     if (update.isSnapshot) {
         for (const auto &[key, stored] : this->items) {
             update.items.push_back(stored.item);
         }
+        for (const auto &[key, deferred] : this->deferredItems) {
+            update.items.push_back(deferred.item);
+        }
     } else {
-        this->appendRetainedAfter(revision, update.items);
+        this->appendRetainedAfter(update.sinceRevision, update.items);
     }
     // A peer that receives this revision does not ask for the changes again, so removals that are
     // still in their grace period here are included.
@@ -324,7 +347,7 @@
     return update;
 }
 
-void PublishedView::appendRetainedAfter(std::uint64_t revision,
+void PublishedView::appendRetainedAfter(const StoreRevision &revision,
                                         std::vector<PublishedItem> &items) const
 {
     std::map<std::string_view, std::size_t> deltaBytes; // By key.
--- a/src/routing/published_view.h
+++ b/src/routing/published_view.h
@@ -2,10 +2,12 @@
 #define AZURESPINDLE_ROUTING_PUBLISHED_VIEW_H
 
 #include "base/error.h"
+#include "base/recent_map.h"
 #include "base/text_delta.h"
 #include "base/time_types.h"
 #include "journal/event_id.h"
 #include "routing/route_table.h"
+#include "routing/store_revision.h"
 
 #include <deque>
 #include <functional>
@@ -22,7 +24,7 @@
 /// The value of an item as the difference from the value that it had at an earlier revision.
 struct ValueDelta
 {
-    std::uint64_t baseRevision = 0; ///< Revision at which the earlier value was written.
+    StoreRevision baseRevision; ///< Revision at which the earlier value was written.
     TextDelta text;
     bool operator==(const ValueDelta &other) const = default;
 };
@@ -31,8 +33,8 @@
 struct PublishedItem
 {
     std::string key;
-    std::string value;          ///< Empty if \a delta is set.
-    std::uint64_t revision = 0; ///< Revision of the store at which it was written or deleted.
+    std::string value;      ///< Empty if \a delta is set.
+    StoreRevision revision; ///< Revision of the store at which it was written or deleted.
     bool deleted = false;
     std::optional<ValueDelta> delta {}; ///< Replaces the value between peers, if it is large.
     bool operator==(const PublishedItem &other) const = default;
@@ -56,21 +58,28 @@
     = std::variant<UnrelatedItem, RoutingConfiguration, UpstreamRecord, EvacuatedZone, Error>;
 using ItemDecoder = std::function<DecodedItem(const PublishedItem &item)>;
 
+/// What becomes of an item of the first listing of a new era.
+enum class EraMerge {
+    Taken,    ///< The listed item replaces what is known.
+    Kept,     ///< What is known is newer: its writer said more later.
+    Deferred, ///< It had been removed; it is believed if it is still listed after a while.
+};
+
 /// An immutable snapshot of the published state on which routing decisions are based.
 struct FleetState
 {
     std::shared_ptr<const RouteTable> routeTable;    ///< nullptr until a configuration is known.
     std::map<std::string, UpstreamRecord> upstreams; ///< Upstreams by id.
     std::set<std::string> evacuatedZones;
-    std::uint64_t revision = 0; ///< Revision up to which published changes are included.
+    StoreRevision revision; ///< Revision up to which published changes are included.
 };
 
 /// A set of published items that brings a PublishedView up to date.
 struct ViewUpdate
 {
-    bool isSnapshot = false;         ///< True if \a items holds every item that exists.
-    std::uint64_t sinceRevision = 0; ///< Unless a snapshot: holds all changes after this revision.
-    std::uint64_t revision = 0;      ///< Revision up to which the update is complete.
+    bool isSnapshot = false;     ///< True if \a items holds every item that exists.
+    StoreRevision sinceRevision; ///< Unless a snapshot: holds all changes after this revision.
+    StoreRevision revision;      ///< Revision up to which the update is complete.
     std::vector<PublishedItem> items;
     bool operator==(const ViewUpdate &other) const = default;
 };
@@ -84,6 +93,9 @@
 /// Peers receive large values as differences, as far as these are retained: the configuration is
 /// large, and most of its versions differ little.
 ///
+/// A store that comes back from a copy begins a new era with older items. Its first listing is
+/// merged with what is known: see EraMerge.
+///
 /// During an outage of the store, upstreams cannot renew their records, which expire and reappear
 /// once the store is available again. Therefore upstreams that disappear in large numbers at once,
 /// or shortly after an outage, are kept for a grace period.
@@ -106,6 +118,16 @@
     /// Size from which values are sent to peers as differences.
     static constexpr std::size_t minDeltaValueBytes = 4'096;
 
+    /// Time for which an item is kept that the first listing of an era lacks, since its writer may
+    /// not have written it again yet.
+    static constexpr milliseconds eraGracePeriod {2'500};
+    /// Time after which an item is believed that was removed in an earlier era and is listed in a
+    /// new one: the store removes the records of upstreams that are gone sooner.
+    static constexpr milliseconds returnedItemDelay {5'000};
+    /// Time for which removals are remembered, longer than the age of a copy.
+    static constexpr seconds removalMemory {60};
+    static constexpr std::size_t maxRememberedRemovals = 4'096;
+
     explicit PublishedView(ItemDecoder decode);
 
     // Commands
@@ -123,10 +145,10 @@
     // Queries
 
     /// Returns the revision up to which all changes were applied.
-    std::uint64_t revision() const { return this->knownRevision; }
+    StoreRevision revision() const { return this->knownRevision; }
     std::shared_ptr<const FleetState> state() const { return this->current; }
     /// Returns the changes after \a revision, or a snapshot if they are no longer retained.
-    ViewUpdate changesAfter(std::uint64_t revision) const;
+    ViewUpdate changesAfter(const StoreRevision &revision) const;
     /// Returns \a update, which was applied here, with differences in place of large values.
     ViewUpdate forPeers(const ViewUpdate &update) const;
 
@@ -137,6 +159,29 @@
         PublishedItem item;
         DecodedItem content;
     };
+    /// The last content of an item that was removed.
+    struct Removal
+    {
+        DecodedItem content;
+        StoreRevision revision; ///< Of the removal.
+        Instant at;
+    };
+    /// An item that is not believed yet.
+    struct DeferredItem
+    {
+        PublishedItem item;
+        Instant until;
+    };
+
+    /// Merges the first listing of a new era with what is known.
+    void beginEra(const ViewUpdate &listing, Instant now);
+    /// Returns what becomes of an item of that listing, whose content is \a listed.
+    EraMerge mergeOf(const PublishedItem &item, const DecodedItem &listed, Instant now) const;
+    /// Returns true if the known item \a key was kept over a change of era, and \a content, read in
+    /// the new era, is older.
+    bool wasKeptOver(const std::string &key, const DecodedItem &content) const;
+    /// Stores the deferred items whose time has come. \return true if there were any.
+    bool storeDeferredItems(Instant now);
 
     /// Returns \a items with the values that their differences yield, without the differences that
     /// are known already. \return nothing if a difference does not fit the known values.
@@ -146,7 +191,8 @@
     void applyItems(const std::vector<PublishedItem> &items, Instant now);
     /// Appends the retained changes after \a revision to \a items, with a whole value in place of
     /// differences that are too many or larger together.
-    void appendRetainedAfter(std::uint64_t revision, std::vector<PublishedItem> &items) const;
+    void appendRetainedAfter(const StoreRevision &revision,
+                             std::vector<PublishedItem> &items) const;
     /// Returns deletions for the known items that the snapshot \a update lacks, except for items
     /// that are newer than the snapshot.
     std::vector<PublishedItem> deletionsImpliedBy(const ViewUpdate &update) const;
@@ -160,7 +206,7 @@
     static PublishedItem changeFrom(const PublishedItem &before, const PublishedItem &item);
     /// Takes over a configuration if it is of a higher version.
     void offerConfiguration(const PublishedItem &item, RoutingConfiguration configuration);
-    void remove(const PublishedItem &item);
+    void remove(const PublishedItem &item, Instant now);
     /// Keeps a change for peers.
     void retain(PublishedItem change);
     /// Records in the journal how \a record differs from its predecessor, which may be nullptr.
@@ -168,12 +214,15 @@
     void rebuildState();
 
     const ItemDecoder decode;
-    std::uint64_t knownRevision = 0;
-    std::uint64_t discarded = 0; ///< Revision up to which changes are no longer retained.
+    StoreRevision knownRevision;
+    StoreRevision discarded; ///< Revision up to which changes are no longer retained.
     std::map<std::string, StoredItem> items;        ///< Current items by key.
     std::deque<PublishedItem> retainedChanges;      ///< Latest changes in the order of revisions.
     std::size_t retainedBytes = 0;                  ///< Size of \a retainedChanges.
     std::map<std::string, Instant> pendingRemovals; ///< End of the grace period by key.
+    RecentMap<std::string, Removal> removals {maxRememberedRemovals}; ///< By key.
+    std::map<std::string, DeferredItem> deferredItems;                ///< By key.
+    bool sawEraChange = false; ///< True once a listing of a later era was merged.
     std::shared_ptr<const RouteTable> routeTable;
     std::shared_ptr<const FleetState> current = std::make_shared<FleetState>();
     Instant storeRecoveredAt = Instant::min();
--- a/src/routing/router_attempts.cpp
+++ b/src/routing/router_attempts.cpp
@@ -140,7 +140,7 @@
          {"maxTokens", std::to_string(active.request->maxOutputTokens)},
          {"expectedTokens", std::to_string(expectedTokens)},
          {"version", std::to_string(active.routeTable->configuration().version)},
-         {"revision", std::to_string(this->state->revision)}});
+         {"revision", toText(this->state->revision)}});
 }
 
 void Router::releaseUpstream(ActiveRequest &active)
--- a/src/routing/router_completion.cpp
+++ b/src/routing/router_completion.cpp
@@ -34,7 +34,7 @@
                    {"tries", std::to_string(active.attemptCount)},
                    {"mayHaveRunOn", std::to_string(active.mayHaveRunOn.size())},
                    {"afterMs", internal::millisecondsSince(active.arrivedAt, this->now)},
-                   {"revision", std::to_string(this->state->revision)}});
+                   {"revision", toText(this->state->revision)}});
     this->emit(SendLocalReply {active.id, std::move(reply)});
     this->closeRequest(active.id);
 }
--- a/src/routing/store_watcher.cpp
+++ b/src/routing/store_watcher.cpp
@@ -3,6 +3,16 @@
 #include <utility>
 
 namespace azurespindle::routing {
+namespace {
+
+void setEra(std::vector<PublishedItem> &items, std::uint64_t era)
+{
+    for (PublishedItem &item : items) {
+        item.revision.era = era;
+    }
+}
+
+} // namespace
 
 const char *name(StoreCallStatus status)
 {
@@ -36,11 +46,13 @@
     this->callNext();
 }
 
-void StoreWatcher::noteKnownRevision(std::uint64_t revision)
+void StoreWatcher::noteKnownRevision(const StoreRevision &revision)
 {
     const std::lock_guard lock(this->mutex);
+    const bool isNewEra = revision.era > this->knownRevision.era;
     this->knownRevision = std::max(this->knownRevision, revision);
-    this->listed = this->listed || revision > 0;
+    this->newestEra = std::max(this->newestEra, revision.era);
+    this->listed = this->listed || isNewEra || revision.number > 0;
 }
 
 Instant StoreWatcher::lastResponseTime() const
@@ -64,7 +76,7 @@
 void StoreWatcher::callNext()
 {
     bool watch = false;
-    std::uint64_t after = 0;
+    StoreRevision after;
     {
         const std::lock_guard lock(this->mutex);
         if (!this->active) {
@@ -78,7 +90,7 @@
         this->listFrom("");
         return;
     }
-    this->calls.watch(after, watchTimeout,
+    this->calls.watch(after.number, watchTimeout,
                       [self = this->shared_from_this(), after](const StoreResponse &changes) {
                           self->onChanges(after, changes);
                       });
@@ -88,7 +100,7 @@
 {
     if (after.empty()) {
         const std::lock_guard lock(this->mutex);
-        this->listing = {true, 0, 0, {}};
+        this->listing = {true, {}, {this->newestEra, 0}, {}};
         this->listingBytes = 0;
     }
     this->calls.list(after, [self = this->shared_from_this()](const StoreResponse &page) {
@@ -96,8 +108,50 @@
     });
 }
 
+bool StoreWatcher::belongsTo(std::uint64_t asked, const StoreResponse &response)
+{
+    StoreRevision known;
+    bool becameUnreadable = false;
+    const std::uint64_t era = response.era.value_or(asked);
+    {
+        const std::lock_guard lock(this->mutex);
+        known = this->knownRevision;
+        becameUnreadable
+            = !std::exchange(this->eraUnreadable, response.eraUnreadable) && response.eraUnreadable;
+        if (era > this->newestEra) {
+            this->newestEra = era;
+            this->listed = false;
+        }
+    }
+    if (becameUnreadable && this->hooks.onUnreadableEra) {
+        this->hooks.onUnreadableEra();
+    }
+    if (era < known.era) {
+        this->recordOutcome({}); // Counts as a failed call.
+        if (this->hooks.onOutdatedResponse) {
+            this->hooks.onOutdatedResponse(known, era);
+        }
+    }
+    return era == asked;
+}
+
 void StoreWatcher::onPage(const StoreResponse &page)
 {
+    std::uint64_t listedEra = 0;
+    {
+        const std::lock_guard lock(this->mutex);
+        // The first page may be the first response at all, which states the era of the listing.
+        const bool isFirst = this->listing.revision.number == 0;
+        if (isFirst && page.era && *page.era >= this->newestEra) {
+            this->listing.revision.era = *page.era;
+            this->newestEra = *page.era;
+        }
+        listedEra = this->listing.revision.era;
+    }
+    if (!this->belongsTo(listedEra, page)) {
+        this->scheduleNext(retryDelay); // The pages come from two eras, or from an earlier one.
+        return;
+    }
     if (!this->recordOutcome(page)) {
         this->scheduleNext(page.status == StoreCallStatus::Refused ? refusedRetryDelay
                                                                    : retryDelay);
@@ -111,11 +165,12 @@
         bytes = this->listingBytes;
         // The pages do not form a consistent snapshot, so the watch starts at the revision of the
         // first page to report changes made between pages.
-        this->listing.revision
-            = this->listing.revision == 0 ? page.revision : this->listing.revision;
+        this->listing.revision.number
+            = this->listing.revision.number == 0 ? page.revision : this->listing.revision.number;
         this->listing.items.insert(this->listing.items.end(), page.items.begin(), page.items.end());
         if (!page.hasMore) {
             update = std::exchange(this->listing, {});
+            setEra(update.items, update.revision.era);
             this->listed = true;
             this->knownRevision = std::max(this->knownRevision, update.revision);
         }
@@ -128,8 +183,13 @@
     this->scheduleNext(milliseconds(0));
 }
 
-void StoreWatcher::onChanges(std::uint64_t after, const StoreResponse &changes)
+void StoreWatcher::onChanges(const StoreRevision &after, const StoreResponse &changes)
 {
+    if (!this->belongsTo(after.era, changes)) {
+        const bool isNewer = changes.era > after.era;
+        this->scheduleNext(isNewer ? milliseconds(0) : retryDelay);
+        return;
+    }
     if (changes.status == StoreCallStatus::Compacted) {
         const std::lock_guard lock(this->mutex);
         this->listed = false;
@@ -143,12 +203,13 @@
                                                                       : retryDelay);
         return;
     }
-    const bool applied
-        = this->hooks.onUpdate({false, after, changes.revision, changes.items}, changes.bytes);
+    ViewUpdate update {false, after, {after.era, changes.revision}, changes.items};
+    setEra(update.items, after.era);
+    const bool applied = this->hooks.onUpdate(update, changes.bytes);
     {
         const std::lock_guard lock(this->mutex);
-        this->knownRevision = std::max(this->knownRevision, changes.revision);
-        this->listed = applied;
+        this->knownRevision = std::max(this->knownRevision, update.revision);
+        this->listed = applied && this->newestEra == this->knownRevision.era;
     }
     this->scheduleNext(changes.items.empty() ? milliseconds(0) : coalescingDelay);
 }
--- a/src/routing/store_watcher.h
+++ b/src/routing/store_watcher.h
@@ -30,8 +30,11 @@
     std::string detail; ///< Cause of a failure, for logs.
     std::vector<PublishedItem> items;
     bool hasMore = false;       ///< True if the listing has further pages.
-    std::uint64_t revision = 0; ///< Revision of the store that the response reflects.
+    std::uint64_t revision = 0; ///< Number of the revision that the response reflects.
     std::size_t bytes = 0;      ///< Size of the response's body.
+    /// Era that the response states, whatever its status; nothing if it states none.
+    std::optional<std::uint64_t> era;
+    bool eraUnreadable = false; ///< True if it states an era that is no number, or several.
 };
 
 using StoreResponseHandler = std::function<void(const StoreResponse &response)>;
@@ -41,7 +44,7 @@
 {
     /// Lists a page of the items whose keys follow \a after, in the order of keys.
     std::function<void(const std::string &after, const StoreResponseHandler &handler)> list;
-    /// Waits for changes after \a revision, for up to \a timeout.
+    /// Waits for changes after the revision with this number, for up to \a timeout.
     std::function<void(std::uint64_t revision, milliseconds timeout,
                        const StoreResponseHandler &handler)>
         watch;
@@ -58,14 +61,19 @@
     std::function<void()> onUnavailable;
     /// Called when a call succeeds after one that failed. \a outage is the time between the two.
     std::function<void(microseconds outage)> onAvailable;
+    /// Called when a response of an earlier era than the known one is dropped.
+    std::function<void(const StoreRevision &known, std::uint64_t era)> onOutdatedResponse {};
+    /// Called when a response states no readable era, after one that was not unreadable.
+    std::function<void()> onUnreadableEra {};
 };
 
 /// A client that follows the publishing store: it lists all items once and then watches for
 /// changes.
 ///
 /// It lists all items again if the store no longer keeps the changes since the last known revision,
-/// and retries while the store is unavailable. As the store counts calls, at most one is in flight,
-/// and changes of a burst are fetched together.
+/// or has begun a new era, and retries while the store is unavailable. A response that states no
+/// era counts as one of the known era. As the store counts calls, at most one is in flight, and
+/// changes of a burst are fetched together.
 class StoreWatcher : public std::enable_shared_from_this<StoreWatcher>
 {
 public:
@@ -84,7 +92,7 @@
     /// Starts or pauses the calls to the store.
     void setActive(bool active);
     /// Records that all changes up to \a revision are known, whether from the store or a peer.
-    void noteKnownRevision(std::uint64_t revision);
+    void noteKnownRevision(const StoreRevision &revision);
 
     // Queries
 
@@ -99,7 +107,10 @@
     void callNext();
     void listFrom(const std::string &after);
     void onPage(const StoreResponse &page);
-    void onChanges(std::uint64_t after, const StoreResponse &changes);
+    /// Takes note of the era that a response to a call in the era \a asked states.
+    /// \return true if the response belongs to that era; otherwise it is dropped.
+    bool belongsTo(std::uint64_t asked, const StoreResponse &response);
+    void onChanges(const StoreRevision &after, const StoreResponse &changes);
     /// Records the outcome of a call and calls the hooks if the store's availability changed.
     /// \return true if the call succeeded.
     bool recordOutcome(const StoreResponse &response);
@@ -110,12 +121,14 @@
     timer::TimerService &timers;
     mutable std::mutex mutex; ///< Guards the members below.
     bool active = false;
-    bool callPending = false; ///< True while a call is in flight or scheduled.
-    bool listed = false;      ///< True if the next call is a watch, false if it is a listing.
-    bool unavailable = false; ///< True if the last call failed.
-    std::uint64_t knownRevision = 0; ///< Revision up to which all changes are known.
+    bool callPending = false;    ///< True while a call is in flight or scheduled.
+    bool listed = false;         ///< True if the next call is a watch, false if it is a listing.
+    bool unavailable = false;    ///< True if the last call failed.
+    StoreRevision knownRevision; ///< Revision up to which all changes are known.
     Instant lastResponse = Instant::min();
     Instant unavailableSince;
+    bool eraUnreadable = false;   ///< Whether the last response's era was unreadable.
+    std::uint64_t newestEra = 0;  ///< Highest era that a response or a peer stated.
     ViewUpdate listing;           ///< Pages of the current listing that were received so far.
     std::size_t listingBytes = 0; ///< Size of these pages.
 };
--- a/src/routing/types.h
+++ b/src/routing/types.h
@@ -116,6 +116,7 @@
     bool draining = false;         ///< True if it is shutting down and takes no new requests.
     milliseconds coldTimeLeft {0}; ///< Remaining warm-up time when the record was written.
     std::uint64_t incarnation = 0; ///< Distinguishes restarts that keep the same id.
+    std::uint64_t sequence = 0;    ///< Ascends with each record that one incarnation writes.
     bool operator==(const UpstreamRecord &other) const = default;
 };
 
--- a/src/serving/routing_process.cpp
+++ b/src/serving/routing_process.cpp
@@ -377,7 +377,8 @@
     std::ostringstream text;
     text << this->registry.exposition();
     text << this->callerRefusals.exposition();
-    text << "azurespindle_view_revision " << this->view.revision() << "\n"
+    text << "azurespindle_view_revision " << this->view.revision().number << "\n"
+         << "azurespindle_store_era " << this->view.revision().era << "\n"
          << "azurespindle_caller_input_bytes " << this->callerServer.inputBytes() << "\n"
          << "azurespindle_ready " << (this->ready() ? 1 : 0) << "\n"
          << "azurespindle_request_path_stalled " << (this->progress.stalled() ? 1 : 0) << "\n"
--- a/src/serving/view_synchronizer.cpp
+++ b/src/serving/view_synchronizer.cpp
@@ -44,6 +44,13 @@
                       const std::lock_guard lock(this->mutex);
                       this->view.noteStoreRecovered(monotonicNow());
                   }
+              },
+              [this](const routing::StoreRevision &known, std::uint64_t era) {
+                  this->journal.record({journal::EventId::StoreResponseOutdated,
+                                        {{"known", toText(known)}, {"era", std::to_string(era)}}});
+              },
+              [this] {
+                  this->journal.record({journal::EventId::StoreEraUnreadable, {}});
               }},
           timers))
 { }
@@ -82,7 +89,7 @@
 
 bool ViewSynchronizer::applyFromStore(const routing::ViewUpdate &update, std::size_t bytes)
 {
-    const std::uint64_t before = this->revision();
+    const routing::StoreRevision before = this->revision();
     if (!this->applyUpdate(update, {storeSource, bytes})) {
         return false;
     }
@@ -90,7 +97,7 @@
     {
         const std::lock_guard lock(this->mutex);
         // After the first listing of this process the members know more than it could tell.
-        if (!this->readsForZone || before == 0) {
+        if (!this->readsForZone || before == routing::StoreRevision()) {
             return true;
         }
         changes.update
@@ -113,8 +120,8 @@
     this->journal.record({journal::EventId::ViewUpdateReceived,
                           {{"source", origin.source},
                            {"outcome", outcome},
-                           {"since", std::to_string(update.sinceRevision)},
-                           {"revision", std::to_string(update.revision)},
+                           {"since", toText(update.sinceRevision)},
+                           {"revision", toText(update.revision)},
                            {"snapshot", update.isSnapshot ? "yes" : "no"},
                            {"items", std::to_string(update.items.size())},
                            {"bytes", std::to_string(origin.bytes)},
@@ -130,8 +137,8 @@
     }
     this->journal.record({journal::EventId::ViewUpdateSent,
                           {{"to", to},
-                           {"since", std::to_string(update.sinceRevision)},
-                           {"revision", std::to_string(update.revision)},
+                           {"since", toText(update.sinceRevision)},
+                           {"revision", toText(update.revision)},
                            {"snapshot", update.isSnapshot ? "yes" : "no"},
                            {"items", std::to_string(update.items.size())},
                            {"valueBytes", std::to_string(bytes)}}});
@@ -183,17 +190,18 @@
 
 void ViewSynchronizer::handleReport(const std::string &member, const members::ViewStatus &report)
 {
-    const std::uint64_t peerRevision = report.revision;
+    const routing::StoreRevision peerRevision = report.revision;
     const Instant now = monotonicNow();
-    std::uint64_t ownRevision = 0;
+    routing::StoreRevision ownRevision;
     {
         const std::lock_guard lock(this->mutex);
-        if (report.readsStore) {
+        ownRevision = this->view.revision();
+        // A reader that is in an earlier era has nothing to tell that would be believed here.
+        if (report.readsStore && peerRevision.era >= ownRevision.era) {
             this->readersLastHeard[member] = now;
         } else {
             this->readersLastHeard.erase(member);
         }
-        ownRevision = this->view.revision();
         this->newestPeerRevision = std::max(this->newestPeerRevision, peerRevision);
         if (this->newestPeerRevision <= ownRevision) {
             this->laggingSince = Instant::max();
@@ -209,7 +217,8 @@
     this->requestChanges(member, ownRevision);
 }
 
-void ViewSynchronizer::requestChanges(const std::string &member, std::uint64_t after)
+void ViewSynchronizer::requestChanges(const std::string &member,
+                                      const routing::StoreRevision &after)
 {
     {
         const std::lock_guard lock(this->mutex);
@@ -221,8 +230,8 @@
         this->requestedAt = now;
     }
     this->registry.count(metrics::Counter::ViewRequests);
-    this->journal.record({journal::EventId::ViewUpdateRequested,
-                          {{"member", member}, {"revision", std::to_string(after)}}});
+    this->journal.record(
+        {journal::EventId::ViewUpdateRequested, {{"member", member}, {"revision", toText(after)}}});
     this->hooks.send(member, members::ViewRequest {after});
 }
 
@@ -241,7 +250,7 @@
 {
     const routing::ViewUpdate &update = changes.update;
     const bool applied = this->applyUpdate(update, origin);
-    const std::uint64_t known = this->revision();
+    const routing::StoreRevision known = this->revision();
     {
         const std::lock_guard lock(this->mutex);
         if (!applied || known >= update.revision) {
@@ -254,7 +263,7 @@
     }
     // Without a gap, a difference does not fit what is known here: only a snapshot helps.
     const bool hasGap = update.sinceRevision > known;
-    this->requestChanges(origin.source, hasGap ? known : 0);
+    this->requestChanges(origin.source, hasGap ? known : routing::StoreRevision());
 }
 
 void ViewSynchronizer::tick()
@@ -274,7 +283,7 @@
     }
 }
 
-std::uint64_t ViewSynchronizer::revision() const
+routing::StoreRevision ViewSynchronizer::revision() const
 {
     const std::lock_guard lock(this->mutex);
     return this->view.revision();
--- a/src/serving/view_synchronizer.h
+++ b/src/serving/view_synchronizer.h
@@ -84,7 +84,7 @@
     // Queries
 
     /// Returns the revision up to which this process knows what is published.
-    std::uint64_t revision() const;
+    routing::StoreRevision revision() const;
     std::shared_ptr<const routing::FleetState> state() const;
     /// Returns true if neither this process nor a member that it hears from gets responses from the
     /// store.
@@ -103,7 +103,7 @@
     /// member reads for it. \return false if the update leaves a gap after what is known.
     bool applyFromStore(const routing::ViewUpdate &update, std::size_t bytes);
     /// Requests the changes after a revision, unless an answer to a request is on its way.
-    void requestChanges(const std::string &member, std::uint64_t after);
+    void requestChanges(const std::string &member, const routing::StoreRevision &after);
     bool anotherMemberReads(Instant now) const;
     void publish(const std::shared_ptr<const routing::FleetState> &state,
                  std::vector<journal::Entry> entries);
@@ -113,8 +113,8 @@
     const ViewSynchronizerHooks hooks;
     mutable std::mutex mutex; ///< Guards the members below, up to publishMutex.
     routing::PublishedView view;
-    std::uint64_t newestPeerRevision = 0;  ///< Highest revision that a member reported.
-    Instant laggingSince = Instant::max(); ///< Instant::max() if no peer knows more.
+    routing::StoreRevision newestPeerRevision; ///< Newest revision that a member reported.
+    Instant laggingSince = Instant::max();     ///< Instant::max() if no peer knows more.
     /// False if another member reads the store for the zone, although this process may read it,
     /// too.
     bool readsForZone = true;
--- a/tests/platform/fake_platform.cpp
+++ b/tests/platform/fake_platform.cpp
@@ -92,6 +92,61 @@
     this->watches.clear();
 }
 
+void FakeStore::stateEra()
+{
+    const std::lock_guard lock(this->mutex);
+    this->era = 1;
+}
+
+void FakeStore::takeCopy()
+{
+    const std::lock_guard lock(this->mutex);
+    this->copiedItems = this->items;
+    this->copiedRevision = this->revision;
+}
+
+void FakeStore::comeBackFromCopy()
+{
+    const std::lock_guard lock(this->mutex);
+    for (const auto &[key, item] : this->items) {
+        if (item.revision > this->copiedRevision) {
+            this->lostItems[key] = item;
+        }
+    }
+    this->items = this->copiedItems;
+    this->revision = this->copiedRevision;
+    this->compactedRevision = 0;
+    this->era += 1;
+    for (const Watch &watch : this->watches) {
+        watch.exchange->abort();
+    }
+    this->watches.clear();
+}
+
+void FakeStore::writeAgain()
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        for (const auto &[key, lost] : std::exchange(this->lostItems, {})) {
+            const auto found = this->items.find(key);
+            if (found == this->items.end() || found->second.revision <= this->copiedRevision) {
+                this->revision += 1;
+                this->items[key] = {lost.value, this->revision, lost.deleted};
+            }
+        }
+    }
+    this->answerWatches();
+}
+
+http::Headers FakeStore::head() const
+{
+    http::Headers headers = jsonHeaders;
+    if (this->era != 0) {
+        headers["store-era"] = std::to_string(this->era);
+    }
+    return headers;
+}
+
 std::string FakeStore::changesAfter(std::uint64_t after) const
 {
     json events = json::array();
@@ -112,17 +167,17 @@
     const std::lock_guard lock(this->mutex);
     const auto isAnswered = [this](const Watch &watch) {
         if (this->failureStatus != 0) {
-            watch.exchange->respond(this->failureStatus, jsonHeaders, "{}");
+            watch.exchange->respond(this->failureStatus, this->head(), "{}");
             return true;
         }
         const std::string changes = this->changesAfter(watch.after);
         if (!changes.empty()) {
-            watch.exchange->respond(200, jsonHeaders, changes);
+            watch.exchange->respond(200, this->head(), changes);
             return true;
         }
         if (monotonicNow() >= watch.until) {
             watch.exchange->respond(
-                200, jsonHeaders, json {{"events", json::array()}, {"at", this->revision}}.dump());
+                200, this->head(), json {{"events", json::array()}, {"at", this->revision}}.dump());
             return true;
         }
         return false;
@@ -135,7 +190,8 @@
 {
     this->callCount += 1;
     if (this->failureStatus != 0) {
-        exchange->respond(this->failureStatus, jsonHeaders, "{}");
+        const std::lock_guard lock(this->mutex);
+        exchange->respond(this->failureStatus, this->head(), "{}");
         return;
     }
     if (request.path == "/v1/kv-watch") {
@@ -143,8 +199,8 @@
         const milliseconds wait(std::stoll(request.queryField("wait_ms")));
         {
             const std::lock_guard lock(this->mutex);
-            if (after < this->compactedRevision) {
-                exchange->respond(410, jsonHeaders, "{}");
+            if (after < this->compactedRevision || after > this->revision) {
+                exchange->respond(410, this->head(), "{}");
                 return;
             }
             this->watches.push_back({after, monotonicNow() + wait, exchange});
@@ -161,7 +217,7 @@
         }
     }
     const json answer {{"items", listed}, {"has_more", false}, {"at", this->revision}};
-    exchange->respond(200, jsonHeaders, answer.dump());
+    exchange->respond(200, this->head(), answer.dump());
 }
 
 // Engine ----------------------------------------------------------------------------------------
@@ -202,7 +258,7 @@
                  {"state", draining ? "draining" : "ready"},
                  {"cold_left_ms", 0},
                  {"born", 100 + this->port},
-                 {"sequence", 1}}
+                 {"sequence", draining ? 2 : 1}}
         .dump();
 }
 
@@ -448,7 +504,7 @@
                  {"state", draining ? "draining" : "ready"},
                  {"cold_left_ms", 0},
                  {"born", 100 + this->port},
-                 {"sequence", 1}}
+                 {"sequence", draining ? 2 : 1}}
         .dump();
 }
 
--- a/tests/platform/fake_platform.h
+++ b/tests/platform/fake_platform.h
@@ -31,6 +31,15 @@
     /// Discards the history of changes: waiting watches are aborted, and watches after an earlier
     /// revision fail with status 410.
     void compactHistory();
+    /// Makes it state its era, from 1 on, in all its answers.
+    void stateEra();
+    /// Takes a copy of all items.
+    void takeCopy();
+    /// Loses all that was written since takeCopy() and begins a new era, in which the revisions
+    /// after the copy are given out again.
+    void comeBackFromCopy();
+    /// Writes again what comeBackFromCopy() lost, as the writers do, unless they wrote it since.
+    void writeAgain();
 
     // Queries
 
@@ -53,6 +62,8 @@
     void answer(const http::ServerRequest &request, const http::ExchangePtr &exchange);
     void answerWatches();
     std::string changesAfter(std::uint64_t revision) const;
+    /// Returns the header of its answers. Requires the lock.
+    http::Headers head() const;
 
     std::atomic<int> failureStatus {0};
     std::atomic<std::size_t> callCount {0};
@@ -61,6 +72,10 @@
     std::uint64_t revision = 1;
     std::uint64_t compactedRevision = 0;
     std::vector<Watch> watches;
+    std::map<std::string, Item> copiedItems;
+    std::map<std::string, Item> lostItems; ///< Those that were newer than the copy.
+    std::uint64_t copiedRevision = 0;
+    std::uint64_t era = 0; ///< 0 if it states none.
     timer::TimerService timers;
     http::Server server;
 };
--- a/tests/platform/item_decoder_test.cpp
+++ b/tests/platform/item_decoder_test.cpp
@@ -54,8 +54,8 @@
     void anUpstreamIsDecodedFromItsRegistration()
     {
         const auto decoded = decodeUpstream(validUpstream);
-        const routing::UpstreamRecord expected {"i-1", "s",   "10.0.0.1:80",     "z",
-                                                24,    false, milliseconds(250), 1'781'089'075'381};
+        const routing::UpstreamRecord expected {
+            "i-1", "s", "10.0.0.1:80", "z", 24, false, milliseconds(250), 1'781'089'075'381, 4};
         CPPUNIT_ASSERT(std::holds_alternative<routing::UpstreamRecord>(decoded));
         CPPUNIT_ASSERT(expected == std::get<routing::UpstreamRecord>(decoded));
         const auto draining = decodeUpstream(replaced(validUpstream, "\"ready\"", "\"draining\""));
--- a/tests/routing/router_harness.cpp
+++ b/tests/routing/router_harness.cpp
@@ -64,7 +64,7 @@
 
 void RouterHarness::publish()
 {
-    this->state.revision += 1;
+    this->state.revision.number += 1;
     this->handle(FleetStateChanged {std::make_shared<FleetState>(this->state)});
 }
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -2,6 +2,7 @@
 // azurespindle-soak --binary build/azurespindle --seed 7 --seconds 20
 
 #include "answered.h"
+#include "era_script.h"
 #include "fault_script.h"
 #include "handover_script.h"
 #include "journal/journal.h"
@@ -149,7 +150,8 @@
     static const std::map<std::string, Plan> plans {{"random", Plan::Random},
                                                     {"stops", Plan::Stops},
                                                     {"versions", Plan::Versions},
-                                                    {"handovers", Plan::Handovers}};
+                                                    {"handovers", Plan::Handovers},
+                                                    {"eras", Plan::Eras}};
     const auto found = plans.find(name);
     if (found == plans.end()) {
         throw std::invalid_argument("there is no plan " + name);
@@ -168,6 +170,10 @@
     if (fleet.settings().plan == Plan::Handovers) {
         return std::make_unique<HandoverScript>(fleet, prober);
     }
+    if (fleet.settings().plan == Plan::Eras) {
+        fleet.store().stateEra();
+        return std::make_unique<EraScript>(fleet, prober);
+    }
     return std::make_unique<FaultScript>(fleet, prober);
 }
 
@@ -249,7 +255,7 @@
         "seed", "draws the faults", cxxopts::value<std::uint64_t>()->default_value("1"))(
         "seconds", "time with faults", cxxopts::value<int>()->default_value("20"))(
         "processes", "routing processes", cxxopts::value<std::size_t>()->default_value("4"))(
-        "plan", "random, stops, versions or handovers",
+        "plan", "random, stops, versions, handovers or eras",
         cxxopts::value<std::string>()->default_value("random"))(
         "port", "first of 8 ports a process and 281 more",
         cxxopts::value<std::uint16_t>()->default_value("23000"))(
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -22,6 +22,7 @@
     Stops,     ///< Planned work, and callers that meet it.
     Versions,  ///< Large configurations in series and named limits, among faults of all kinds.
     Handovers, ///< Engines that leave in series, some slow to begin or deaf to closed connections.
+    Eras,      ///< A store that comes back from copies, among random faults.
 };
 
 struct SoakOptions
