--- a/src/routing/internal/active_request.h
+++ b/src/routing/internal/active_request.h
@@ -158,6 +158,19 @@
     Tokens recordedOutput = 0; ///< Output of which the forecasts have been told, in tokens.
 };
 
+/// Returns true if the stream of the current attempt was forwarded.
+inline bool relayedCurrentAttempt(const ActiveRequest &active)
+{
+    return active.relayedAttempt == active.attempt;
+}
+
+/// Returns true if a migration moves the generation away from its current attempt. Otherwise the
+/// current attempt, if there is a migration, is its takeover.
+inline bool leavesCurrentAttempt(const ActiveRequest &active)
+{
+    return active.migration && active.migration->sourceAttempt == active.attempt;
+}
+
 /// Knowledge that an engine is shutting down.
 struct DrainNotice
 {
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -209,11 +209,6 @@
     /// Updates the longest pause between events, which is journaled when the request finishes.
     void recordPause(ActiveRequest &active) const;
     void handleAttemptEnd(ActiveRequest &active, AttemptEnd end, const std::string &detail);
-    /// Returns true if the stream of the current attempt was forwarded.
-    static bool relayedCurrentAttempt(const ActiveRequest &active)
-    {
-        return active.relayedAttempt == active.attempt;
-    }
     /// Handles the end of an attempt that was certainly not executed.
     void handleNotRun(ActiveRequest &active, AttemptEnd end, const std::string &detail);
     /// Handles a failed attempt that may have been executed.
@@ -329,9 +324,6 @@
     void onStopRefused(ActiveRequest &active);
     /// Asks a source that could not copy the generation to copy it to another engine.
     void askAgainToStop(ActiveRequest &active);
-    /// Returns true if a migration moves the generation away from its current attempt. Otherwise
-    /// the current attempt, if there is a migration, is its takeover.
-    static bool leavesCurrentAttempt(const ActiveRequest &active);
     /// Handles the end of an attempt that a migration leaves and whose stream was not forwarded.
     /// \return true if the migration goes on, false if there is none or it cannot.
     bool continueWithoutSource(ActiveRequest &active, AttemptEnd end);
--- a/src/routing/router_attempts.cpp
+++ b/src/routing/router_attempts.cpp
@@ -9,7 +9,9 @@
 
 namespace azurespindle::routing {
 
+using internal::leavesCurrentAttempt;
 using internal::mayRepeat;
+using internal::relayedCurrentAttempt;
 using internal::statesNotRun;
 using internal::wasNotRun;
 
--- a/src/routing/router_handovers.cpp
+++ b/src/routing/router_handovers.cpp
@@ -110,14 +110,9 @@
     this->chooseDestination(active);
 }
 
-bool Router::leavesCurrentAttempt(const ActiveRequest &active)
-{
-    return active.migration && active.migration->sourceAttempt == active.attempt;
-}
-
 bool Router::continueWithoutSource(ActiveRequest &active, AttemptEnd end)
 {
-    if (!leavesCurrentAttempt(active)) {
+    if (!internal::leavesCurrentAttempt(active)) {
         return false;
     }
     Migration &migration = *active.migration;
