--- a/src/members/crash_log.h
+++ b/src/members/crash_log.h
@@ -12,8 +12,8 @@
 
 namespace azurespindle::members {
 
-/// The crashes that requests are suspected of, kept so that a member learns of the blocked requests
-/// that missed the reports: it started later, was partitioned off, or lost a message.
+/// The crashes that requests are suspected of, kept for members that missed the reports about
+/// blocked requests because they started later, were partitioned off, or lost a message.
 ///
 /// Members compare digests of their logs, and exchange the crashes of the blocked requests while
 /// these differ. A request with fewer crashes is not blocked, and not exchanged.
