--- a/review/support-3/error_inside_event.cpp
+++ b/review/support-3/error_inside_event.cpp
@@ -85,7 +85,7 @@
             }
             const int first = std::atoi(received.header("last-event-id").c_str()) + 1;
             const bool breaks = troubled() && faulty && (*answers += 1) % brokenOneIn == 0;
-            record.line(id + " runs " + attempt + " from event " + std::to_string(first));
+            record.line(joined({id, " runs ", attempt, " from event ", std::to_string(first)}));
             writeAll(socket,
                      "HTTP/1.1 200 OK\r\n" + head
                          + "Azurespindle-Server-Seal: s1\r\nContent-Type: text/event-stream\r\n"
@@ -94,8 +94,8 @@
                 const std::string bytes = event(attempt, piece);
                 if (breaks && piece == events / 2) {
                     broken += 1;
-                    record.line(id + " breaks off " + attempt + " inside event "
-                                + std::to_string(piece) + " and answers with an error");
+                    record.line(joined({id, " breaks off ", attempt, " inside event ",
+                                        std::to_string(piece), " and answers with an error"}));
                     writeAll(socket,
                              bytes.substr(0, bytes.size() / 2)
                                  + response(500, "Content-Type: text/plain\r\n", "server error"));
--- a/review/support-3/kit.cpp
+++ b/review/support-3/kit.cpp
@@ -144,6 +144,15 @@
     std::this_thread::sleep_for(std::chrono::duration<double>(duration));
 }
 
+std::string joined(std::initializer_list<std::string_view> parts)
+{
+    std::string text;
+    for (const std::string_view part : parts) {
+        text += part;
+    }
+    return text;
+}
+
 void Record::line(const std::string &text)
 {
     char time[32];
--- a/review/support-3/kit.h
+++ b/review/support-3/kit.h
@@ -11,11 +11,13 @@
 #include <deque>
 #include <fstream>
 #include <functional>
+#include <initializer_list>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <sys/types.h>
 #include <thread>
 #include <utility>
@@ -30,6 +32,9 @@
 double seconds();
 void sleepSeconds(double duration);
 
+/// Returns the parts as one text.
+std::string joined(std::initializer_list<std::string_view> parts);
+
 /// Writes what happened to record.txt, with the time of each line.
 class Record
 {
--- a/review/support-3/spoiled_length.cpp
+++ b/review/support-3/spoiled_length.cpp
@@ -73,27 +73,28 @@
         const std::string id = "i-000000000" + std::to_string(number);
         const bool faulty = number < faultyServers;
         const auto answers = std::make_shared<std::atomic<int>>(0);
-        fleet.push_back(std::make_unique<HttpServer>([&, id, faulty, answers](
-                                                         int socket, const Request &received) {
-            const std::string attempt = received.header("azurespindle-attempt-id");
-            const std::string head = "Azurespindle-Attempt-Id: " + attempt + "\r\n";
-            if (received.header("azurespindle-expected-instance") != id) {
-                return writeAll(socket,
-                                response(421, head + "Azurespindle-Not-Executed: 1\r\n", ""));
-            }
-            ran += 1;
-            std::string bytes
-                = response(200, head + "Azurespindle-Server-Seal: s1\r\n", bodyFor(attempt));
-            const bool spoils = troubled() && faulty && (*answers += 1) % spoiledOneIn == 0;
-            if (spoils) {
-                spoiled += 1;
-                const std::string field = "Content-Length: ";
-                bytes[bytes.find(field) + field.size() + 1] = '~'; // 800 becomes 8~0.
-                record.line(id + " runs " + attempt + " and spoils a byte of its answer's length");
-            }
-            writeAll(socket, bytes);
-            return !spoils;
-        }));
+        fleet.push_back(std::make_unique<HttpServer>(
+            [&, id, faulty, answers](int socket, const Request &received) {
+                const std::string attempt = received.header("azurespindle-attempt-id");
+                const std::string head = "Azurespindle-Attempt-Id: " + attempt + "\r\n";
+                if (received.header("azurespindle-expected-instance") != id) {
+                    return writeAll(socket,
+                                    response(421, head + "Azurespindle-Not-Executed: 1\r\n", ""));
+                }
+                ran += 1;
+                std::string bytes
+                    = response(200, head + "Azurespindle-Server-Seal: s1\r\n", bodyFor(attempt));
+                const bool spoils = troubled() && faulty && (*answers += 1) % spoiledOneIn == 0;
+                if (spoils) {
+                    spoiled += 1;
+                    const std::string field = "Content-Length: ";
+                    bytes[bytes.find(field) + field.size() + 1] = '~'; // 800 becomes 8~0.
+                    record.line(joined(
+                        {id, " runs ", attempt, " and spoils a byte of its answer's length"}));
+                }
+                writeAll(socket, bytes);
+                return !spoils;
+            }));
         store.put("servers/" + id,
                   R"({"service":"orderdesk","address":")" + fleet.back()->address()
                       + R"(","zone":"waco-a","version":"v1","slots":6,"state":"ready",)"
