--- a/review/support-3/unread_answers.cpp
+++ b/review/support-3/unread_answers.cpp
@@ -18,8 +18,9 @@
 constexpr double settleSeconds = 4.0;
 constexpr double playSeconds = 75.0;
 constexpr int memoryMegabytes = 110; // memory_mb of the machine
-constexpr int unreadConnections = 10;
-constexpr double requestGapSeconds = 0.006; // Of each of these connections.
+constexpr int unreadConnections = 8;
+constexpr double requestGapSeconds = 0.002; // Of each of these connections, at least.
+constexpr int maxUnderWay = 20; ///< Requests of a connection that the server has not run yet.
 constexpr int ordinaryConnections = 8;
 constexpr int allowedLosses = 3; // LOST: more than three times
 constexpr std::size_t answerBytes = 4'800;
@@ -64,6 +65,7 @@
     Store store(historySeconds);
     std::mutex mutex;
     std::map<std::string, bool> passedOn; ///< Orders that the server has begun to work on.
+    std::map<std::string, int> run;       ///< Looks that the server has run, by connection.
     std::atomic<long> looks {0};
     const std::string id = "i-0000000001";
     const std::string page(answerBytes, 'o');
@@ -81,6 +83,8 @@
             sleepSeconds(placeSeconds);
         } else {
             looks += 1;
+            const std::lock_guard lock(mutex);
+            run[attempt.substr(0, attempt.rfind('-') + 1)] += 1;
         }
         return writeAll(socket, response(200, head + "Azurespindle-Server-Seal: s1\r\n", page));
     });
@@ -152,10 +156,19 @@
                 const std::string name
                     = "look-" + std::to_string(client) + "-" + std::to_string(connection) + "-";
                 int number = 0;
-                while (
-                    !stop && seconds() < end
-                    && writeAll(socket, request("GET", "/look/1", name + std::to_string(number)))) {
-                    number += 1;
+                // It sends on at the pace at which its requests are run.
+                const auto underWay = [&] {
+                    const std::lock_guard lock(mutex);
+                    return number - run[name];
+                };
+                while (!stop && seconds() < end) {
+                    if (underWay() < maxUnderWay) {
+                        if (!writeAll(socket,
+                                      request("GET", "/look/1", name + std::to_string(number)))) {
+                            break;
+                        }
+                        number += 1;
+                    }
                     sleepSeconds(requestGapSeconds);
                 }
                 record.line("client " + std::to_string(client) + " sent " + std::to_string(number)
