review: case 16, answers that a client does not read fill a process's memory

Cause: the next request of a connection begins when the answer before was handed on, not when it was sent, and small answers that wait to be sent are bounded by nothing.

--- a/review/support-4/harness.h
+++ b/review/support-4/harness.h
@@ -426,9 +426,10 @@
     /// Returns how long the server works on a request.
     using WorkTime = std::function<milliseconds(const Message &)>;
 
-    PlainServer(std::string id, std::string service, std::uint16_t port, WorkTime workTime)
+    PlainServer(std::string id, std::string service, std::uint16_t port, WorkTime workTime,
+                std::size_t bodyBytes = 64)
         : id(std::move(id)), service(std::move(service)), port(port), workTime(std::move(workTime)),
-          listener(port, [this](Connection &connection) { this->serve(connection); })
+          body(bodyBytes, 'y'), listener(port, [this](Connection &connection) { this->serve(connection); })
     { }
 
     std::string registration(const std::string &zone, unsigned slots) const
@@ -458,7 +459,7 @@
             this->runCount += 1;
             sleepFor(this->workTime(request));
             const std::string seal = "Azurespindle-Server-Seal: seal." + this->id + "\r\n";
-            if (!connection.send(response(200, echo + seal, "done by " + this->id))) {
+            if (!connection.send(response(200, echo + seal, this->body))) {
                 return;
             }
         }
@@ -468,6 +469,7 @@
     const std::string service;
     const std::uint16_t port;
     const WorkTime workTime;
+    const std::string body;
     std::atomic<std::size_t> runCount {0};
     Listener listener;
 };
--- a/review/support-4/journal_memory.cpp
+++ b/review/support-4/journal_memory.cpp
@@ -1,9 +1,7 @@
 // Requests whose header is within max_header_bytes fill the memory of a process: the journal keeps
 // the latest 4,096 entries whatever their size, and each holds the request's id.
 
-#include "harness.h"
-
-#include <algorithm>
+#include "machine.h"
 
 using namespace review;
 
@@ -19,12 +17,7 @@
 constexpr std::size_t requestsEach = 30'000;
 constexpr milliseconds serverWork {200};
 constexpr int timeoutMs = 3'000;
-constexpr std::size_t memoryKilobytes = memoryMb * 1'024;
-/// Fault: so many ends on so many machines make the day count 0.
-constexpr std::size_t endsForFault = 3;
-constexpr std::size_t machinesForFault = 2;
 constexpr milliseconds longestRun {80'000};
-constexpr milliseconds restartDelay {500};
 
 json configuration()
 {
@@ -98,54 +91,6 @@
     }
 }
 
-/// A machine of the platform: "A process that exceeds memory_mb is killed", and is restarted after
-/// a short delay.
-struct Machine
-{
-    std::unique_ptr<EntryProcess> process;
-    Counts counts;
-    std::vector<std::thread> callers;
-    std::size_t ends = 0;
-    std::size_t peakKilobytes = 0;
-    std::optional<Clock::time_point> restartAt;
-};
-
-void watchMemory(Machine &machine, const std::string &name, Record &record)
-{
-    if (machine.restartAt) {
-        if (Clock::now() >= *machine.restartAt) {
-            machine.restartAt.reset();
-            machine.process->start();
-            record.line(name + ": started again");
-        }
-        return;
-    }
-    const std::size_t resident = machine.process->kilobytes("VmRSS");
-    machine.peakKilobytes = std::max(machine.peakKilobytes, resident);
-    const bool lives = machine.process->alive();
-    if (lives && resident <= memoryKilobytes) {
-        return;
-    }
-    if (lives) {
-        machine.process->kill();
-    }
-    machine.ends += 1;
-    machine.restartAt = Clock::now() + restartDelay;
-    record.line(name + ": resident " + std::to_string(resident) + " kB of "
-                + std::to_string(memoryKilobytes) + " kB: "
-                + (lives ? "killed by the platform" : "the process had ended") + ", end "
-                + std::to_string(machine.ends) + "; " + machine.counts.text());
-}
-
-std::size_t faultyMachines(const std::vector<Machine> &all)
-{
-    std::size_t count = 0;
-    for (const Machine &machine : all) {
-        count += machine.ends >= endsForFault ? 1 : 0;
-    }
-    return count;
-}
-
 int play(Record &record)
 {
     try {
@@ -158,23 +103,10 @@
                                                [](const Message &) { return serverWork; });
         store.put("op/config", configuration().dump());
         store.put("servers/desk-1", server.registration("north", 600));
-        std::vector<std::uint16_t> memberPorts;
-        std::vector<std::string> seeds;
-        for (std::size_t index = 0; index < machines; ++index) {
-            memberPorts.push_back(freePort());
-            seeds.push_back(loopback(memberPorts.back()));
-        }
-        std::vector<Machine> all(machines);
-        for (std::size_t index = 0; index < machines; ++index) {
-            all[index].process = std::make_unique<EntryProcess>(
-                folder.path, "entry-" + std::to_string(index + 1), "north", storePort, seeds,
-                memoryMb, memberPorts[index]);
-        }
-        for (const Machine &machine : all) {
-            if (!machine.process->waitReady(milliseconds(20'000))) {
-                record.line("a process did not get ready");
-                return exitNotRun;
-            }
+        std::vector<Machine> all = startMachines(machines, folder.path, storePort, memoryMb);
+        if (all.empty()) {
+            record.line("a process did not get ready");
+            return exitNotRun;
         }
         const std::size_t idLength = trouble ? idBytes : ordinaryIdBytes;
         record.line("ready, resident " + std::to_string(all[0].process->kilobytes("VmRSS"))
@@ -182,37 +114,37 @@
                     + " bytes, of a request's header: "
                     + std::to_string(request(idOf(0, idLength)).size()) + " of "
                     + std::to_string(maxHeaderBytes) + " bytes");
-        for (Machine &machine : all) {
-            for (std::size_t index = 0; index < callersEach; ++index) {
-                machine.callers.emplace_back(call, machine.process->callerPort(), idLength,
-                                             std::ref(machine.counts));
+        std::vector<Counts> counts(machines);
+        std::vector<std::thread> callers;
+        for (std::size_t index = 0; index < machines; ++index) {
+            for (std::size_t caller = 0; caller < callersEach; ++caller) {
+                callers.emplace_back(call, all[index].process->callerPort(), idLength,
+                                     std::ref(counts[index]));
             }
         }
         const auto until = Clock::now() + longestRun;
-        const auto sendsMore = [&all] {
-            return std::any_of(all.begin(), all.end(), [](const Machine &machine) {
-                return machine.counts.sent < requestsEach;
-            });
+        const auto sendsMore = [&counts] {
+            return std::any_of(counts.begin(), counts.end(),
+                               [](const Counts &each) { return each.sent < requestsEach; });
         };
         while (Clock::now() < until && sendsMore() && faultyMachines(all) < machinesForFault) {
             for (std::size_t index = 0; index < machines; ++index) {
-                watchMemory(all[index], "entry-" + std::to_string(index + 1), record);
+                all[index].watch(record, counts[index].text());
             }
             sleepFor(milliseconds(20));
         }
-        for (Machine &machine : all) {
-            machine.counts.stop = true;
+        for (Counts &each : counts) {
+            each.stop = true;
+        }
+        for (std::thread &caller : callers) {
+            caller.join();
         }
         std::size_t succeeded = 0;
         for (std::size_t index = 0; index < machines; ++index) {
-            for (std::thread &caller : all[index].callers) {
-                caller.join();
-            }
-            succeeded += all[index].counts.succeeded;
-            record.line("entry-" + std::to_string(index + 1) + ": ends "
-                        + std::to_string(all[index].ends) + ", peak "
+            succeeded += counts[index].succeeded;
+            record.line(all[index].name + ": ends " + std::to_string(all[index].ends) + ", peak "
                         + std::to_string(all[index].peakKilobytes) + " kB; "
-                        + all[index].counts.text());
+                        + counts[index].text());
         }
         record.line("the server ran " + std::to_string(server.runs()) + " requests");
         if (succeeded < 1'000) {
