review: case 20, requests read behind one in progress are dropped at a stop

Cause: a response that begins while the server drains closes its connection, and requests that were read behind it are neither run nor refused.

--- a/review/support-4/harness.h
+++ b/review/support-4/harness.h
@@ -167,6 +167,10 @@
 
     bool isOpen() const { return this->fd >= 0; }
 
+    /// Returns true if the other side reset the connection, as it does if it closes one with bytes
+    /// that it has not read.
+    bool wasReset() const { return this->reset; }
+
     /// Sends all bytes, waiting at most \a patience for the other side to take some.
     bool send(const std::string &bytes, milliseconds patience = milliseconds(10'000))
     {
@@ -240,6 +244,7 @@
         char bytes[65'536];
         const ssize_t count = ::recv(this->fd, bytes, sizeof(bytes), 0);
         if (count <= 0) {
+            this->reset = count < 0;
             return ReadEnd::Closed;
         }
         this->input.append(bytes, static_cast<std::size_t>(count));
@@ -272,6 +277,7 @@
     }
 
     int fd;
+    bool reset = false;
     std::string input;
 };
 
