--- a/review/support-4/journal_memory.cpp
+++ b/review/support-4/journal_memory.cpp
@@ -11,18 +11,21 @@
 constexpr std::size_t idBytes = 15'900;
 constexpr std::size_t ordinaryIdBytes = 16;
 constexpr unsigned memoryMb = 88;
-constexpr std::size_t machines = 2;
-constexpr std::size_t callersEach = 128;
-/// Requests that all callers of a machine send at most.
-constexpr std::size_t requestsEach = 30'000;
+constexpr std::size_t callers = 128;
+/// Requests that all callers with ids of their own send at most.
+constexpr std::size_t maxRequests = 30'000;
 constexpr milliseconds serverWork {200};
 constexpr int timeoutMs = 3'000;
-constexpr milliseconds longestRun {80'000};
+constexpr milliseconds longestRun {60'000};
+/// Time for which the process has run, undisturbed, before the requests come (contact_ms).
+constexpr milliseconds contactTime {4'500};
 
 json configuration()
 {
     return {{"version", 1},
-            {"routes", {route("look", "idempotent", "desk", timeoutMs, 150, 2)}},
+            {"routes",
+             {route("look", "idempotent", "desk", timeoutMs, 150, 2),
+              route("order", "non_idempotent", "desk", orderTimeoutMs, 1'500, 1)}},
             {"services", {{{"name", "desk"}, {"health_path", "/healthz"}, {"max_conns", 600}}}},
             {"limits",
              {{"max_header_bytes", maxHeaderBytes},
@@ -69,7 +72,7 @@
 {
     static std::atomic<std::size_t> lastNumber {0};
     Connection connection;
-    while (!counts.stop && counts.sent < requestsEach) {
+    while (!counts.stop && counts.sent < maxRequests) {
         if (!connection.isOpen() && !connection.connect(port)) {
             sleepFor(milliseconds(100));
             continue;
@@ -99,61 +102,57 @@
         const std::uint16_t storePort = freePort();
         Store &store = *new Store(storePort); // Its threads run until the program ends.
         const std::uint16_t serverPort = freePort();
-        PlainServer &server = *new PlainServer("desk-1", "desk", serverPort,
-                                               [](const Message &) { return serverWork; });
+        PlainServer &server
+            = *new PlainServer("desk-1", "desk", serverPort, [](const Message &request) {
+                  const bool order = request.startLine.find("/order/") != std::string::npos;
+                  return order ? orderWork : serverWork;
+              });
         store.put("op/config", configuration().dump());
         store.put("servers/desk-1", server.registration("north", 600));
-        std::vector<Machine> all = startMachines(machines, folder.path, storePort, memoryMb);
-        if (all.empty()) {
-            record.line("a process did not get ready");
+        Machine machine = startMachine(folder.path, storePort, memoryMb);
+        if (machine.process == nullptr) {
+            record.line("the process did not get ready");
             return exitNotRun;
         }
+        OrderCallers orders(machine.process->callerPort(), server);
+        sleepFor(contactTime);
         const std::size_t idLength = trouble ? idBytes : ordinaryIdBytes;
-        record.line("ready, resident " + std::to_string(all[0].process->kilobytes("VmRSS"))
+        record.line("resident " + std::to_string(machine.process->kilobytes("VmRSS"))
                     + " kB; length of an id: " + std::to_string(idLength)
                     + " bytes, of a request's header: "
                     + std::to_string(request(idOf(0, idLength)).size()) + " of "
                     + std::to_string(maxHeaderBytes) + " bytes");
-        std::vector<Counts> counts(machines);
-        std::vector<std::thread> callers;
-        for (std::size_t index = 0; index < machines; ++index) {
-            for (std::size_t caller = 0; caller < callersEach; ++caller) {
-                callers.emplace_back(call, all[index].process->callerPort(), idLength,
-                                     std::ref(counts[index]));
-            }
+        Counts counts;
+        std::vector<std::thread> threads;
+        for (std::size_t index = 0; index < callers; ++index) {
+            threads.emplace_back(call, machine.process->callerPort(), idLength, std::ref(counts));
         }
         const auto until = Clock::now() + longestRun;
-        const auto sendsMore = [&counts] {
-            return std::any_of(counts.begin(), counts.end(),
-                               [](const Counts &each) { return each.sent < requestsEach; });
-        };
-        while (Clock::now() < until && sendsMore() && faultyMachines(all) < machinesForFault) {
-            for (std::size_t index = 0; index < machines; ++index) {
-                all[index].watch(record, counts[index].text());
+        auto nextReport = Clock::now();
+        bool ended = false;
+        while (!ended && Clock::now() < until && counts.sent < maxRequests) {
+            if (Clock::now() >= nextReport) {
+                nextReport += milliseconds(1'000);
+                record.line("resident " + std::to_string(machine.process->kilobytes("VmRSS"))
+                            + " kB; " + counts.text() + "; " + orders.text());
             }
+            ended = machine.exceedsMemory(record);
             sleepFor(milliseconds(20));
         }
-        for (Counts &each : counts) {
-            each.stop = true;
-        }
-        for (std::thread &caller : callers) {
-            caller.join();
-        }
-        std::size_t succeeded = 0;
-        for (std::size_t index = 0; index < machines; ++index) {
-            succeeded += counts[index].succeeded;
-            record.line(all[index].name + ": ends " + std::to_string(all[index].ends) + ", peak "
-                        + std::to_string(all[index].peakKilobytes) + " kB; "
-                        + counts[index].text());
+        counts.stop = true;
+        for (std::thread &thread : threads) {
+            thread.join();
         }
-        record.line("the server ran " + std::to_string(server.runs()) + " requests");
-        if (succeeded < 1'000) {
+        orders.stop();
+        record.line("peak " + std::to_string(machine.peakKilobytes) + " kB; " + counts.text()
+                    + "; " + orders.text() + "; the server ran " + std::to_string(server.runs())
+                    + " requests");
+        if (counts.succeeded < 1'000 || orders.answeredCount() < orderCallers) {
             record.line("too few requests were served: the case did not run");
             return exitNotRun;
         }
-        const bool broken = faultyMachines(all) >= machinesForFault;
-        record.line(broken ? "Fault: on two of two machines the process ended three times"
-                           : "no process ended three times on two machines");
+        const bool broken = ended && orders.lostCount() > lostAllowed;
+        record.line(broken ? "LOST is broken" : "LOST held");
         return broken ? exitBroken : exitHeld;
     } catch (const std::exception &error) {
         record.line(std::string("could not run: ") + error.what());
