--- a/review/support-4/deaf_connections.cpp
+++ b/review/support-4/deaf_connections.cpp
@@ -113,10 +113,11 @@
         const std::uint16_t storePort = freePort();
         Store &store = *new Store(storePort); // Its threads run until the program ends.
         const std::uint16_t serverPort = freePort();
-        PlainServer &server = *new PlainServer("desk-1", "desk", serverPort, [](const Message &request) {
-            const bool upload = request.startLine.find("/upload/") != std::string::npos;
-            return upload ? uploadWork : ordinaryWork;
-        });
+        PlainServer &server
+            = *new PlainServer("desk-1", "desk", serverPort, [](const Message &request) {
+                  const bool upload = request.startLine.find("/upload/") != std::string::npos;
+                  return upload ? uploadWork : ordinaryWork;
+              });
         store.put("op/config", configuration().dump());
         store.put("servers/desk-1", server.registration("north", 100));
         const std::uint16_t memberPort = freePort();
@@ -139,8 +140,8 @@
                     completeSent += 1;
                 }
             }
-            record.line("bodies of " + std::to_string(largeBodyBytes) + " bytes sent whole: "
-                        + std::to_string(completeSent));
+            record.line("bodies of " + std::to_string(largeBodyBytes)
+                        + " bytes sent whole: " + std::to_string(completeSent));
             sleepFor(milliseconds(500));
         }
 
@@ -160,8 +161,7 @@
                     crowd.back()->send(chunkedRequest(id, largeBodyBytes), milliseconds(300));
                 }
             }
-            record.line("bodies that stop short of their end: "
-                        + std::to_string(unfinishedBodies));
+            record.line("bodies that stop short of their end: " + std::to_string(unfinishedBodies));
         }
         for (std::thread &caller : callers) {
             caller.join();
@@ -173,7 +173,8 @@
         {
             Connection fresh;
             Message answer;
-            const bool sent = fresh.connect(entry.callerPort()) && fresh.send(ordinaryRequest("fresh"));
+            const bool sent
+                = fresh.connect(entry.callerPort()) && fresh.send(ordinaryRequest("fresh"));
             const ReadEnd end = sent ? fresh.read(answer, milliseconds(3'500)) : ReadEnd::Closed;
             record.line(std::string("a request on a new connection afterwards: ") + text(end) + " "
                         + std::to_string(answer.status()));
@@ -191,8 +192,8 @@
                     + std::to_string(ordinaryCallers));
         record.line("second requests on a connection that was left open: "
                     + std::to_string(sentAgain) + ", without an answer "
-                    + std::to_string(answerSlack.count()) + " ms after the route's timeout_ms: "
-                    + std::to_string(unanswered));
+                    + std::to_string(answerSlack.count())
+                    + " ms after the route's timeout_ms: " + std::to_string(unanswered));
         if (sentAgain == 0) {
             record.line("no connection was left open: the case did not run");
             return trouble ? exitHeld : exitNotRun;
--- a/review/support-4/dropped_at_stop.cpp
+++ b/review/support-4/dropped_at_stop.cpp
@@ -77,8 +77,8 @@
         const std::uint16_t storePort = freePort();
         Store &store = *new Store(storePort); // Its threads run until the program ends.
         const std::uint16_t serverPort = freePort();
-        PlainServer &server = *new PlainServer("desk-1", "desk", serverPort,
-                                               [](const Message &) { return work; });
+        PlainServer &server
+            = *new PlainServer("desk-1", "desk", serverPort, [](const Message &) { return work; });
         store.put("op/config", configuration().dump());
         store.put("servers/desk-1", server.registration("north", 24));
         const std::uint16_t memberPort = freePort();
@@ -113,9 +113,9 @@
         }
         record.line("second requests: " + std::to_string(sent) + ", answered "
                     + std::to_string(answered) + ", read and dropped "
-                    + std::to_string(lossSlack.count()) + " ms or more after their last byte: "
-                    + std::to_string(lost) + "; the server ran " + std::to_string(server.runs())
-                    + " requests");
+                    + std::to_string(lossSlack.count())
+                    + " ms or more after their last byte: " + std::to_string(lost)
+                    + "; the server ran " + std::to_string(server.runs()) + " requests");
         if (sent == 0) {
             return exitNotRun;
         }
--- a/review/support-4/harness.h
+++ b/review/support-4/harness.h
@@ -226,7 +226,8 @@
         if (strcasecmp(message.field("Transfer-Encoding").c_str(), "chunked") == 0) {
             return this->readChunks(message, until);
         }
-        const std::size_t length = std::strtoull(message.field("Content-Length").c_str(), nullptr, 10);
+        const std::size_t length
+            = std::strtoull(message.field("Content-Length").c_str(), nullptr, 10);
         while (this->input.size() < length) {
             const ReadEnd end = this->readMore(until);
             if (end != ReadEnd::Complete) {
@@ -440,15 +441,20 @@
     PlainServer(std::string id, std::string service, std::uint16_t port, WorkTime workTime,
                 std::size_t bodyBytes = 64)
         : id(std::move(id)), service(std::move(service)), port(port), workTime(std::move(workTime)),
-          body(bodyBytes, 'y'), listener(port, [this](Connection &connection) { this->serve(connection); })
+          body(bodyBytes, 'y'),
+          listener(port, [this](Connection &connection) { this->serve(connection); })
     { }
 
     std::string registration(const std::string &zone, unsigned slots) const
     {
-        return json {{"service", this->service}, {"address", loopback(this->port)},
-                     {"zone", zone},             {"version", "1"},
-                     {"slots", slots},           {"state", "ready"},
-                     {"cold_left_ms", 0},        {"sequence", 1},
+        return json {{"service", this->service},
+                     {"address", loopback(this->port)},
+                     {"zone", zone},
+                     {"version", "1"},
+                     {"slots", slots},
+                     {"state", "ready"},
+                     {"cold_left_ms", 0},
+                     {"sequence", 1},
                      {"born", 1'700'000'000'000}}
             .dump();
     }
@@ -537,24 +543,26 @@
         : name(std::move(name)), callers(freePort()), ready(freePort())
     {
         // The fields are those of deploy/settings.json.
-        const json settings {
-            {"name", this->name},
-            {"zone", zone},
-            {"callerAddress", loopback(this->callers)},
-            {"readyAddress", loopback(this->ready)},
-            {"readyPath", "/v1/readyz"},
-            {"memberAddress", loopback(memberPort)},
-            {"metricsAddress", loopback(freePort())},
-            {"publisherAddress", loopback(storePort)},
-            {"seeds", seeds},
-            {"regionOfZone", {{"north", "region"}, {"south", "region"}}},
-            {"logFormat", "json"},
-            {"descriptors", 4'100},
-            {"processorShare", 0.25},
-            {"linkMegabits", 1'000.0},
-            {"memoryMegabytes", memoryMb},
-            {"bounds",
-             {{"retryShare", 0.2}, {"retryBurst", 58}, {"retryWindowSeconds", 10}, {"stopSeconds", 8}}}};
+        const json settings {{"name", this->name},
+                             {"zone", zone},
+                             {"callerAddress", loopback(this->callers)},
+                             {"readyAddress", loopback(this->ready)},
+                             {"readyPath", "/v1/readyz"},
+                             {"memberAddress", loopback(memberPort)},
+                             {"metricsAddress", loopback(freePort())},
+                             {"publisherAddress", loopback(storePort)},
+                             {"seeds", seeds},
+                             {"regionOfZone", {{"north", "region"}, {"south", "region"}}},
+                             {"logFormat", "json"},
+                             {"descriptors", 4'100},
+                             {"processorShare", 0.25},
+                             {"linkMegabits", 1'000.0},
+                             {"memoryMegabytes", memoryMb},
+                             {"bounds",
+                              {{"retryShare", 0.2},
+                               {"retryBurst", 58},
+                               {"retryWindowSeconds", 10},
+                               {"stopSeconds", 8}}}};
         this->file = folder + "/" + this->name + ".json";
         this->log = folder + "/" + this->name + ".log";
         std::ofstream(this->file) << settings.dump(2);
--- a/review/support-4/head_refused.cpp
+++ b/review/support-4/head_refused.cpp
@@ -1,5 +1,5 @@
-// A refusal of the process's own to a HEAD request bears a body, which a client on a kept connection
-// reads as the beginning of its next answer.
+// A refusal of the process's own to a HEAD request bears a body, which a client on a kept
+// connection reads as the beginning of its next answer.
 
 #include "harness.h"
 
@@ -35,8 +35,8 @@
 std::string request(const std::string &method, const std::string &id, const std::string &key)
 {
     return method + " /look/1 HTTP/1.1\r\nHost: shop.example\r\nAzurespindle-Attempt-Id: " + id
-        + "\r\nAzurespindle-Deadline-Ms: " + std::to_string(timeoutMs) + "\r\nAzurespindle-Key: "
-        + key + "\r\n\r\n";
+        + "\r\nAzurespindle-Deadline-Ms: " + std::to_string(timeoutMs)
+        + "\r\nAzurespindle-Key: " + key + "\r\n\r\n";
 }
 
 struct Outcome
@@ -73,7 +73,8 @@
     answer = {};
     outcome.getEnd = connection.read(answer, patience);
     outcome.getStart = answer.startLine;
-    outcome.sound = outcome.getEnd == ReadEnd::Complete && answer.startLine.rfind("HTTP/1.1 ", 0) == 0
+    outcome.sound = outcome.getEnd == ReadEnd::Complete
+        && answer.startLine.rfind("HTTP/1.1 ", 0) == 0
         && answer.field("Azurespindle-Attempt-Id") == name + "-c";
     record.line(name + ": HEAD " + std::to_string(outcome.firstHead) + ", later HEAD "
                 + std::to_string(outcome.secondHead) + ", then GET on the same connection: "
--- a/review/support-4/journal_memory.cpp
+++ b/review/support-4/journal_memory.cpp
@@ -80,8 +80,8 @@
         counts.sent += 1;
         Message answer;
         const bool sent = connection.send(request(idOf(lastNumber += 1, idLength)));
-        const ReadEnd end = sent ? connection.read(answer, milliseconds(timeoutMs + 500))
-                                 : ReadEnd::Closed;
+        const ReadEnd end
+            = sent ? connection.read(answer, milliseconds(timeoutMs + 500)) : ReadEnd::Closed;
         if (end == ReadEnd::Complete) {
             (answer.status() == 200 ? counts.succeeded : counts.refused) += 1;
         } else {
@@ -144,8 +144,8 @@
             thread.join();
         }
         orders.stop();
-        record.line("peak " + std::to_string(machine.peakKilobytes) + " kB; " + counts.text()
-                    + "; " + orders.text() + "; the server ran " + std::to_string(server.runs())
+        record.line("peak " + std::to_string(machine.peakKilobytes) + " kB; " + counts.text() + "; "
+                    + orders.text() + "; the server ran " + std::to_string(server.runs())
                     + " requests");
         if (counts.succeeded < 1'000 || orders.answeredCount() < orderCallers) {
             record.line("too few requests were served: the case did not run");
--- a/review/support-4/machine.h
+++ b/review/support-4/machine.h
@@ -38,8 +38,8 @@
             this->process->kill();
         }
         record.line("resident " + std::to_string(resident) + " kB of "
-                    + std::to_string(this->memoryKilobytes) + " kB: "
-                    + (lives ? "killed by the platform" : "the process had ended"));
+                    + std::to_string(this->memoryKilobytes)
+                    + " kB: " + (lives ? "killed by the platform" : "the process had ended"));
         return true;
     }
 };
@@ -50,9 +50,9 @@
     Machine machine;
     const std::uint16_t memberPort = freePort();
     machine.memoryKilobytes = memoryMb * kilobytesPerMegabyte;
-    machine.process = std::make_unique<EntryProcess>(folder, "entry-1", "north", storePort,
-                                                     std::vector {loopback(memberPort)}, memoryMb,
-                                                     memberPort);
+    machine.process
+        = std::make_unique<EntryProcess>(folder, "entry-1", "north", storePort,
+                                         std::vector {loopback(memberPort)}, memoryMb, memberPort);
     if (!machine.process->waitReady(milliseconds(20'000))) {
         machine.process.reset();
     }
@@ -105,8 +105,7 @@
             return;
         }
         for (std::size_t number = 0; !this->stopping; ++number) {
-            const std::string id
-                = "order-" + std::to_string(caller) + "-" + std::to_string(number);
+            const std::string id = "order-" + std::to_string(caller) + "-" + std::to_string(number);
             Message answer;
             const bool sent = connection.send(request(id));
             const ReadEnd end = sent ? connection.read(answer, milliseconds(orderTimeoutMs + 500))
--- a/review/support-4/parsed_prompts.cpp
+++ b/review/support-4/parsed_prompts.cpp
@@ -1,5 +1,5 @@
-// Many requests at once, each with a long Azurespindle-Prompt-Prefix inside max_header_bytes, take a
-// process over the memory of its machine: what is parsed from a header is charged to no budget.
+// Many requests at once, each with a long Azurespindle-Prompt-Prefix inside max_header_bytes, take
+// a process over the memory of its machine: what is parsed from a header is charged to no budget.
 
 #include "machine.h"
 
@@ -28,8 +28,8 @@
     json draft = route("draft", "streaming", "models", timeoutMs, objectiveMs, 1);
     draft["sticky"] = true;
     draft["target_itl_ms"] = 180;
-    const json engine {{"slots", engineSlots}, {"kv_capacity", 26'921}, {"kv_bytes", 262'144},
-                       {"link_mbps", 38'000.0}, {"moves", true},        {"backups", false},
+    const json engine {{"slots", engineSlots},  {"kv_capacity", 26'921}, {"kv_bytes", 262'144},
+                       {"link_mbps", 38'000.0}, {"moves", true},         {"backups", false},
                        {"stride", 4},           {"kv_handle_s", 5.0}};
     return {{"version", 1},
             {"routes", {draft, route("order", "non_idempotent", "desk", orderTimeoutMs, 1'500, 1)}},
@@ -60,10 +60,10 @@
 
     std::string registration() const
     {
-        return json {{"service", "models"},  {"address", loopback(this->port)},
-                     {"zone", "north"},      {"version", "1"},
-                     {"slots", engineSlots}, {"state", "ready"},
-                     {"cold_left_ms", 0},    {"sequence", 1},
+        return json {{"service", "models"},      {"address", loopback(this->port)},
+                     {"zone", "north"},          {"version", "1"},
+                     {"slots", engineSlots},     {"state", "ready"},
+                     {"cold_left_ms", 0},        {"sequence", 1},
                      {"born", 1'700'000'000'000}}
             .dump();
     }
@@ -159,8 +159,9 @@
         sleepFor(contactTime);
         const std::size_t bytes = trouble ? headerBytes : 0;
         record.line("resident " + std::to_string(machine.process->kilobytes("VmRSS"))
-                    + " kB; header of a request: " + std::to_string(request("draft-0", bytes).size())
-                    + " of " + std::to_string(maxHeaderBytes) + " bytes; " + orders.text());
+                    + " kB; header of a request: "
+                    + std::to_string(request("draft-0", bytes).size()) + " of "
+                    + std::to_string(maxHeaderBytes) + " bytes; " + orders.text());
         std::vector<std::unique_ptr<Connection>> clients;
         std::size_t sent = 0;
         bool ended = false;
