--- a/review/support-4/machine.h
+++ b/review/support-4/machine.h
@@ -16,6 +16,8 @@
 constexpr std::size_t orderCallers = 12;
 constexpr milliseconds orderWork {1'000};
 constexpr milliseconds orderPause {50};
+/// Time between the starts of two callers, so that their orders are under way at different times.
+constexpr milliseconds orderStagger {85};
 constexpr int orderTimeoutMs = 3'000;
 
 /// A machine with its process. "A process that exceeds memory_mb is killed" (DEPLOY.md).
@@ -101,6 +103,7 @@
     void call(std::size_t caller)
     {
         Connection connection;
+        sleepFor(orderStagger * static_cast<int>(caller));
         if (!connection.connect(this->port)) {
             return;
         }
