review: case 20 lets its process run for longer than contact_ms first

Cause: SIGTERM came 0.6 s after the start of the process, which the rule's span of contact_ms could excuse. Change: the clients of case 20 begin 3.5 s after the process is ready; the check is as it was.

--- a/review/support-4/dropped_at_stop.cpp
+++ b/review/support-4/dropped_at_stop.cpp
@@ -12,6 +12,8 @@
 constexpr unsigned memoryMb = 110;
 constexpr std::size_t clients = 12;
 constexpr int timeoutMs = 3'000;
+/// Time for which the process has run, undisturbed, before the requests come (contact_ms 3,000).
+constexpr milliseconds contactTime {3'500};
 constexpr milliseconds work {1'500};
 constexpr milliseconds secondAfter {100};
 constexpr milliseconds termAfter {600};
@@ -89,6 +91,7 @@
             return exitNotRun;
         }
         record.line(std::string("ready; trouble: ") + (trouble ? "yes" : "no"));
+        sleepFor(contactTime);
         std::vector<Outcome> outcomes(clients);
         std::vector<std::thread> threads;
         for (std::size_t index = 0; index < clients; ++index) {
