Pass an event on only if each of its lines is a field of an event

Cause: an event was whatever ended with a blank line. Only a head that began where an event begins was told from it, by its text. Change: EventStreamReader (was EventSplitter) reads each line: the standard's fields and those that the platform's pages name, none but data twice, the line ends of the stream's first line, ids that are numbers and increase, data beside an id. The search for the text HTTP/1. is gone.

--- a/src/routing/platform_adapter.h
+++ b/src/routing/platform_adapter.h
@@ -8,7 +8,9 @@
 #include "routing/types.h"
 
 #include <functional>
+#include <string>
 #include <variant>
+#include <vector>
 
 namespace azurespindle::routing {
 
@@ -30,6 +32,8 @@
     std::function<ResponseHead(const RoutedRequest &request, int status,
                                const http::HeaderFields &fields)>
         readHead;
+    /// Names of the fields that events of an upstream's streams may have beside the standard's.
+    std::vector<std::string> extraEventFields {};
     /// Builds the header of a local reply to the request with the id \a callerRequestId.
     std::function<http::HeaderFields(const std::string &callerRequestId, const LocalReply &reply)>
         writeLocalReplyHead;
--- a/src/serving/request_forwarder.cpp
+++ b/src/serving/request_forwarder.cpp
@@ -14,8 +14,6 @@
 constexpr const char *routedTrafficClass = "routed";
 constexpr int statusUnavailable = 503;
 constexpr milliseconds stoppingRetryAfter {20};
-/// Bytes with which the head of a response begins. No line of an event does.
-constexpr const char *responseHeadStart = "HTTP/1.";
 
 routing::AttemptEnd toAttemptEnd(const http::TransferResult &result)
 {
@@ -193,12 +191,7 @@
             this->dispatch(routing::ReadingPaused {attempt, true});
             return false;
         }
-        this->forwardEvents(attempt, session, bytes);
-        const Transfer *relayed = this->findTransfer(attempt);
-        if (relayed != nullptr
-            && relayed->splitter.pendingBytes() > upstreams::EventSplitter::maxEventBytes) {
-            this->giveUp(attempt, "an event is too large");
-        }
+        this->relayBytes(attempt, session, bytes);
         return true;
     }
     const std::size_t needed
@@ -215,33 +208,35 @@
     Transfer &transfer = *this->findTransfer(attempt);
     transfer.givenUp = true;
     this->freeBody(attempt.request, transfer);
-    transfer.splitter = {};
+    transfer.events = upstreams::EventStreamReader();
     this->client.cancel(transfer.id);
     this->dispatch(routing::AttemptEnded {attempt, routing::AttemptEnd::Lost, detail});
 }
 
+void RequestForwarder::relayBytes(const routing::AttemptId &attempt, Session &session,
+                                  std::string_view bytes)
+{
+    const upstreams::EventBatch batch = session.currentTransfer.events.feed(bytes);
+    this->forwardEvents(attempt, session, batch.events);
+    if (batch.fault && this->findTransfer(attempt) != nullptr) {
+        this->giveUp(attempt, toText(*batch.fault));
+    }
+}
+
 void RequestForwarder::forwardEvents(const routing::AttemptId &attempt, Session &session,
-                                     std::string_view bytes)
+                                     const std::vector<upstreams::RawEvent> &events)
 {
     std::string forwarded;
-    bool headInStream = false;
     routing::EventsArrived arrived {attempt, 0, session.lastEventId};
-    for (const upstreams::RawEvent &event : session.currentTransfer.splitter.feed(bytes)) {
+    for (const upstreams::RawEvent &event : events) {
         if (event.id && *event.id <= session.lastEventId) {
             continue; // The caller has it already, from an earlier attempt.
         }
-        if (event.bytes.rfind(responseHeadStart, 0) == 0) {
-            headInStream = true;
-            break;
-        }
         session.lastEventId = event.id.value_or(session.lastEventId);
         arrived.count += 1;
         forwarded += event.bytes;
     }
     if (arrived.count == 0) {
-        if (headInStream) {
-            this->giveUp(attempt, "a response's head stands in the stream");
-        }
         return;
     }
     if (!std::exchange(session.headSent, true)) {
@@ -257,9 +252,6 @@
     session.exchange->send(forwarded);
     arrived.lastEventId = session.lastEventId;
     this->dispatch(arrived);
-    if (headInStream && this->findTransfer(attempt) != nullptr) {
-        this->giveUp(attempt, "a response's head stands in the stream");
-    }
 }
 
 void RequestForwarder::onDone(const routing::AttemptId &attempt, const http::TransferResult &result)
@@ -273,7 +265,7 @@
             this->freeBody(attempt.request, *transfer);
         }
         const bool insideEvent = result.end == http::TransferEnd::Complete && transfer->relaying
-            && transfer->splitter.pendingBytes() > 0;
+            && transfer->events.pendingBytes() > 0;
         this->dispatch(insideEvent
                            ? routing::AttemptEnded {attempt, routing::AttemptEnd::Lost,
                                                     "the stream ended inside an event"}
@@ -299,6 +291,7 @@
         = [this, attempt](const http::TransferResult &result) { this->onDone(attempt, result); };
     Transfer transfer;
     transfer.attempt = attempt.number;
+    transfer.events = upstreams::EventStreamReader(this->adapter.extraEventFields);
     transfer.id = this->client.start(this->adapter.writeAttempt(*session.request, effect.plan),
                                      std::move(callbacks));
     if (effect.parallel) {
--- a/src/serving/request_forwarder.h
+++ b/src/serving/request_forwarder.h
@@ -9,7 +9,7 @@
 #include "metrics/registry.h"
 #include "routing/platform_adapter.h"
 #include "routing/router.h"
-#include "upstreams/event_splitter.h"
+#include "upstreams/event_stream_reader.h"
 
 #include <atomic>
 #include <functional>
@@ -121,7 +121,7 @@
         std::string body; ///< Received so far; unused for a relayed stream.
         /// Length of the body as the head states it, in bytes; 0 if it does not.
         std::size_t statedBytes = 0;
-        upstreams::EventSplitter splitter;
+        upstreams::EventStreamReader events;
         bool relaying = false; ///< Its events are sent to the caller.
         bool givenUp = false;  ///< Cancelled here; further bytes are dropped.
     };
@@ -146,7 +146,10 @@
     bool onData(const routing::AttemptId &attempt, std::string_view bytes);
     bool processData(const routing::AttemptId &attempt, std::string_view bytes);
     void onDone(const routing::AttemptId &attempt, const http::TransferResult &result);
-    void forwardEvents(const routing::AttemptId &attempt, Session &session, std::string_view bytes);
+    /// Reads a part of a relayed stream, and gives the attempt up if it is not sound.
+    void relayBytes(const routing::AttemptId &attempt, Session &session, std::string_view bytes);
+    void forwardEvents(const routing::AttemptId &attempt, Session &session,
+                       const std::vector<upstreams::RawEvent> &events);
     /// Returns the transfer of an attempt, or nullptr if the attempt is over.
     Transfer *findTransfer(const routing::AttemptId &attempt);
     /// Runs \a action with the lock held, then calls the hooks without it, because they may call
--- a/tests/serving/request_forwarder_test.cpp
+++ b/tests/serving/request_forwarder_test.cpp
@@ -131,6 +131,8 @@
     CPPUNIT_TEST(aStreamThatEndsInsideAnEventIsNotComplete);
     CPPUNIT_TEST(aStreamThatEndsInsideItsFirstEventIsNotComplete);
     CPPUNIT_TEST(aStreamThatEndsInsideAnEventIsResumed);
+    CPPUNIT_TEST(bytesOfASecondAnswerInsideAnEventAreNotPassedOn);
+    CPPUNIT_TEST(anEventWhoseDataLooksLikeAHeadIsPassedOn);
     CPPUNIT_TEST(endlessBytesInAHeadOrBodyAreAnsweredWith502);
     CPPUNIT_TEST(endlessBytesAreRetriedElsewhereIfTheRequestMay);
     CPPUNIT_TEST(anEventWithoutEndBreaksItsStreamOff);
@@ -275,6 +277,43 @@
         }
     }
 
+    /// Guards against a stream that breaks off inside an event, goes on with the bytes of another
+    /// answer, and reaches the caller with them as complete (rule MIXED).
+    void bytesOfASecondAnswerInsideAnEventAreNotPassedOn()
+    {
+        const std::string broken = event(2);
+        for (const std::string &second : secondAnswers()) {
+            for (std::size_t cut = 0; cut < broken.size(); ++cut) {
+                const std::string name = broken.substr(0, cut) + second;
+                std::string answer = streamHead + "\r\n" + event(1);
+                answer += name;
+                this->answers = {{answer, RawEnd::Close}};
+                const Response aborted = this->call("/draft/1");
+                CPPUNIT_ASSERT_MESSAGE(name, aborted.end == http::TransferEnd::ConnectionLost);
+                CPPUNIT_ASSERT_MESSAGE(name, event(1).rfind(aborted.body, 0) == 0);
+                this->resumed = {streamHead + "\r\n" + event(2) + event(3), RawEnd::Close};
+                const Response resumed = this->call("/check/1");
+                CPPUNIT_ASSERT_MESSAGE(name, resumed.end == http::TransferEnd::Complete);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(name, event(1) + event(2) + event(3), resumed.body);
+            }
+        }
+    }
+
+    /// Guards against a generation that is broken off because its text speaks of HTTP.
+    void anEventWhoseDataLooksLikeAHeadIsPassedOn()
+    {
+        const std::string events
+            = "id: 1\ndata: HTTP/1.1 500 Status\ndata: Content-Type: text/plain\n\n"
+              "id: 2\ndata: pieHTTP/1.1 200 OK\ndata:\ndata:\n\n";
+        this->answers = {{streamHead + "\r\n" + events, RawEnd::Close}};
+        for (const char *path : {"/draft/1", "/check/1"}) {
+            const Response response = this->call(path);
+            CPPUNIT_ASSERT(response.end == http::TransferEnd::Complete);
+            CPPUNIT_ASSERT_EQUAL(events, response.body);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), this->requests());
+    }
+
     void endlessBytesInAHeadOrBodyAreAnsweredWith502()
     {
         for (const RawAnswer &endless : endlessAnswers()) {
@@ -411,6 +450,18 @@
         return text;
     }
 
+    /// Returns what may follow where a stream without length breaks off.
+    static std::vector<std::string> secondAnswers()
+    {
+        const std::string error = "HTTP/1.1 500 Status\r\n";
+        const std::string oldError = "HTTP/1.0 503 Status\nContent-Length: 14\n\n";
+        const std::string type = "Content-Type: text/plain\r\n";
+        return {error + type + "Content-Length: 12\r\n\r\nserver error",
+                error + "Content-Length: 14\r\n\r\nserver error\n\n",
+                error + "\r\nserver error\n\n", oldError + "server error\n\n",
+                streamHead + "\r\n" + event(1) + event(2) + event(3)};
+    }
+
     static std::vector<RawAnswer> endlessAnswers()
     {
         return {{sealedHead, RawEnd::Endless, "X-Field: value\r\n"},
