Read the heads of answers strictly, line by line

Cause: libcurl takes the digits up to the first other byte, and nobody else read the field; the forwarder took a length that it couldn't read for none. Two lengths and lists went the same way. Change: ResponseHeadReader (plain lines in; status, fields, length or a typed fault out) reads each line that libcurl passes on, before the body: one length in digits or none, chunked once and alone, no folded lines, no invalid bytes, HTTP/1.0 and 1.1 only, no body where the status permits none; trailers too. A fault ends the transfer as a lost connection, for routed requests, engines' calls and the store's. Ruled out: taking the body undecoded from libcurl; DESIGN.md says why. Evidence: client anAnswerWithAnUnsoundHeadIsNoAnswer and request_forwarder anAnswerWhoseLengthIsUnsoundIsNotPassedOn failed before; now client 12 of 12, request_forwarder 17 of 17, response_head_reader 5 of 5. unsoundTrailersSpoilTheAnswer passed before as well.

--- a/src/http/internal/transfer.cpp
+++ b/src/http/internal/transfer.cpp
@@ -1,7 +1,5 @@
 #include "http/internal/transfer.h"
 
-#include "http/status_line.h"
-
 #include <strings.h>
 
 #include <algorithm>
@@ -11,7 +9,6 @@
 namespace {
 
 constexpr long keepAliveSeconds = 15;
-constexpr long firstFinalStatus = 200; ///< Those below belong to interim responses.
 
 std::size_t onHeaderLine(const char *bytes, std::size_t size, std::size_t count, void *user)
 {
@@ -20,34 +17,8 @@
     if (transfer.headBytes > Client::maxHeadBytes) {
         return 0;
     }
-    const std::string line(bytes, size * count);
-    if (line.rfind("HTTP/", 0) == 0) {
-        transfer.statusInvalid = !parseStatusLine(line);
-        if (transfer.statusInvalid) {
-            return 0;
-        }
-        // Headers received before a further status line belong to an interim (1xx) response.
-        transfer.responseHeaders.clear();
-        transfer.responseFields.clear();
-        transfer.headComplete = false;
-        return size * count;
-    }
-    transfer.headComplete = transfer.headComplete || line == "\r\n" || line == "\n";
-    const std::size_t colon = line.find(':');
-    if (colon != std::string::npos) {
-        const std::string originalName = line.substr(0, colon);
-        std::string name = originalName;
-        std::transform(name.begin(), name.end(), name.begin(), [](unsigned char letter) {
-            return static_cast<char>(std::tolower(letter));
-        });
-        const std::size_t first = line.find_first_not_of(" \t", colon + 1);
-        const std::size_t last = line.find_last_not_of("\r\n \t");
-        const bool empty = first == std::string::npos || last < first;
-        const std::string value = empty ? "" : line.substr(first, last - first + 1);
-        transfer.responseHeaders[name] = value;
-        transfer.responseFields.emplace_back(originalName, value);
-    }
-    return size * count;
+    transfer.headFault = transfer.head.readLine({bytes, size * count});
+    return transfer.headFault ? 0 : size * count;
 }
 
 std::size_t onBodyBytes(const char *bytes, std::size_t size, std::size_t count, void *user)
@@ -100,6 +71,19 @@
     }
 }
 
+Headers byLowerCaseName(const HeaderFields &fields)
+{
+    Headers headers;
+    for (const auto &[name, value] : fields) {
+        std::string lowerCase = name;
+        std::transform(name.begin(), name.end(), lowerCase.begin(), [](unsigned char letter) {
+            return static_cast<char>(std::tolower(letter));
+        });
+        headers[lowerCase] = value;
+    }
+    return headers;
+}
+
 bool connected(CURL *handle)
 {
     curl_off_t connectMicroseconds = 0;
@@ -114,13 +98,12 @@
     if (std::exchange(transfer.statusReported, true)) {
         return;
     }
-    long status = 0;
-    curl_easy_getinfo(transfer.handle, CURLINFO_RESPONSE_CODE, &status);
+    const ResponseHeadReader &head = transfer.head;
     if (transfer.callbacks.onStatus) {
-        transfer.callbacks.onStatus(static_cast<int>(status), transfer.responseHeaders);
+        transfer.callbacks.onStatus(head.status(), byLowerCaseName(head.fields()));
     }
     if (transfer.callbacks.onHeaderFields) {
-        transfer.callbacks.onHeaderFields(static_cast<int>(status), transfer.responseFields);
+        transfer.callbacks.onHeaderFields(head.status(), head.fields());
     }
 }
 
@@ -180,14 +163,14 @@
 
 TransferResult resultOf(Transfer &transfer, CURLcode code)
 {
-    long status = 0;
     long systemError = 0;
-    curl_easy_getinfo(transfer.handle, CURLINFO_RESPONSE_CODE, &status);
     curl_easy_getinfo(transfer.handle, CURLINFO_OS_ERRNO, &systemError);
-    TransferResult result {TransferEnd::ConnectionLost, static_cast<int>(status),
+    TransferResult result {TransferEnd::ConnectionLost, transfer.head.status(),
                            curl_easy_strerror(code)};
-    const bool headCut = !transfer.headComplete || status < firstFinalStatus;
-    if (code == CURLE_OK && headCut) {
+    if (transfer.headFault) {
+        result.status = 0;
+        result.detail = toText(*transfer.headFault);
+    } else if (code == CURLE_OK && !transfer.head.isComplete()) {
         result.detail = "the connection ended inside the head";
     } else if (code == CURLE_OK) {
         result.end = TransferEnd::Complete;
@@ -197,9 +180,6 @@
         result.end = refused ? TransferEnd::ConnectionRefused : TransferEnd::NotSent;
     } else if (code == CURLE_OPERATION_TIMEDOUT) {
         result.end = connected(transfer.handle) ? TransferEnd::TimedOut : TransferEnd::NotSent;
-    } else if (transfer.statusInvalid) {
-        result.status = 0;
-        result.detail = "the status line is malformed";
     } else if (code == CURLE_WRITE_ERROR) {
         result.detail = "the response is too long";
     } else if (code == CURLE_URL_MALFORMAT || code == CURLE_COULDNT_RESOLVE_HOST) {
--- a/src/http/internal/transfer.h
+++ b/src/http/internal/transfer.h
@@ -2,11 +2,13 @@
 #define AZURESPINDLE_HTTP_INTERNAL_TRANSFER_H
 
 #include "http/client.h"
+#include "http/response_head_reader.h"
 
 #include <curl/curl.h>
 
 #include <atomic>
 #include <cstdint>
+#include <optional>
 
 namespace azurespindle::http::internal {
 
@@ -18,13 +20,11 @@
     TransferCallbacks callbacks;
     CURL *handle = nullptr;
     curl_slist *headerList = nullptr;
-    Headers responseHeaders;
-    HeaderFields responseFields;
-    std::size_t headBytes = 0; ///< Received so far, with interim heads and trailers.
-    std::size_t bodyBytes = 0; ///< Received so far.
-    bool headComplete = false; ///< The blank line after the last status line was received.
+    ResponseHeadReader head;
+    std::optional<HeadFault> headFault; ///< Why the head or the trailers were refused.
+    std::size_t headBytes = 0;          ///< Received so far, with interim heads and trailers.
+    std::size_t bodyBytes = 0;          ///< Received so far.
     bool statusReported = false;
-    bool statusInvalid = false; ///< A head was refused for its first line.
     bool cancelled = false;
     std::atomic<std::uint64_t> *progress = nullptr; ///< Of the client; not set for fetch().
     Instant startedAt = monotonicNow();
--- a/src/http/status_line.cpp
+++ b/src/http/status_line.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::string_view protocol = "HTTP/1.";
+constexpr char lastMinorVersion = '1';
 constexpr std::size_t codeDigits = 3;
 constexpr int minStatus = 100;
 constexpr int maxStatus = 599;
@@ -26,7 +27,8 @@
     const std::size_t codeAt = protocol.size() + 2; // After the minor version and a space.
     const std::size_t codeEnd = codeAt + codeDigits;
     if (line.size() < codeEnd || line.substr(0, protocol.size()) != protocol
-        || !isDigit(line[protocol.size()]) || line[codeAt - 1] != ' ') {
+        || !isDigit(line[protocol.size()]) || line[protocol.size()] > lastMinorVersion
+        || line[codeAt - 1] != ' ') {
         return std::nullopt;
     }
     const std::string_view code = line.substr(codeAt, codeDigits);
--- a/src/serving/request_forwarder.cpp
+++ b/src/serving/request_forwarder.cpp
@@ -1,11 +1,12 @@
 #include "serving/request_forwarder.h"
 
+#include "http/response_head_reader.h"
+
 #include <nlohmann/json.hpp>
 
 #include <strings.h>
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 namespace azurespindle::serving {
@@ -32,18 +33,13 @@
     return routing::AttemptEnd::Lost;
 }
 
-/// Returns the length of the body that a response's head states, in bytes; 0 if it states none, or
-/// one that cannot be read.
+/// Returns the length of the body that a response's head states, in bytes; 0 if it states none.
 std::size_t statedLength(const http::HeaderFields &fields)
 {
     for (const auto &[name, value] : fields) {
-        if (strcasecmp(name.c_str(), "Content-Length") != 0) {
-            continue;
+        if (strcasecmp(name.c_str(), "Content-Length") == 0) {
+            return http::parseContentLength(value).value_or(0);
         }
-        std::size_t length = 0;
-        const char *end = value.data() + value.size();
-        const auto [parsed, error] = std::from_chars(value.data(), end, length);
-        return error == std::errc() && parsed == end ? length : 0;
     }
     return 0;
 }
--- a/tests/http/client_test.cpp
+++ b/tests/http/client_test.cpp
@@ -81,6 +81,8 @@
     CPPUNIT_TEST(anAnswerWithoutLengthThatIsResetIsNotComplete);
     CPPUNIT_TEST(anAnswerThatEndsEarlyIsNotComplete);
     CPPUNIT_TEST(anAnswerWithAnInvalidStatusIsNoAnswer);
+    CPPUNIT_TEST(anAnswerWithAnUnsoundHeadIsNoAnswer);
+    CPPUNIT_TEST(unsoundTrailersSpoilTheAnswer);
     CPPUNIT_TEST(anEndlessHeadIsGivenUp);
     CPPUNIT_TEST(endlessInterimHeadsAreGivenUp);
     CPPUNIT_TEST(endlessBytesThatAreNoHeadAreGivenUp);
@@ -139,6 +141,39 @@
         }
     }
 
+    /// Guards against a part of a body that reaches a caller as the whole (rule MIXED).
+    void anAnswerWithAnUnsoundHeadIsNoAnswer()
+    {
+        for (const std::string fields :
+             {"Content-Length: 8~0", "Content-Length: 3 8",
+              "Content-Length: ", "Content-Length: +8", "Content-Length: 3\r\nContent-Length: 8",
+              "Content-Length: 8\r\nContent-Length: 8", "Content-Length: 3, 8",
+              "Content-Length: 99999999999999999999",
+              "Content-Length: 3\r\nTransfer-Encoding: chunked", "Transfer-Encoding: gzip",
+              "Transfer-Encoding: chunked, chunked", "Content-Length : 3", "X-Folded: a\r\n b",
+              "X-Control: a\x01", "no field"}) {
+            for (const std::string &interim :
+                 {std::string(), std::string("HTTP/1.1 103 Early\r\nLink: x\r\n\r\n")}) {
+                std::string answer = interim + okHead;
+                answer += fields + "\r\n\r\nthe body";
+                const Received received = receive({answer, RawEnd::Close});
+                CPPUNIT_ASSERT_MESSAGE(fields, received.result.end == TransferEnd::ConnectionLost);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(fields, std::size_t(0), received.heads);
+                CPPUNIT_ASSERT_MESSAGE(fields, received.body.empty());
+            }
+        }
+    }
+
+    /// Guards against a chunk whose size was spoiled to 0, after which its bytes pass for trailers.
+    void unsoundTrailersSpoilTheAnswer()
+    {
+        const std::string begun = chunkedHead + "3\r\nthe\r\n";
+        const Received sound = receive({begun + "0\r\nX-Sum: 1\r\n\r\n", RawEnd::Close});
+        CPPUNIT_ASSERT(sound.result.end == TransferEnd::Complete);
+        const Received unsound = receive({begun + "0\r\n body\r\n0\r\n\r\n", RawEnd::Close});
+        CPPUNIT_ASSERT(unsound.result.end == TransferEnd::ConnectionLost);
+    }
+
     void anEndlessHeadIsGivenUp()
     {
         assertGivenUpSoon(receive({okHead, RawEnd::Endless, "X-Field: value\r\n"}));
--- a/tests/serving/request_forwarder_test.cpp
+++ b/tests/serving/request_forwarder_test.cpp
@@ -127,6 +127,7 @@
     CPPUNIT_TEST(anAnswerWithoutLengthThatIsResetIsNoSuccess);
     CPPUNIT_TEST(anAnswerWithoutLengthThatIsResetIsRetriedIfItMay);
     CPPUNIT_TEST(anAnswerWithAnInvalidStatusIsNotPassedOn);
+    CPPUNIT_TEST(anAnswerWhoseLengthIsUnsoundIsNotPassedOn);
     CPPUNIT_TEST(aStreamWithoutChunksEndsAfterItsLastEvent);
     CPPUNIT_TEST(aStreamThatEndsInsideAnEventIsNotComplete);
     CPPUNIT_TEST(aStreamThatEndsInsideItsFirstEventIsNotComplete);
@@ -230,6 +231,22 @@
         }
     }
 
+    /// Guards against a caller that gets a part of an answer as the whole (rule MIXED).
+    void anAnswerWhoseLengthIsUnsoundIsNotPassedOn()
+    {
+        for (const std::string length : {"3~0", "3\r\nContent-Length: 8", "3, 8"}) {
+            std::string bytes = sealedHead + "Content-Length: ";
+            bytes += length + "\r\n\r\nthe body";
+            const RawAnswer unsound {bytes, RawEnd::Close};
+            this->answers = {unsound};
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(length, 502, this->call("/order/1").status);
+            this->answers = {unsound, {sealedHead + "\r\nthe body", RawEnd::Close}};
+            const Response response = this->call("/look/1");
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(length, 200, response.status);
+            CPPUNIT_ASSERT_EQUAL(std::string("the body"), response.body);
+        }
+    }
+
     void aStreamWithoutChunksEndsAfterItsLastEvent()
     {
         this->answers = {{streamHead + "\r\n" + event(1) + event(2), RawEnd::Close}};
