Send no body in responses to HEAD, whoever gives them

Cause: an exchange didn't know the method of its request and always wrote the body. The same for 400, 404, 413, 431 and 503, and for a stream begun for HEAD. Change: ConnectionExchange is made with a ResponseForm (closes the connection, omits the body); the length is that of GET's body where it is known. 204 and 304 have neither body nor length. RequestReader says the method of a request that it refuses.

--- a/src/http/internal/connection_exchange.cpp
+++ b/src/http/internal/connection_exchange.cpp
@@ -11,6 +11,14 @@
 
 using Pistache::Tcp::Peer;
 
+constexpr int statusNoContent = 204;
+constexpr int statusNotModified = 304;
+
+bool permitsBody(int status)
+{
+    return status != statusNoContent && status != statusNotModified;
+}
+
 std::string chunk(const std::string &bytes)
 {
     char size[20];
@@ -22,10 +30,11 @@
 
 ConnectionExchange::ConnectionExchange(std::shared_ptr<ServerState> state,
                                        std::weak_ptr<PostingTransport> transport,
-                                       std::shared_ptr<Peer> peer, bool closeAfterResponse)
+                                       std::shared_ptr<Peer> peer, ResponseForm form)
     : state(std::move(state)), transport(std::move(transport)), peer(std::move(peer)),
-      unsentLimit(this->state->limits().unsentBytes), closeAfterResponse(closeAfterResponse),
-      pendingCounted(this->state->unsentBytes), lastWriteProgress(monotonicNow())
+      unsentLimit(this->state->limits().unsentBytes), omitsBody(form.omitsBody),
+      closeAfterResponse(form.closesConnection), pendingCounted(this->state->unsentBytes),
+      lastWriteProgress(monotonicNow())
 {
     this->state->openExchanges += 1;
 }
@@ -53,7 +62,9 @@
     for (const auto &[name, value] : fields) {
         text.append(name).append(": ").append(value).append("\r\n");
     }
-    text += framing + "\r\n";
+    if (!framing.empty()) {
+        text.append(framing).append("\r\n");
+    }
     text += this->closeAfterResponse ? "connection: close\r\n\r\n" : "\r\n";
     return text;
 }
@@ -66,8 +77,13 @@
 void ConnectionExchange::respondWithFields(int status, const HeaderFields &fields,
                                            const std::string &body)
 {
-    const std::string framing = "content-length: " + std::to_string(body.size());
-    this->append(this->head(status, fields, framing) + body, true);
+    // What is forwarded to a HEAD request has no body here, and its length is not known.
+    const bool lengthUnknown = this->omitsBody && body.empty();
+    const bool statesLength = permitsBody(status) && !lengthUnknown;
+    const std::string framing
+        = statesLength ? "content-length: " + std::to_string(body.size()) : "";
+    const std::string head = this->head(status, fields, framing);
+    this->append(this->omitsBody || !permitsBody(status) ? head : head + body, true);
 }
 
 void ConnectionExchange::beginStream(int status, const Headers &headers)
@@ -77,19 +93,20 @@
 
 void ConnectionExchange::beginStreamWithFields(int status, const HeaderFields &fields)
 {
-    this->append(this->head(status, fields, "transfer-encoding: chunked"), false);
+    this->append(this->head(status, fields, this->omitsBody ? "" : "transfer-encoding: chunked"),
+                 false);
 }
 
 void ConnectionExchange::send(const std::string &part)
 {
-    if (!part.empty()) {
+    if (!part.empty() && !this->omitsBody) {
         this->append(chunk(part), false);
     }
 }
 
 void ConnectionExchange::finish()
 {
-    this->append("0\r\n\r\n", true);
+    this->append(this->omitsBody ? "" : "0\r\n\r\n", true);
 }
 
 void ConnectionExchange::abort()
--- a/src/http/internal/connection_exchange.h
+++ b/src/http/internal/connection_exchange.h
@@ -12,13 +12,21 @@
 
 namespace azurespindle::http::internal {
 
+/// How the response to a request is sent.
+struct ResponseForm
+{
+    bool closesConnection = false; ///< The connection is closed after the response.
+    bool omitsBody = false;        ///< The request's method is HEAD.
+    bool operator==(const ResponseForm &other) const = default;
+};
+
 /// Exchange that sends its response over one caller connection.
 class ConnectionExchange : public Exchange, public std::enable_shared_from_this<ConnectionExchange>
 {
 public:
     ConnectionExchange(std::shared_ptr<ServerState> state,
                        std::weak_ptr<PostingTransport> transport,
-                       std::shared_ptr<Pistache::Tcp::Peer> peer, bool closeAfterResponse);
+                       std::shared_ptr<Pistache::Tcp::Peer> peer, ResponseForm form);
     ~ConnectionExchange() override;
 
     void respond(int status, const Headers &headers, const std::string &body) override;
@@ -56,6 +64,8 @@
     /// Ends the exchange once its last byte is sent.
     void onResponseSent();
     void markEnded();
+    /// Returns the bytes of a response's head.
+    /// \param framing the field that tells where the body ends, or an empty string.
     std::string head(int status, const HeaderFields &fields, const std::string &framing);
 
     const std::shared_ptr<ServerState> state;
@@ -63,6 +73,7 @@
     std::shared_ptr<Pistache::Tcp::Peer> peer;
     const std::size_t unsentLimit;
     std::size_t requestBytes = 0; ///< Charged to ServerState::inputBudget.
+    const bool omitsBody;
     std::atomic<bool> closeAfterResponse;
 
     mutable std::mutex mutex; ///< Guards all members declared after it.
--- a/src/http/internal/connection_handler.cpp
+++ b/src/http/internal/connection_handler.cpp
@@ -133,14 +133,18 @@
 void ConnectionHandler::dispatch(const ServerRequest &request, Connection &connection,
                                  const std::shared_ptr<Peer> &peer)
 {
+    const bool isHead = request.method == headMethod;
     const std::size_t bytes = requestBytes(request);
     if (!this->state->inputBudget.admitRequest(bytes)) {
-        this->refuse(peer, memoryShortRejection());
+        RejectedRequest rejection = memoryShortRejection();
+        rejection.isHead = isHead;
+        this->refuse(peer, rejection);
         return;
     }
-    const bool close = !request.keepAlive || this->state->draining || this->state->refusing;
+    const bool closes = !request.keepAlive || this->state->draining || this->state->refusing;
+    const ResponseForm form {closes, isHead};
     auto exchange
-        = std::make_shared<ConnectionExchange>(this->state, this->owningTransport(), peer, close);
+        = std::make_shared<ConnectionExchange>(this->state, this->owningTransport(), peer, form);
     exchange->holdRequest(bytes);
     connection.exchange = exchange;
     connection.used = true;
--- a/src/http/internal/refusal.cpp
+++ b/src/http/internal/refusal.cpp
@@ -30,6 +30,8 @@
         return;
     }
     const std::size_t heldBytes = connection->reader.heldBytes();
+    const ResponseForm form {true,
+                             rejection.isHead.value_or(connection->reader.readsHeadRequest())};
     connection->reader.clear();
     state->inputBudget.update(connection->budgetNumber, 0, monotonicNow());
     if (std::exchange(connection->closing, true)) {
@@ -37,7 +39,7 @@
     }
     const bool answers = connection->exchange == nullptr;
     if (answers) {
-        auto exchange = std::make_shared<ConnectionExchange>(state, transport, peer, true);
+        auto exchange = std::make_shared<ConnectionExchange>(state, transport, peer, form);
         connection->exchange = exchange;
         const Problem problem {
             rejection.status,    0,
--- a/src/http/internal/request_reader.cpp
+++ b/src/http/internal/request_reader.cpp
@@ -127,6 +127,13 @@
     return allocated(this->input) + allocated(this->parser->get().body()) + this->fieldBytes;
 }
 
+bool RequestReader::readsHeadRequest() const
+{
+    // The parser takes the first line in one piece, and may leave it in the input until then.
+    return this->parser->get().method() == beast::http::verb::head
+        || this->input.rfind(std::string(headMethod) + " ", 0) == 0;
+}
+
 void RequestReader::consume(std::size_t bytes)
 {
     this->input.erase(0, bytes);
--- a/src/http/internal/request_reader.h
+++ b/src/http/internal/request_reader.h
@@ -10,6 +10,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 
 namespace azurespindle::http::internal {
@@ -18,6 +19,8 @@
 struct Incomplete
 { };
 
+constexpr std::string_view headMethod = "HEAD";
+
 /// The outcome for input that is malformed or exceeds a limit. The bytes after it must not be
 /// parsed as a request.
 struct RejectedRequest
@@ -25,6 +28,8 @@
     int status = 400;
     std::string detail; ///< Reason, as shown to the caller.
     RefusalReason reason = RefusalReason::Malformed;
+    /// Whether its method is HEAD; if not set, the request is the one that is being read.
+    std::optional<bool> isHead {};
 };
 
 using ReadOutcome = std::variant<Incomplete, ServerRequest, RejectedRequest>;
@@ -66,6 +71,8 @@
     std::size_t unreadBytes() const { return this->input.size(); }
     /// Returns true if the header of a request is complete and its body is not.
     bool inBody() const { return this->parser->is_header_done(); }
+    /// Returns true if the method of the request that is being read is HEAD.
+    bool readsHeadRequest() const;
     /// Returns the size of the body received so far, in bytes.
     std::size_t bodyBytes() const { return this->parser->get().body().size(); }
     /// Returns the memory allocated for the input and the request that is being read, in bytes.
