Send what an aborted response was given before its connection closes

The test's caller got no byte on a kept connection, and libcurl, which takes such a request for one that was not read, sent it again. So the caller was suspected rightly, and had been given the reason by us. Change: an aborted response is sent as far as it was given, without its last chunk, and the connection closes after it as after any last response.

--- a/src/http/internal/connection_exchange.cpp
+++ b/src/http/internal/connection_exchange.cpp
@@ -111,10 +111,7 @@
 
 void ConnectionExchange::abort()
 {
-    {
-        const std::lock_guard lock(this->mutex);
-        this->aborted = true;
-    }
+    this->closeAfterResponse = true;
     this->append({}, true);
 }
 
@@ -155,7 +152,6 @@
     std::string bytes;
     CountedBytes counted(this->state->unsentBytes);
     bool last = false;
-    bool abortConnection = false;
     {
         const std::lock_guard lock(this->mutex);
         this->flushPosted = false;
@@ -167,15 +163,10 @@
         this->pendingCounted.set(0);
         this->bytesInTransport += bytes.size();
         last = this->complete;
-        abortConnection = this->aborted;
     }
     if (!owner->owns(this->peer)) {
         return;
     }
-    if (abortConnection) {
-        owner->disconnect(this->peer);
-        return;
-    }
     const std::shared_ptr<Connection> connection = connectionOf(this->peer);
     auto self = this->shared_from_this();
     if (last) {
--- a/src/http/internal/connection_exchange.h
+++ b/src/http/internal/connection_exchange.h
@@ -81,7 +81,6 @@
     CountedBytes pendingCounted;
     bool flushPosted = false;
     bool complete = false;
-    bool aborted = false;
     bool disconnected = false;
     bool ended = false; ///< No longer counted in ServerState::openExchanges.
     bool wasCongested = false;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -92,10 +92,11 @@
     /// Ends a chunked response.
     virtual void finish() = 0;
     /// Closes the connection without ending the response, so that the caller detects truncation.
+    /// What was sent before is written first: a caller that got no byte may send its request again.
     virtual void abort() = 0;
-    /// Sets the callback for a connection that closes before the response is complete, because the
-    /// caller disconnected, did not read within the write timeout, or abort() was called. It runs
-    /// once, on the connection's thread; if the connection is already closed, it is posted there.
+    /// Sets the callback for a connection that closes before the response was finished or aborted,
+    /// because the caller disconnected or did not read within the write timeout. It runs once, on
+    /// the connection's thread; if the connection is already closed, it is posted there.
     virtual void onDisconnected(std::function<void()> callback) = 0;
     /// Sets the callback for the end of congestion. It is called on the connection's thread when
     /// the unsent bytes, having reached the limit, fall below half of it.
