--- a/src/http/internal/request_reader.cpp
+++ b/src/http/internal/request_reader.cpp
@@ -1,5 +1,7 @@
 #include "http/internal/request_reader.h"
 
+#include "http/response_head_reader.h"
+
 #include <algorithm>
 #include <tuple>
 #include <utility>
@@ -168,6 +170,11 @@
                                 "a header field that may occur only once is repeated",
                                 RefusalReason::Malformed};
     }
+    const auto length = head.find(Field::content_length);
+    if (length != head.end() && !parseContentLength(text(length->value()))) {
+        return RejectedRequest {statusBadRequest, "the length of the body is ambiguous",
+                                RefusalReason::Malformed};
+    }
     const auto encoding = head.find(Field::transfer_encoding);
     if (encoding == head.end()) {
         return std::nullopt;
--- a/tests/http/request_reader_test.cpp
+++ b/tests/http/request_reader_test.cpp
@@ -57,6 +57,10 @@
             "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
             "Content-Length: 0x5\r\n\r\nhello",
             "Content-Length: -1\r\n\r\n",
+            "Content-Length: +5\r\n\r\nhello",
+            "Content-Length: 5, 5\r\n\r\nhello",
+            "X-Bare: a\nContent-Length: 5\r\n\r\nhello",
+            "Content-Length: 5\n\nhello\r\n\r\n",
             "Transfer-Encoding: chunked\r\n\r\nzz\r\n\r\n",
             "Host: a\r\nHost: b\r\nContent-Length: 0\r\n\r\n",
         };
