Close a connection that was refused during a response after that response

Cause: the refusal marked the connection as closing, so that its input was dropped, but only the response's own mark closes a connection after it. The same for more than 262,144 bytes behind a request in progress. Change: both tell the response in progress to close the connection afterwards, and to say so where its head is yet to be given. Evidence: caller_limits aConnectionRefusedDuringAResponseClosesAfterIt failed before (no connection: close); caller_limits 8, server 16, input_budget 6, abusive_callers 7 passed.

--- a/src/http/internal/connection_exchange.cpp
+++ b/src/http/internal/connection_exchange.cpp
@@ -111,7 +111,7 @@
 
 void ConnectionExchange::abort()
 {
-    this->closeAfterResponse = true;
+    this->closeAfterwards();
     this->append({}, true);
 }
 
--- a/src/http/internal/connection_exchange.h
+++ b/src/http/internal/connection_exchange.h
@@ -45,6 +45,8 @@
     /// Keeps the memory of an admitted request charged as long as this object exists. To be called
     /// once, before the request is handled.
     void holdRequest(std::size_t bytes) { this->requestBytes = bytes; }
+    /// Closes the connection after the response, and says so if its head is yet to be given.
+    void closeAfterwards() { this->closeAfterResponse = true; }
     /// Discards unsent bytes and calls the onDisconnected callback. Call on the owning thread only.
     void handleDisconnect();
     /// Discards the unsent bytes of a complete response. Call on the owning thread only.
--- a/src/http/internal/connection_handler.cpp
+++ b/src/http/internal/connection_handler.cpp
@@ -112,6 +112,7 @@
         // The pipelined requests are not processed. Closing the connection after the current
         // response tells the caller to send them again on another connection.
         connection->closing = true;
+        connection->exchange->closeAfterwards();
         connection->reader.clear();
     }
     noteInput(*this->state, *connection);
--- a/src/http/internal/refusal.cpp
+++ b/src/http/internal/refusal.cpp
@@ -38,7 +38,9 @@
         return;
     }
     const bool answers = connection->exchange == nullptr;
-    if (answers) {
+    if (!answers) {
+        connection->exchange->closeAfterwards();
+    } else {
         auto exchange = std::make_shared<ConnectionExchange>(state, transport, peer, form);
         connection->exchange = exchange;
         const Problem problem {
--- a/tests/http/caller_limits_test.cpp
+++ b/tests/http/caller_limits_test.cpp
@@ -3,6 +3,7 @@
 #include "support/suite.h"
 
 #include <atomic>
+#include <future>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -40,6 +41,7 @@
     CPPUNIT_TEST(stalledBodiesAreRefusedWhenMemoryIsShort);
     CPPUNIT_TEST(theSmallestVmServesTheLargestRequest);
     CPPUNIT_TEST(openRequestsBeyondTheMemoryAreRefused);
+    CPPUNIT_TEST(aConnectionRefusedDuringAResponseClosesAfterIt);
     CPPUNIT_TEST(callersThatSendWithoutEndHoldUpNobodyElse);
     CPPUNIT_TEST_SUITE_END();
 
@@ -202,6 +204,33 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), server.inputBytes());
     }
 
+    /// Guards against a connection that stays open and is never read again (rule CONFIG).
+    void aConnectionRefusedDuringAResponseClosesAfterIt()
+    {
+        std::promise<ExchangePtr> opened;
+        Server server(anyPort, settings::CallerLimits {}, 1,
+                      [&](const ServerRequest &, const ExchangePtr &exchange) {
+                          opened.set_value(exchange);
+                      });
+        CPPUNIT_ASSERT(!server.start());
+        const tests::RawConnection caller(server.port());
+        caller.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+        const ExchangePtr exchange = opened.get_future().get();
+        const std::size_t idleBytes = server.inputBytes();
+        caller.send("POST / HTTP/1.1\r\ncontent-length: 300000\r\n\r\n"
+                    + std::string(300'000, 'b'));
+        const Instant begin = monotonicNow();
+        while (server.inputBytes() > idleBytes || monotonicNow() - begin < milliseconds(100)) {
+            CPPUNIT_ASSERT(monotonicNow() - begin < receiveTimeout);
+            std::this_thread::sleep_for(milliseconds(5));
+        }
+        exchange->respond(200, {}, "ok");
+        const std::string answer = caller.readAll(receiveTimeout);
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.rfind("HTTP/1.1 200", 0) == 0);
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.find("connection: close") != std::string::npos);
+        CPPUNIT_ASSERT(caller.closedWithin(receiveTimeout));
+    }
+
     /// The thread read one connection until nothing had arrived, which never was so while its
     /// caller sent faster than it read, also after the request had been refused.
     void callersThatSendWithoutEndHoldUpNobodyElse()
