Give the parsing of a Content-Length a file of its own

Cause: the readers of requests and of responses, and the forwarder, share it; it stood in the header of one of them.

--- a/src/http/internal/request_reader.cpp
+++ b/src/http/internal/request_reader.cpp
@@ -1,6 +1,6 @@
 #include "http/internal/request_reader.h"
 
-#include "http/response_head_reader.h"
+#include "http/content_length.h"
 
 #include <algorithm>
 #include <tuple>
--- a/src/http/response_head_reader.cpp
+++ b/src/http/response_head_reader.cpp
@@ -1,12 +1,12 @@
 #include "http/response_head_reader.h"
 
+#include "http/content_length.h"
 #include "http/status_line.h"
 
 #include <strings.h>
 
 #include <algorithm>
 #include <cctype>
-#include <charconv>
 
 namespace azurespindle::http {
 namespace {
@@ -85,14 +85,6 @@
     return "";
 }
 
-std::optional<std::uint64_t> parseContentLength(std::string_view value)
-{
-    std::uint64_t length = 0;
-    const char *end = value.data() + value.size();
-    const auto [parsed, error] = std::from_chars(value.data(), end, length);
-    return error == std::errc() && parsed == end ? std::optional(length) : std::nullopt;
-}
-
 std::optional<HeadFault> ResponseHeadReader::readLine(std::string_view line)
 {
     const std::string_view content = withoutLineEnd(line);
--- a/src/http/response_head_reader.h
+++ b/src/http/response_head_reader.h
@@ -23,9 +23,6 @@
 /// Returns a description of \a fault for logs.
 const char *toText(HeadFault fault);
 
-/// Parses the value of a Content-Length field: decimal digits and nothing else.
-std::optional<std::uint64_t> parseContentLength(std::string_view value);
-
 /// Incremental parser of a response's head, with the interim heads before it and the trailers after
 /// its body.
 ///
--- a/src/serving/request_forwarder.cpp
+++ b/src/serving/request_forwarder.cpp
@@ -1,6 +1,6 @@
 #include "serving/request_forwarder.h"
 
-#include "http/response_head_reader.h"
+#include "http/content_length.h"
 
 #include <nlohmann/json.hpp>
 
